Add the root package with domain types and interfaces

Cause: decisions and peers need common types and one place for interfaces. Turn replaces an error of a lower layer without keeping it in the chain: with merry.WithCause, errors.Is found the kind of the lower layer as well, and a lost read of the table looked like a write of unknown outcome. Conclusion: each layer answers for its own error kinds only.

--- /dev/null
+++ b/errors.go
@@ -0,0 +1,62 @@
+package hoist
+
+import (
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors that cross package borders. Each layer wraps the errors of the layer
+// below into one of these or into its own; test for them with errors.Is.
+var (
+	// ErrUnavailable reports that a peer could not be reached and that the
+	// operation certainly had no effect.
+	ErrUnavailable = merry.Sentinel("unavailable")
+
+	// ErrOutcomeUnknown reports that an operation may or may not have had an
+	// effect, because its answer was lost.
+	ErrOutcomeUnknown = merry.Sentinel("outcome unknown")
+
+	// ErrConflict reports that a row was changed by another transaction. The
+	// transaction had no effect.
+	ErrConflict = merry.Sentinel("conflict with another transaction")
+
+	// ErrStaleTerm reports that a message carried a lower term than its
+	// receiver has seen. The message had no effect.
+	ErrStaleTerm = merry.Sentinel("stale term")
+
+	// ErrNotOwner reports that the host does not own the shard or holds no
+	// valid lease. The message had no effect.
+	ErrNotOwner = merry.Sentinel("not the owner")
+
+	// ErrNoSlot reports that all slots of an executor are taken. The attempt
+	// was not run.
+	ErrNoSlot = merry.Sentinel("no free slot")
+
+	// ErrNoCapacity reports that a worker does not hold what a task needs.
+	ErrNoCapacity = merry.Sentinel("not enough free capacity")
+
+	// ErrOverLimit reports that a limit or quota would be passed.
+	ErrOverLimit = merry.Sentinel("over the limit")
+
+	// ErrLeaving reports that a worker, executor or host accepts no new work.
+	ErrLeaving = merry.Sentinel("leaving")
+
+	// ErrInvalid reports input that breaks the rules of its format.
+	ErrInvalid = merry.Sentinel("invalid")
+
+	// ErrNotFound reports that the named entity does not exist.
+	ErrNotFound = merry.Sentinel("not found")
+)
+
+// Turn returns an error of the given kind whose message ends with that of
+// cause. The result is not cause in the sense of errors.Is: a layer that turns
+// an error answers for its own kind only.
+func Turn(kind, cause error) error {
+	return merry.WrapSkipping(kind, 1, merry.AppendMessage(cause.Error()))
+}
+
+// Turnf is Turn with a formatted message in front.
+func Turnf(kind, cause error, format string, args ...any) error {
+	return merry.WrapSkipping(kind, 1, merry.AppendMessage(cause.Error()), merry.PrependMessage(fmt.Sprintf(format, args...)))
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,91 @@
+package hoist
+
+import "time"
+
+// Class tells how long a request can wait.
+type Class string
+
+// The classes of requests.
+const (
+	// Quick requests have a person waiting for the answer.
+	Quick Class = "quick"
+	// Patient requests are batch work; they wait for free slots.
+	Patient Class = "patient"
+	// Watch requests hold a connection for hours and receive updates.
+	Watch Class = "watch"
+)
+
+// IsValid reports whether c is one of the defined classes.
+func (c Class) IsValid() bool {
+	return c == Quick || c == Patient || c == Watch
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Key        RequestKey
+	Customer   CustomerID
+	Service    ServiceName
+	Class      Class
+	Idempotent bool
+	// FirstTry tells that every earlier try of the caller under this key was
+	// answered as not run. It is false if the caller does not say.
+	FirstTry bool
+	// IssuedAt is the time of the caller's first try whose outcome it does not
+	// know to be not run.
+	IssuedAt time.Time
+	// Deadline is the time after which the answer is of no use.
+	Deadline time.Time
+	Body     []byte
+}
+
+// Outcome tells a caller what became of a request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// Done means that the request ran and the answer is whole.
+	Done Outcome = "done"
+	// NotRun means that the request certainly did not run.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "outcome-unknown"
+)
+
+// Answer is what a caller receives for a request.
+type Answer struct {
+	Key     RequestKey
+	Attempt AttemptNo
+	Outcome Outcome
+	// Reason explains an outcome other than Done.
+	Reason string
+	// RetryAfter is a hint for requests that were not run; 0 means no hint.
+	RetryAfter time.Duration
+	// Executor ran the request; it is empty unless Outcome is Done.
+	Executor ExecutorID
+	// Waited is the time from arrival to the start at an executor.
+	Waited time.Duration
+	Body   []byte
+}
+
+// Attempt is one dispatch of a request towards an executor.
+type Attempt struct {
+	Request Request
+	No      AttemptNo
+	// ShardTerm is the coordinator's term for the shard of the request key.
+	// Owners of executors refuse terms lower than the highest they have seen.
+	ShardTerm Term
+}
+
+// RunningAttempt is an attempt that an executor reports as running.
+type RunningAttempt struct {
+	Key     RequestKey
+	Attempt AttemptNo
+}
+
+// ExecutorReport is an executor's own account of itself.
+type ExecutorReport struct {
+	Executor ExecutorID
+	Slots    int
+	Leaving  bool
+	Running  []RunningAttempt
+}
--- /dev/null
+++ b/units.go
@@ -0,0 +1,48 @@
+package hoist
+
+import "fmt"
+
+// MilliCPU is an amount of processor in thousandths of a core.
+type MilliCPU int64
+
+// MiB is an amount of memory in mebibytes.
+type MiB int64
+
+// Accelerators is a number of whole accelerators.
+type Accelerators int64
+
+// Resources is what a task needs or a worker holds.
+type Resources struct {
+	CPU    MilliCPU
+	Memory MiB
+	Accel  Accelerators
+}
+
+// Add returns r + s.
+func (r Resources) Add(s Resources) Resources {
+	return Resources{r.CPU + s.CPU, r.Memory + s.Memory, r.Accel + s.Accel}
+}
+
+// Sub returns r - s. Parts of the result may be negative.
+func (r Resources) Sub(s Resources) Resources {
+	return Resources{r.CPU - s.CPU, r.Memory - s.Memory, r.Accel - s.Accel}
+}
+
+// Fits reports whether r can be taken from free without any part going below
+// zero.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.Accel <= free.Accel
+}
+
+// IsValid reports whether no part is negative and at least one is positive.
+func (r Resources) IsValid() bool {
+	if r.CPU < 0 || r.Memory < 0 || r.Accel < 0 {
+		return false
+	}
+	return r != Resources{}
+}
+
+// String formats r for messages to people.
+func (r Resources) String() string {
+	return fmt.Sprintf("%.1f cores, %d MiB, %d accelerators", float64(r.CPU)/1000, r.Memory, r.Accel)
+}
