Add wire types from a schema, conversions, and JSON over HTTP

Cause: processes exchange the same messages in several places. Change: wire.schema.json with generated types, conversions to the domain types, error codes, and typed calls and handlers over HTTP.

--- /dev/null
+++ b/internal/proto/codec/table.go
@@ -0,0 +1,104 @@
+package codec
+
+import (
+	"encoding/json"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// Row converts r for the wire.
+func Row(r hoist.Row) wire.Row {
+	return wire.Row{Key: string(r.Key), Value: r.Value, Version: int(r.Version), Txn: string(r.Txn)}
+}
+
+// ToRow converts r from the wire.
+func ToRow(r wire.Row) hoist.Row {
+	return hoist.Row{
+		Key:     hoist.RowKey(r.Key),
+		Value:   r.Value,
+		Version: hoist.RowVersion(r.Version),
+		Txn:     hoist.TxnID(r.Txn),
+	}
+}
+
+// Txn converts t for the wire.
+func Txn(t hoist.Txn) wire.Txn {
+	return wire.Txn{
+		Id: string(t.ID),
+		Checks: Map(t.Checks, func(c hoist.Check) wire.Check {
+			return wire.Check{Key: string(c.Key), Version: int(c.Version)}
+		}),
+		Puts: Map(t.Puts, func(p hoist.Put) wire.Put {
+			return wire.Put{Key: string(p.Key), Value: p.Value, Delete: p.Value == nil}
+		}),
+	}
+}
+
+// ToTxn converts t from the wire.
+func ToTxn(t wire.Txn) hoist.Txn {
+	return hoist.Txn{
+		ID: hoist.TxnID(t.Id),
+		Checks: Map(t.Checks, func(c wire.Check) hoist.Check {
+			return hoist.Check{Key: hoist.RowKey(c.Key), Version: hoist.RowVersion(c.Version)}
+		}),
+		Puts: Map(t.Puts, toPut),
+	}
+}
+
+func toPut(p wire.Put) hoist.Put {
+	put := hoist.Put{Key: hoist.RowKey(p.Key)}
+	if p.Delete {
+		return put
+	}
+	put.Value = p.Value
+	if put.Value == nil {
+		put.Value = []byte{}
+	}
+	return put
+}
+
+// Listed converts l for the wire.
+func Listed(l hoist.Listed) wire.Listed {
+	return wire.Listed{
+		Kind:       string(l.Kind),
+		Id:         l.ID,
+		Addr:       l.Addr,
+		DataCentre: string(l.DataCentre),
+		Rack:       optional(string(l.Rack)),
+		Service:    optional(string(l.Service)),
+		Leaving:    l.Leaving,
+	}
+}
+
+// ToListed converts l from the wire.
+func ToListed(l wire.Listed) hoist.Listed {
+	return hoist.Listed{
+		Kind:       hoist.ListedKind(l.Kind),
+		ID:         l.Id,
+		Addr:       l.Addr,
+		DataCentre: hoist.DataCentreID(l.DataCentre),
+		Rack:       hoist.RackID(value(l.Rack)),
+		Service:    hoist.ServiceName(value(l.Service)),
+		Leaving:    l.Leaving,
+	}
+}
+
+// EncodeValue encodes a wire value as the value of a row.
+func EncodeValue[T any](v T) []byte {
+	value, err := json.Marshal(v)
+	if err != nil {
+		// Wire types hold only plain values, which always encode.
+		panic(err)
+	}
+	return value
+}
+
+// DecodeValue decodes the value of a row.
+func DecodeValue[T any](row hoist.Row) (T, error) {
+	var v T
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return v, hoist.Turnf(hoist.ErrInvalid, err, "row %q", row.Key)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/proto/codec/task.go
@@ -0,0 +1,168 @@
+package codec
+
+import (
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// JobSpec converts s for the wire.
+func JobSpec(s hoist.JobSpec) wire.JobSpec {
+	return wire.JobSpec{
+		Id:         string(s.ID),
+		Team:       string(s.Team),
+		Kind:       string(s.Kind),
+		Tasks:      s.Tasks,
+		Need:       Resources(s.Need),
+		Priority:   optional(int(s.Priority)),
+		Urgent:     optional(s.Urgent),
+		Deadline:   optional(s.Deadline),
+		RunTimeUs:  optional(micros(s.RunTime)),
+		Group:      optional(s.Group),
+		DataCentre: optional(string(s.DataCentre)),
+	}
+}
+
+// ToJobSpec converts s from the wire.
+func ToJobSpec(s wire.JobSpec) hoist.JobSpec {
+	return hoist.JobSpec{
+		ID:         hoist.JobID(s.Id),
+		Team:       hoist.TeamID(s.Team),
+		Kind:       hoist.JobKind(s.Kind),
+		Tasks:      s.Tasks,
+		Need:       ToResources(s.Need),
+		Priority:   hoist.Priority(value(s.Priority)),
+		Urgent:     value(s.Urgent),
+		Deadline:   value(s.Deadline),
+		RunTime:    duration(value(s.RunTimeUs)),
+		Group:      value(s.Group),
+		DataCentre: hoist.DataCentreID(value(s.DataCentre)),
+	}
+}
+
+// Grant converts g for the wire.
+func Grant(g hoist.Grant) wire.Grant {
+	return wire.Grant{
+		Task:      string(g.Task),
+		Job:       string(g.Job),
+		Team:      string(g.Team),
+		Attempt:   int(g.Attempt),
+		Need:      Resources(g.Need),
+		Priority:  int(g.Priority),
+		RunTimeUs: micros(g.RunTime),
+		Term:      int(g.Term),
+		LeaseUs:   micros(g.Lease),
+	}
+}
+
+// ToGrant converts g from the wire.
+func ToGrant(g wire.Grant) hoist.Grant {
+	return hoist.Grant{
+		Task:     hoist.TaskID(g.Task),
+		Job:      hoist.JobID(g.Job),
+		Team:     hoist.TeamID(g.Team),
+		Attempt:  hoist.AttemptNo(g.Attempt),
+		Need:     ToResources(g.Need),
+		Priority: hoist.Priority(g.Priority),
+		RunTime:  duration(g.RunTimeUs),
+		Term:     hoist.Term(g.Term),
+		Lease:    duration(g.LeaseUs),
+	}
+}
+
+// Placement converts p for the wire.
+func Placement(p hoist.Placement) wire.Placement {
+	return wire.Placement{
+		Worker:    string(p.Worker),
+		Grant:     Grant(p.Grant),
+		TeamShard: int(p.TeamShard),
+		TeamTerm:  int(p.TeamTerm),
+	}
+}
+
+// ToPlacement converts p from the wire.
+func ToPlacement(p wire.Placement) hoist.Placement {
+	return hoist.Placement{
+		Worker:    hoist.WorkerID(p.Worker),
+		Grant:     ToGrant(p.Grant),
+		TeamShard: hoist.ShardID(p.TeamShard),
+		TeamTerm:  hoist.Term(p.TeamTerm),
+	}
+}
+
+// TaskStatus converts s for the wire.
+func TaskStatus(s hoist.TaskStatus) wire.TaskStatus {
+	return wire.TaskStatus{
+		Task:     string(s.Task),
+		Job:      string(s.Job),
+		Team:     string(s.Team),
+		Attempt:  int(s.Attempt),
+		State:    string(s.State),
+		Need:     Resources(s.Need),
+		Usage:    Resources(s.Usage),
+		Priority: int(s.Priority),
+		Started:  s.Started,
+		Reason:   optional(s.Reason),
+	}
+}
+
+// ToTaskStatus converts s from the wire.
+func ToTaskStatus(s wire.TaskStatus) hoist.TaskStatus {
+	return hoist.TaskStatus{
+		Task:     hoist.TaskID(s.Task),
+		Job:      hoist.JobID(s.Job),
+		Team:     hoist.TeamID(s.Team),
+		Attempt:  hoist.AttemptNo(s.Attempt),
+		State:    hoist.TaskState(s.State),
+		Need:     ToResources(s.Need),
+		Usage:    ToResources(s.Usage),
+		Priority: hoist.Priority(s.Priority),
+		Started:  s.Started,
+		Reason:   value(s.Reason),
+	}
+}
+
+// WorkerTask converts t for the wire.
+func WorkerTask(t hoist.WorkerTask) wire.WorkerTask {
+	return wire.WorkerTask{Worker: string(t.Worker), Status: TaskStatus(t.Status)}
+}
+
+// ToWorkerTask converts t from the wire.
+func ToWorkerTask(t wire.WorkerTask) hoist.WorkerTask {
+	return hoist.WorkerTask{Worker: hoist.WorkerID(t.Worker), Status: ToTaskStatus(t.Status)}
+}
+
+// WorkerReport converts r for the wire.
+func WorkerReport(r hoist.WorkerReport) wire.WorkerReport {
+	return wire.WorkerReport{
+		Worker:     string(r.Worker),
+		DataCentre: string(r.DataCentre),
+		Rack:       string(r.Rack),
+		Capacity:   Resources(r.Capacity),
+		Leaving:    r.Leaving,
+		Running:    Map(r.Running, TaskStatus),
+		Ended:      Map(r.Ended, TaskStatus),
+	}
+}
+
+// ToWorkerReport converts r from the wire.
+func ToWorkerReport(r wire.WorkerReport) hoist.WorkerReport {
+	return hoist.WorkerReport{
+		Worker:     hoist.WorkerID(r.Worker),
+		DataCentre: hoist.DataCentreID(r.DataCentre),
+		Rack:       hoist.RackID(r.Rack),
+		Capacity:   ToResources(r.Capacity),
+		Leaving:    r.Leaving,
+		Running:    Map(r.Running, ToTaskStatus),
+		Ended:      Map(r.Ended, ToTaskStatus),
+	}
+}
+
+// SurveyReply converts r for the wire.
+func SurveyReply(r hoist.SurveyReply) wire.SurveyReply {
+	return wire.SurveyReply{Workers: Strings(r.Workers), Tasks: Map(r.Tasks, WorkerTask)}
+}
+
+// ToSurveyReply converts r from the wire.
+func ToSurveyReply(r wire.SurveyReply) hoist.SurveyReply {
+	return hoist.SurveyReply{Workers: IDs[hoist.WorkerID](r.Workers), Tasks: Map(r.Tasks, ToWorkerTask)}
+}
