Add a package for each peer, and stand-ins for the outside systems

Cause: the daemon talks to callers, other hosts, executors, workers and the platform; none of them is available in tests. Change: clients and servers under internal/peer, and in-memory stand-ins under internal/fake that follow docs/contracts.md and inject faults. Conclusion: the contracts need a settle call on executors, because an attempt whose connection failed must be certain before it is repeated.

--- /dev/null
+++ b/internal/fake/plat/plat.go
@@ -0,0 +1,258 @@
+// Package plat is a stand-in for the platform: a transactional table, an object
+// store and a lagging host list, served over HTTP on loopback, with faults. It
+// is for tests, the demonstration and measurements; it keeps everything in
+// memory.
+//
+// # Usage
+//
+//	p := &plat.Platform{ListLag: 2 * time.Second}
+//	url, err := p.Start()
+//	defer p.Close()
+//	p.SetTableFault(plat.Fault{Down: true})
+//
+// Without Start, a Platform can be used directly as a hoist.Table,
+// hoist.ObjectStore and hoist.HostList; faults apply in the same way.
+package plat
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Fault describes how a service misbehaves. The zero value is healthy.
+type Fault struct {
+	// Down refuses every call; nothing takes effect.
+	Down bool
+	// Delay is added to each call before it takes effect.
+	Delay time.Duration
+	// LoseAnswers lets this many writes take effect and then loses the answer.
+	LoseAnswers int
+}
+
+// Platform is the stand-in. Set exported fields before the first use.
+type Platform struct {
+	// ListLag is how long a change of the host list stays invisible.
+	ListLag time.Duration
+
+	mu         sync.Mutex
+	rows       map[hoist.RowKey]hoist.Row
+	objects    map[string][]byte
+	listed     []listChange
+	tableFault Fault
+	storeFault Fault
+	reads      int
+	writes     int
+	server     *http.Server
+}
+
+// listChange is one change to the host list, visible after the lag.
+type listChange struct {
+	at     time.Time
+	host   hoist.Listed
+	remove bool
+}
+
+// Start serves the platform on a free loopback port and returns its URL.
+func (p *Platform) Start() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", merry.Prepend(err, "platform stand-in")
+	}
+	p.server = &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
+	// Serve returns http.ErrServerClosed after Close.
+	go func() { _ = p.server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Close stops serving.
+func (p *Platform) Close() {
+	if p.server != nil {
+		_ = p.server.Close()
+	}
+}
+
+// SetTableFault replaces the fault of the table.
+func (p *Platform) SetTableFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tableFault = f
+}
+
+// SetStoreFault replaces the fault of the object store.
+func (p *Platform) SetStoreFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.storeFault = f
+}
+
+// Counts returns the numbers of table reads and writes so far.
+func (p *Platform) Counts() (reads, writes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads, p.writes
+}
+
+// Add puts a host on the list or replaces its entry.
+func (p *Platform) Add(h hoist.Listed) {
+	p.change(listChange{at: time.Now(), host: h})
+}
+
+// Remove takes a host off the list.
+func (p *Platform) Remove(kind hoist.ListedKind, id string) {
+	p.change(listChange{at: time.Now(), host: hoist.Listed{Kind: kind, ID: id}, remove: true})
+}
+
+func (p *Platform) change(c listChange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = append(p.listed, c)
+}
+
+// List implements hoist.HostList.
+func (p *Platform) List(context.Context) ([]hoist.Listed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	visible := time.Now().Add(-p.ListLag)
+	var out []hoist.Listed
+	for _, c := range p.listed {
+		if c.at.After(visible) {
+			break
+		}
+		out = slices.DeleteFunc(out, func(h hoist.Listed) bool {
+			return h.Kind == c.host.Kind && h.ID == c.host.ID
+		})
+		if !c.remove {
+			out = append(out, c.host)
+		}
+	}
+	return out, nil
+}
+
+// Read implements hoist.Table.
+func (p *Platform) Read(ctx context.Context, keys ...hoist.RowKey) ([]hoist.Row, error) {
+	return p.readRows(ctx, func(k hoist.RowKey) bool { return slices.Contains(keys, k) })
+}
+
+// Scan implements hoist.Table.
+func (p *Platform) Scan(ctx context.Context, prefix hoist.RowKey) ([]hoist.Row, error) {
+	return p.readRows(ctx, func(k hoist.RowKey) bool { return strings.HasPrefix(string(k), string(prefix)) })
+}
+
+func (p *Platform) readRows(ctx context.Context, match func(hoist.RowKey) bool) ([]hoist.Row, error) {
+	if err := p.enterTable(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	var out []hoist.Row
+	for key, row := range p.rows {
+		if match(key) {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b hoist.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	return out, nil
+}
+
+// Commit implements hoist.Table. A deleted row keeps no version: it starts at 1
+// again when it is written anew.
+func (p *Platform) Commit(ctx context.Context, txn hoist.Txn) error {
+	if err := p.enterTable(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writes++
+	for _, check := range txn.Checks {
+		if p.rows[check.Key].Version != check.Version {
+			return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("row %q", check.Key))
+		}
+	}
+	p.apply(txn)
+	if p.tableFault.LoseAnswers > 0 {
+		p.tableFault.LoseAnswers--
+		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("answer lost by fault injection"))
+	}
+	return nil
+}
+
+func (p *Platform) apply(txn hoist.Txn) {
+	if p.rows == nil {
+		p.rows = make(map[hoist.RowKey]hoist.Row)
+	}
+	for _, put := range txn.Puts {
+		if put.Value == nil {
+			delete(p.rows, put.Key)
+			continue
+		}
+		version := p.rows[put.Key].Version + 1
+		p.rows[put.Key] = hoist.Row{Key: put.Key, Value: put.Value, Version: version, Txn: txn.ID}
+	}
+}
+
+func (p *Platform) enterTable(ctx context.Context) error {
+	p.mu.Lock()
+	f := p.tableFault
+	p.mu.Unlock()
+	return enter(ctx, f)
+}
+
+// enter waits out the delay of f and refuses the call if the service is down.
+func enter(ctx context.Context, f Fault) error {
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
+		}
+	}
+	if f.Down {
+		return merry.Wrap(hoist.ErrUnavailable, merry.PrependMessage("platform stand-in is down"))
+	}
+	return nil
+}
+
+// Put implements hoist.ObjectStore.
+func (p *Platform) Put(ctx context.Context, name string, body []byte) error {
+	if err := p.enterStore(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.objects == nil {
+		p.objects = make(map[string][]byte)
+	}
+	p.objects[name] = slices.Clone(body)
+	return nil
+}
+
+// Get implements hoist.ObjectStore.
+func (p *Platform) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := p.enterStore(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	body, ok := p.objects[name]
+	if !ok {
+		return nil, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("object %q", name))
+	}
+	return body, nil
+}
+
+func (p *Platform) enterStore(ctx context.Context) error {
+	p.mu.Lock()
+	f := p.storeFault
+	p.mu.Unlock()
+	return enter(ctx, f)
+}
--- /dev/null
+++ b/internal/fake/work/work.go
@@ -0,0 +1,232 @@
+// Package work is a stand-in for a worker of the platform: it serves the worker
+// contract over HTTP on loopback, runs tasks as timers under leases, and
+// records whether it was ever given more than it holds.
+//
+// # Usage
+//
+//	w := &work.Worker{ID: "w1", DataCentre: "dc1", Rack: "r1", Capacity: capacity}
+//	url, err := w.Start()
+//	defer w.Close()
+package work
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// task is one task that the worker runs.
+type task struct {
+	status hoist.TaskStatus
+	end    *time.Timer
+	lapse  *time.Timer
+}
+
+// Worker is the stand-in. Set exported fields before Start.
+type Worker struct {
+	ID         hoist.WorkerID
+	DataCentre hoist.DataCentreID
+	Rack       hoist.RackID
+	Capacity   hoist.Resources
+	// FailAll makes every task fail as soon as it starts.
+	FailAll bool
+
+	mu       sync.Mutex
+	term     hoist.Term
+	leaving  bool
+	running  map[hoist.TaskID]*task
+	ended    []hoist.TaskStatus
+	used     hoist.Resources
+	starts   map[hoist.TaskID]int
+	overfull bool
+	succeed  map[hoist.JobID]int
+	server   *http.Server
+}
+
+// Start serves the worker on a free loopback port and returns its URL.
+func (w *Worker) Start() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", merry.Prependf(err, "worker %s", w.ID)
+	}
+	w.running = make(map[hoist.TaskID]*task)
+	w.starts = make(map[hoist.TaskID]int)
+	w.succeed = make(map[hoist.JobID]int)
+	w.server = &http.Server{Handler: w.handler(), ReadHeaderTimeout: 5 * time.Second}
+	// Serve returns http.ErrServerClosed after Close.
+	go func() { _ = w.server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// Close stops serving and ends all tasks.
+func (w *Worker) Close() {
+	if w.server != nil {
+		_ = w.server.Close()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.running {
+		w.finish(id, hoist.TaskStopped, "worker closed")
+	}
+}
+
+// SetLeaving makes the worker refuse new tasks and say so.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// Overfull reports whether the worker was ever given more than it holds.
+func (w *Worker) Overfull() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.overfull
+}
+
+// Starts returns how often each task was started here.
+func (w *Worker) Starts() map[hoist.TaskID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.starts)
+}
+
+// Succeeded returns how many tasks of each job succeeded here.
+func (w *Worker) Succeeded() map[hoist.JobID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.succeed)
+}
+
+// Running returns the tasks that run now.
+func (w *Worker) Running() []hoist.TaskStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.report().Running
+}
+
+func (w *Worker) adopt(term hoist.Term) (hoist.WorkerReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkTerm(term); err != nil {
+		return hoist.WorkerReport{}, err
+	}
+	w.term = term
+	return w.report(), nil
+}
+
+func (w *Worker) checkTerm(term hoist.Term) error {
+	if term < w.term {
+		return merry.Wrap(hoist.ErrStaleTerm, merry.PrependMessagef("worker %s is at term %d, message has term %d", w.ID, w.term, term))
+	}
+	return nil
+}
+
+func (w *Worker) report() hoist.WorkerReport {
+	r := hoist.WorkerReport{
+		Worker:     w.ID,
+		DataCentre: w.DataCentre,
+		Rack:       w.Rack,
+		Capacity:   w.Capacity,
+		Leaving:    w.leaving,
+		Ended:      slices.Clone(w.ended),
+	}
+	for _, t := range w.running {
+		r.Running = append(r.Running, t.status)
+	}
+	return r
+}
+
+func (w *Worker) start(g hoist.Grant) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkTerm(g.Term); err != nil {
+		return err
+	}
+	if t, ok := w.running[g.Task]; ok && t.status.Attempt == g.Attempt {
+		return nil
+	}
+	if w.leaving {
+		return merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("worker %s", w.ID))
+	}
+	if !g.Need.Fits(w.Capacity.Sub(w.used)) {
+		// A real worker would run the task and slow all others down.
+		w.overfull = true
+	}
+	w.used = w.used.Add(g.Need)
+	w.starts[g.Task]++
+	w.running[g.Task] = w.newTask(g)
+	if w.FailAll {
+		w.finish(g.Task, hoist.TaskFailed, "worker fails every task")
+	}
+	return nil
+}
+
+func (w *Worker) newTask(g hoist.Grant) *task {
+	t := &task{status: hoist.TaskStatus{
+		Task: g.Task, Job: g.Job, Team: g.Team, Attempt: g.Attempt,
+		State: hoist.TaskRunning, Need: g.Need, Usage: g.Need, Priority: g.Priority,
+		Started: time.Now(),
+	}}
+	if g.RunTime > 0 {
+		t.end = time.AfterFunc(g.RunTime, func() { w.timeUp(t, hoist.TaskSucceeded, "") })
+	}
+	t.lapse = time.AfterFunc(g.Lease, func() { w.timeUp(t, hoist.TaskStopped, "lease lapsed") })
+	return t
+}
+
+func (w *Worker) timeUp(t *task, state hoist.TaskState, reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[t.status.Task] == t {
+		w.finish(t.status.Task, state, reason)
+	}
+}
+
+func (w *Worker) finish(id hoist.TaskID, state hoist.TaskState, reason string) {
+	t := w.running[id]
+	if t.end != nil {
+		t.end.Stop()
+	}
+	t.lapse.Stop()
+	delete(w.running, id)
+	w.used = w.used.Sub(t.status.Need)
+	t.status.State = state
+	t.status.Reason = reason
+	w.ended = append(w.ended, t.status)
+	if state == hoist.TaskSucceeded {
+		w.succeed[t.status.Job]++
+	}
+}
+
+func (w *Worker) renew(term hoist.Term, lease time.Duration, acked []hoist.TaskID) (hoist.WorkerReport, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkTerm(term); err != nil {
+		return hoist.WorkerReport{}, err
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(s hoist.TaskStatus) bool { return slices.Contains(acked, s.Task) })
+	for _, t := range w.running {
+		t.lapse.Reset(lease)
+	}
+	return w.report(), nil
+}
+
+func (w *Worker) stop(term hoist.Term, id hoist.TaskID, mode hoist.StopMode) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkTerm(term); err != nil {
+		return err
+	}
+	if _, ok := w.running[id]; ok {
+		w.finish(id, hoist.TaskStopped, string(mode))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/entry/entry.go
@@ -0,0 +1,256 @@
+// Package entry connects entry hosts with each other: JSON-RPC 2.0 over one TCP
+// connection for each pair and direction.
+//
+// # Usage
+//
+// A host serves the others and calls them:
+//
+//	s := &entry.Server{Addr: "10.0.0.1:7000", Peer: daemon}
+//	err := s.Run(ctx)
+//
+//	c := &entry.Client{Addr: "10.0.0.2:7000"}
+//	answer, err := c.Submit(ctx, request)
+//
+// # Errors
+//
+// A domain error of the other host arrives as the same domain error. A call for
+// which no connection could be made gives hoist.ErrUnavailable; one whose
+// connection failed before the reply gives hoist.ErrOutcomeUnknown.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// method names a call between entry hosts.
+type method string
+
+// The calls between entry hosts.
+const (
+	methodHeartbeat method = "heartbeat"
+	methodPromise   method = "promise"
+	methodRelease   method = "release"
+	methodClaim     method = "claim"
+	methodHandover  method = "handover"
+	methodSubmit    method = "submit"
+	methodDispatch  method = "dispatch"
+	methodSubmitJob method = "submit-job"
+	methodReserve   method = "reserve"
+	methodStart     method = "start"
+	methodUnreserve method = "unreserve"
+	methodTaskEnded method = "task-ended"
+	methodSurvey    method = "survey"
+	methodConfig    method = "config"
+)
+
+// errorCode is the JSON-RPC code of all errors of the scheduler; the domain
+// error is named in the data.
+const errorCode = -32000
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// maxMissed is how many heartbeats in a row may fail before the connection
+	// counts as half-open and is replaced.
+	maxMissed = 3
+)
+
+// Client calls one other host. It connects when first used and again after a
+// failure. Its methods may be called concurrently.
+type Client struct {
+	Addr string
+
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	missed int
+}
+
+var _ hoist.Peer = (*Client)(nil)
+
+// Close breaks the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeLocked()
+}
+
+func (c *Client) closeLocked() {
+	if c.conn != nil {
+		// A failed close leaves nothing to do.
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// connection returns the open connection, making one if there is none.
+func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+			c.closeLocked()
+		default:
+			return c.conn, nil
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	stream := jsonrpc2.NewPlainObjectStream(conn)
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuseCalls{})
+	c.missed = 0
+	return c.conn, nil
+}
+
+// refuseCalls is the handler of client connections, which receive no calls.
+type refuseCalls struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// call makes one call. Out is the wire type of the reply.
+func call[Out any](ctx context.Context, c *Client, m method, in any) (Out, error) {
+	var out Out
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return out, err
+	}
+	err = conn.Call(ctx, string(m), in, &out)
+	if err == nil {
+		return out, nil
+	}
+	var rpcErr *jsonrpc2.Error
+	if !errors.As(err, &rpcErr) {
+		return out, hoist.Turnf(hoist.ErrOutcomeUnknown, err, "%s at host %s", m, c.Addr)
+	}
+	return out, domainError(rpcErr)
+}
+
+func domainError(rpcErr *jsonrpc2.Error) error {
+	code := codec.CodeInternal
+	if rpcErr.Data != nil {
+		// An unreadable code leaves the outcome unknown.
+		_ = json.Unmarshal(*rpcErr.Data, &code)
+	}
+	return codec.Error(code, rpcErr.Message)
+}
+
+// Heartbeat implements hoist.Peer. After several failures in a row the
+// connection is replaced, as it may be half-open.
+func (c *Client) Heartbeat(ctx context.Context, h hoist.Heartbeat) (hoist.Heartbeat, error) {
+	out, err := call[wire.Heartbeat](ctx, c, methodHeartbeat, codec.Heartbeat(h))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.missed = 0
+		return codec.ToHeartbeat(out), nil
+	}
+	c.missed++
+	if c.missed >= maxMissed {
+		c.closeLocked()
+	}
+	return hoist.Heartbeat{}, err
+}
+
+// Promise implements hoist.Peer.
+func (c *Client) Promise(ctx context.Context, l hoist.LeaseRef) (bool, error) {
+	out, err := call[wire.Vote](ctx, c, methodPromise, codec.LeaseRef(l))
+	return out.Granted, err
+}
+
+// Release implements hoist.Peer.
+func (c *Client) Release(ctx context.Context, l hoist.LeaseRef) (bool, error) {
+	out, err := call[wire.Vote](ctx, c, methodRelease, codec.LeaseRef(l))
+	return out.Granted, err
+}
+
+// Claim implements hoist.Peer.
+func (c *Client) Claim(ctx context.Context, claim hoist.Claim) error {
+	_, err := call[wire.Empty](ctx, c, methodClaim, codec.Claim(claim))
+	return err
+}
+
+// Handover implements hoist.Peer.
+func (c *Client) Handover(ctx context.Context, h hoist.Handover) error {
+	_, err := call[wire.Empty](ctx, c, methodHandover, codec.Handover(h))
+	return err
+}
+
+// Submit implements hoist.Peer.
+func (c *Client) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	return c.answer(ctx, methodSubmit, codec.Request(r))
+}
+
+// Dispatch implements hoist.Peer.
+func (c *Client) Dispatch(ctx context.Context, a hoist.Attempt) (hoist.Answer, error) {
+	return c.answer(ctx, methodDispatch, codec.Attempt(a))
+}
+
+func (c *Client) answer(ctx context.Context, m method, in any) (hoist.Answer, error) {
+	out, err := call[wire.Answer](ctx, c, m, in)
+	if err != nil {
+		return hoist.Answer{}, err
+	}
+	answer, err := codec.ToAnswer(out)
+	if err != nil {
+		return hoist.Answer{}, hoist.Turn(hoist.ErrOutcomeUnknown, err)
+	}
+	return answer, nil
+}
+
+// SubmitJob implements hoist.Peer.
+func (c *Client) SubmitJob(ctx context.Context, s hoist.JobSpec) error {
+	_, err := call[wire.Empty](ctx, c, methodSubmitJob, codec.JobSpec(s))
+	return err
+}
+
+// Reserve implements hoist.Peer.
+func (c *Client) Reserve(ctx context.Context, p hoist.Placement) error {
+	_, err := call[wire.Empty](ctx, c, methodReserve, codec.Placement(p))
+	return err
+}
+
+// Start implements hoist.Peer.
+func (c *Client) Start(ctx context.Context, p hoist.Placement) error {
+	_, err := call[wire.Empty](ctx, c, methodStart, codec.Placement(p))
+	return err
+}
+
+// Unreserve implements hoist.Peer.
+func (c *Client) Unreserve(ctx context.Context, p hoist.Placement) error {
+	_, err := call[wire.Empty](ctx, c, methodUnreserve, codec.Placement(p))
+	return err
+}
+
+// TaskEnded implements hoist.Peer.
+func (c *Client) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
+	_, err := call[wire.Empty](ctx, c, methodTaskEnded, codec.WorkerTask(t))
+	return err
+}
+
+// Survey implements hoist.Peer.
+func (c *Client) Survey(ctx context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
+	in := wire.Survey{Shards: codec.Map(shards, func(s hoist.ShardID) int { return int(s) })}
+	out, err := call[wire.SurveyReply](ctx, c, methodSurvey, in)
+	return codec.ToSurveyReply(out), err
+}
+
+// Config implements hoist.Peer.
+func (c *Client) Config(ctx context.Context, version hoist.ConfigVersion) ([]byte, error) {
+	out, err := call[wire.ConfigDocument](ctx, c, methodConfig, wire.ConfigRequest{Version: int(version)})
+	return []byte(out.Document), err
+}
--- /dev/null
+++ b/internal/peer/exec/exec.go
@@ -0,0 +1,125 @@
+// Package exec is the client of executors, which it reaches over HTTP. The
+// contract is described in docs/contracts.md.
+//
+// # Usage
+//
+//	e := &exec.Client{REST: &rest.Client{BaseURL: url, HTTP: httpClient}}
+//	report, err := e.Adopt(ctx, term)
+//	answer, err := e.Run(ctx, term, attempt)
+//
+// An attempt whose answer was lost is settled, never sent again on a guess:
+//
+//	answer, err = e.Settle(ctx, term, key, no)
+package exec
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// Headers of the executor contract.
+const (
+	HeaderTerm    = "hoist-term"
+	HeaderKey     = "hoist-request-key"
+	HeaderAttempt = "hoist-attempt"
+	HeaderDigest  = "hoist-digest"
+)
+
+// Client implements hoist.Executor. Its methods may be called concurrently.
+type Client struct {
+	REST *rest.Client
+	// ID is the executor's id, for answers and errors.
+	ID hoist.ExecutorID
+}
+
+// Adopt implements hoist.Executor.
+func (c *Client) Adopt(ctx context.Context, term hoist.Term) (hoist.ExecutorReport, error) {
+	in := wire.TermChange{Term: int(term)}
+	out, err := rest.Call[wire.ExecutorReport](ctx, c.REST, http.MethodPut, "/v1/term", in)
+	return codec.ToExecutorReport(out), c.wrap(err)
+}
+
+// Report implements hoist.Executor.
+func (c *Client) Report(ctx context.Context) (hoist.ExecutorReport, error) {
+	out, err := rest.Call[wire.ExecutorReport](ctx, c.REST, http.MethodGet, "/v1/report", rest.Empty{})
+	return codec.ToExecutorReport(out), c.wrap(err)
+}
+
+// Settle implements hoist.Executor.
+func (c *Client) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
+	in := wire.Settle{Term: int(term), Key: string(key), Attempt: int(no)}
+	out, err := rest.Call[wire.Answer](ctx, c.REST, http.MethodPost, "/v1/settle", in)
+	if err != nil {
+		return hoist.Answer{}, c.wrap(err)
+	}
+	answer, err := codec.ToAnswer(out)
+	if err != nil {
+		return hoist.Answer{}, c.wrap(hoist.Turn(hoist.ErrOutcomeUnknown, err))
+	}
+	answer.Executor = c.ID
+	return answer, nil
+}
+
+// Run implements hoist.Executor. The answer is checked against the key, the
+// attempt, the length and the digest that the executor states; an answer that
+// is cut short or belongs to another attempt gives hoist.ErrOutcomeUnknown.
+func (c *Client) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.REST.BaseURL+"/v1/run", bytes.NewReader(a.Request.Body))
+	if err != nil {
+		return hoist.Answer{}, hoist.Turn(hoist.ErrInvalid, err)
+	}
+	req.Header.Set(HeaderTerm, strconv.FormatUint(uint64(term), 10))
+	req.Header.Set(HeaderKey, string(a.Request.Key))
+	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(a.No), 10))
+	resp, err := c.REST.Do(req)
+	if err != nil {
+		return hoist.Answer{}, c.wrap(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, rest.MaxBody))
+	if err != nil {
+		return hoist.Answer{}, c.wrap(hoist.Turn(hoist.ErrOutcomeUnknown, err))
+	}
+	if resp.StatusCode != http.StatusOK {
+		return hoist.Answer{}, c.wrap(rest.ReplyError(resp.StatusCode, body))
+	}
+	if err := checkAnswer(resp.Header, a, body); err != nil {
+		return hoist.Answer{}, c.wrap(err)
+	}
+	return hoist.Answer{
+		Key:      a.Request.Key,
+		Attempt:  a.No,
+		Outcome:  hoist.Done,
+		Executor: c.ID,
+		Body:     body,
+	}, nil
+}
+
+func checkAnswer(h http.Header, a hoist.Attempt, body []byte) error {
+	checks := []struct{ name, got, want string }{
+		{HeaderKey, h.Get(HeaderKey), string(a.Request.Key)},
+		{HeaderAttempt, h.Get(HeaderAttempt), strconv.FormatUint(uint64(a.No), 10)},
+		{HeaderDigest, h.Get(HeaderDigest), codec.Digest(hoist.DigestOf(body))},
+	}
+	for _, c := range checks {
+		if c.got != c.want {
+			return merry.Wrap(hoist.ErrOutcomeUnknown,
+				merry.PrependMessagef("answer has %s %q, expected %q", c.name, c.got, c.want))
+		}
+	}
+	return nil
+}
+
+func (c *Client) wrap(err error) error {
+	return merry.Prependf(err, "executor %s", c.ID)
+}
--- /dev/null
+++ b/internal/peer/hosts/hosts.go
@@ -0,0 +1,33 @@
+// Package hosts is the client of the platform's list of live and leaving
+// hosts, which it reaches over HTTP. The list lags behind and alone never
+// proves that a host is dead.
+//
+// # Usage
+//
+//	l := &hosts.Client{REST: &rest.Client{BaseURL: url, HTTP: httpClient}}
+//	listed, err := l.List(ctx)
+package hosts
+
+import (
+	"context"
+	"net/http"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// Client implements hoist.HostList. Its methods may be called concurrently.
+type Client struct {
+	REST *rest.Client
+}
+
+// List implements hoist.HostList. Every failure is hoist.ErrUnavailable.
+func (c *Client) List(ctx context.Context) ([]hoist.Listed, error) {
+	out, err := rest.Call[wire.HostList](ctx, c.REST, http.MethodGet, "/v1/hosts", rest.Empty{})
+	if err != nil {
+		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "host list")
+	}
+	return codec.Map(out.Hosts, codec.ToListed), nil
+}
--- /dev/null
+++ b/internal/peer/table/table.go
@@ -0,0 +1,96 @@
+// Package table is the client of the platform's transactional table service,
+// which it reaches over HTTP.
+//
+// # Usage
+//
+//	t := &table.Client{REST: &rest.Client{BaseURL: url, HTTP: httpClient}}
+//	err := t.Commit(ctx, hoist.Txn{ID: id, Checks: checks, Puts: puts})
+//
+// CommitSettled commits a transaction and, when its answer is lost, reads the
+// rows back to learn the outcome:
+//
+//	err := table.CommitSettled(ctx, t, txn)
+package table
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// Client implements hoist.Table. Its methods may be called concurrently.
+type Client struct {
+	REST *rest.Client
+}
+
+// Read implements hoist.Table.
+func (c *Client) Read(ctx context.Context, keys ...hoist.RowKey) ([]hoist.Row, error) {
+	in := wire.RowKeys{Keys: codec.Strings(keys)}
+	return c.rows(ctx, "/v1/table/read", in)
+}
+
+// Scan implements hoist.Table.
+func (c *Client) Scan(ctx context.Context, prefix hoist.RowKey) ([]hoist.Row, error) {
+	in := wire.RowKeys{Keys: []string{string(prefix)}}
+	return c.rows(ctx, "/v1/table/scan", in)
+}
+
+func (c *Client) rows(ctx context.Context, path string, in wire.RowKeys) ([]hoist.Row, error) {
+	out, err := rest.Call[wire.Rows](ctx, c.REST, http.MethodPost, path, in)
+	if err != nil {
+		// Reading has no effect, so a lost answer is no more than a failure.
+		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "table: reading %v", in.Keys)
+	}
+	return codec.Map(out.Rows, codec.ToRow), nil
+}
+
+// Commit implements hoist.Table.
+func (c *Client) Commit(ctx context.Context, txn hoist.Txn) error {
+	_, err := rest.Call[rest.Empty](ctx, c.REST, http.MethodPost, "/v1/table/commit", codec.Txn(txn))
+	return merry.Prependf(err, "table: transaction %s", txn.ID)
+}
+
+// CommitSettled commits txn. After a lost answer it reads the rows back: if a
+// row was written by txn it took effect; if another transaction made the next
+// write to a row that txn checks and writes, it did not, and the error is
+// hoist.ErrConflict. The error is hoist.ErrOutcomeUnknown if the rows cannot be
+// read or do not tell.
+func CommitSettled(ctx context.Context, t hoist.Table, txn hoist.Txn) error {
+	err := t.Commit(ctx, txn)
+	if !errors.Is(err, hoist.ErrOutcomeUnknown) {
+		return err
+	}
+	keys := make([]hoist.RowKey, 0, len(txn.Puts))
+	for _, p := range txn.Puts {
+		keys = append(keys, p.Key)
+	}
+	rows, readErr := t.Read(ctx, keys...)
+	if readErr != nil {
+		return err
+	}
+	return settle(txn, rows, err)
+}
+
+func settle(txn hoist.Txn, rows []hoist.Row, unknown error) error {
+	read := make(map[hoist.RowKey]hoist.Row, len(rows))
+	for _, row := range rows {
+		if row.Txn == txn.ID {
+			return nil
+		}
+		read[row.Key] = row
+	}
+	for _, check := range txn.Checks {
+		// Later versions do not tell who made the write after the check.
+		if row, ok := read[check.Key]; ok && row.Version == check.Version+1 {
+			return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("table: transaction %s on row %q", txn.ID, check.Key))
+		}
+	}
+	return unknown
+}
--- /dev/null
+++ b/internal/peer/worker/worker.go
@@ -0,0 +1,60 @@
+// Package worker is the client of workers, which it reaches over HTTP. The
+// contract is described in docs/contracts.md.
+//
+// # Usage
+//
+//	w := &worker.Client{REST: &rest.Client{BaseURL: url, HTTP: httpClient}, ID: "w7"}
+//	report, err := w.Adopt(ctx, term)
+//	err = w.Start(ctx, grant)
+package worker
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// Client implements hoist.Worker. Its methods may be called concurrently.
+type Client struct {
+	REST *rest.Client
+	// ID is the worker's id, for errors.
+	ID hoist.WorkerID
+}
+
+// Adopt implements hoist.Worker.
+func (c *Client) Adopt(ctx context.Context, term hoist.Term) (hoist.WorkerReport, error) {
+	in := wire.TermChange{Term: int(term)}
+	out, err := rest.Call[wire.WorkerReport](ctx, c.REST, http.MethodPut, "/v1/term", in)
+	return codec.ToWorkerReport(out), c.wrap(err)
+}
+
+// Start implements hoist.Worker.
+func (c *Client) Start(ctx context.Context, g hoist.Grant) error {
+	_, err := rest.Call[rest.Empty](ctx, c.REST, http.MethodPost, "/v1/tasks", codec.Grant(g))
+	return c.wrap(err)
+}
+
+// Renew implements hoist.Worker.
+func (c *Client) Renew(ctx context.Context, term hoist.Term, lease time.Duration, acked []hoist.TaskID) (hoist.WorkerReport, error) {
+	in := wire.Renewal{Term: int(term), LeaseUs: int(lease.Microseconds()), Acked: codec.Strings(acked)}
+	out, err := rest.Call[wire.WorkerReport](ctx, c.REST, http.MethodPost, "/v1/renew", in)
+	return codec.ToWorkerReport(out), c.wrap(err)
+}
+
+// Stop implements hoist.Worker.
+func (c *Client) Stop(ctx context.Context, term hoist.Term, task hoist.TaskID, mode hoist.StopMode) error {
+	in := wire.Stop{Term: int(term), Task: string(task), Mode: string(mode)}
+	_, err := rest.Call[rest.Empty](ctx, c.REST, http.MethodPost, "/v1/stop", in)
+	return c.wrap(err)
+}
+
+func (c *Client) wrap(err error) error {
+	return merry.Prependf(err, "worker %s", c.ID)
+}
