Add first versions of the decisions

Cause: the whole path needs leases, votes, shard ownership, request keys, fair queues, slot accounts, worker accounts and job states. Change: packages under internal/decide that open no socket, encode nothing and take the time as an argument.

--- /dev/null
+++ b/internal/decide/owner/vote.go
@@ -0,0 +1,90 @@
+package owner
+
+import (
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// epochKey names one process start of one host.
+type epochKey struct {
+	host  hoist.HostID
+	epoch hoist.Epoch
+}
+
+// Voter decides this host's votes on the leases of other hosts. Its state is
+// in memory only, so it does not vote until every promise that an earlier
+// process of this host can have made has ended.
+type Voter struct {
+	started  time.Time
+	promises map[epochKey]time.Time
+	released map[epochKey]uint64
+}
+
+// NewVoter returns a voter of a process that started at the given time.
+func NewVoter(started time.Time) *Voter {
+	return &Voter{
+		started:  started,
+		promises: make(map[epochKey]time.Time),
+		released: make(map[epochKey]uint64),
+	}
+}
+
+// Promise asks for the promise not to release the lease for one lease time.
+// It is refused if the lease was released at this or a later renewal.
+func (v *Voter) Promise(l hoist.LeaseRef, now time.Time) bool {
+	if v.isTooYoung(now) {
+		return false
+	}
+	key := epochKey{l.Host, l.Epoch}
+	if released, ok := v.released[key]; ok && l.Renewals <= released {
+		return false
+	}
+	v.promises[key] = now.Add(LeaseTime + Drift)
+	return true
+}
+
+// Release asks for the release of a lapsed lease. It is refused while a promise
+// is outstanding. Once given, this voter makes no promise for the lease unless
+// it was renewed since, in which case the taker's write fails.
+func (v *Voter) Release(l hoist.LeaseRef, now time.Time) bool {
+	if v.isTooYoung(now) {
+		return false
+	}
+	key := epochKey{l.Host, l.Epoch}
+	if now.Before(v.promises[key]) {
+		return false
+	}
+	v.released[key] = max(v.released[key], l.Renewals)
+	return true
+}
+
+func (v *Voter) isTooYoung(now time.Time) bool {
+	return now.Sub(v.started) < LeaseTime+Drift
+}
+
+// Forget drops what is kept on epochs of host before epoch. Call it when the
+// table shows the host in a later epoch.
+func (v *Voter) Forget(host hoist.HostID, epoch hoist.Epoch) {
+	for key := range v.promises {
+		if key.host == host && key.epoch < epoch {
+			delete(v.promises, key)
+		}
+	}
+	for key := range v.released {
+		if key.host == host && key.epoch < epoch {
+			delete(v.released, key)
+		}
+	}
+}
+
+// HasMajority reports whether more than half of the electorate is in granted.
+func HasMajority(electorate []hoist.HostID, granted map[hoist.HostID]bool) bool {
+	n := 0
+	for _, host := range electorate {
+		if granted[host] {
+			n++
+		}
+	}
+	return 2*n > len(electorate)
+}
