Add the daemon, the client and the demonstration: one whole path

Cause: the parts must be seen working together before any is deepened. Change: membership, request routing and task placement joined in the daemon; hoist demo runs three daemons with stand-ins on loopback, kills a daemon, drains a worker and an executor, and checks the invariants.

--- /dev/null
+++ b/cmd/hoistd/main.go
@@ -0,0 +1,82 @@
+// Command hoistd is the daemon of fuchsiahoist. Every entry host runs one.
+//
+// It runs until it receives SIGTERM or SIGINT, then leaves the cell without
+// cutting off requests in flight. Exit codes: 0 after a clean stop, 1 if it
+// failed, 2 for bad arguments or settings.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"fuchsiahoist.example/hoist/internal/core/daemon"
+	"fuchsiahoist.example/hoist/internal/core/params"
+	"fuchsiahoist.example/hoist/internal/peer/hosts"
+	"fuchsiahoist.example/hoist/internal/peer/table"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type cli struct {
+	Settings string `help:"Settings file (TOML)." required:"" type:"path" placeholder:"FILE"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	var c cli
+	parser := kong.Must(&c, kong.Name("hoistd"), kong.Description("Daemon of the fuchsiahoist cluster scheduler."))
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintln(os.Stderr, "hoistd:", err)
+		return exitUsage
+	}
+	p, err := params.Load(c.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hoistd:", err)
+		return exitUsage
+	}
+	if c.Check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	if err := serve(p); err != nil {
+		fmt.Fprintln(os.Stderr, "hoistd:", err)
+		if errors.Is(err, params.ErrSettings) {
+			return exitUsage
+		}
+		return exitFailed
+	}
+	return 0
+}
+
+func serve(p params.Params) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	client := &rest.Client{BaseURL: p.PlatformURL, HTTP: &http.Client{}}
+	d := &daemon.Daemon{
+		Params:   p,
+		Table:    &table.Client{REST: client},
+		HostList: &hosts.Client{REST: client},
+		Log:      slog.New(slog.NewJSONHandler(os.Stderr, nil)),
+	}
+	if err := d.Listen(); err != nil {
+		return err
+	}
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/core/daemon/daemon.go
@@ -0,0 +1,178 @@
+// Package daemon is one entry host: it joins membership, requests and tasks
+// with the peers they talk to.
+//
+// # Usage
+//
+//	d := &daemon.Daemon{Params: p, Table: t, HostList: l, Log: logger}
+//	err := d.Listen()
+//	err = d.Run(ctx) // until ctx ends and all requests in flight are answered
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/member"
+	"fuchsiahoist.example/hoist/internal/core/params"
+	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/core/tasks"
+	"fuchsiahoist.example/hoist/internal/peer/caller"
+	"fuchsiahoist.example/hoist/internal/peer/entry"
+	"fuchsiahoist.example/hoist/internal/peer/exec"
+	"fuchsiahoist.example/hoist/internal/peer/worker"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+)
+
+// Daemon is one entry host. Set the exported fields before Listen.
+type Daemon struct {
+	Params   params.Params
+	Table    hoist.Table
+	HostList hoist.HostList
+	Log      *slog.Logger
+	// Clock is the system clock if it is nil.
+	Clock hoist.Clock
+
+	members *member.Manager
+	router  *route.Router
+	tasks   *tasks.Manager
+	entry   net.Listener
+	caller  net.Listener
+	client  *http.Client
+	front   *caller.Server
+	stop    context.CancelFunc
+	running chan struct{}
+}
+
+// SystemClock is the clock of the operating system.
+type SystemClock struct{}
+
+// Now implements hoist.Clock.
+func (SystemClock) Now() time.Time {
+	return time.Now()
+}
+
+// Listen opens the host's addresses. The port 0 means any free port; EntryAddr
+// and CallerAddr tell which.
+func (d *Daemon) Listen() error {
+	var err error
+	d.running = make(chan struct{})
+	d.entry, err = net.Listen("tcp", d.Params.EntryAddr)
+	if err != nil {
+		return merry.Prependf(err, "entry-addr %s", d.Params.EntryAddr)
+	}
+	d.caller, err = net.Listen("tcp", d.Params.CallerAddr)
+	if err != nil {
+		return merry.Prependf(err, "caller-addr %s", d.Params.CallerAddr)
+	}
+	return nil
+}
+
+// CallerAddr returns the address that callers connect to.
+func (d *Daemon) CallerAddr() string {
+	return d.caller.Addr().String()
+}
+
+// Run serves until ctx ends. It then leaves the balancer's health check, hands
+// over its shards, and returns when no request is in flight or the drain time
+// has passed.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.build()
+	events.Started.Log(ctx, d.Log, "host", d.Params.Host, "entry", d.entry.Addr(), "caller", d.caller.Addr())
+	// The parts below outlive the signal to stop: they serve what is in flight.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	joined, leave := context.WithCancel(ctx)
+	defer leave()
+	d.stop = func() { leave(); stop() }
+	close(d.running)
+	var g errgroup.Group
+	g.Go(func() error { return d.front.Run(serving) })
+	g.Go(func() error { return (&entry.Server{Listener: d.entry, Peer: d}).Run(serving) })
+	g.Go(func() error { d.router.Run(serving); return nil })
+	g.Go(func() error { d.tasks.Run(serving); return nil })
+	g.Go(func() error {
+		err := d.members.Run(joined)
+		d.drain(serving)
+		stop()
+		d.members.Close()
+		return err
+	})
+	err := g.Wait()
+	d.client.CloseIdleConnections()
+	events.Stopped.Log(ctx, d.Log, "host", d.Params.Host)
+	return err
+}
+
+// Kill ends the daemon as if its process had died: it leaves nothing, hands
+// over nothing and breaks all connections. It is for tests and the
+// demonstration.
+func (d *Daemon) Kill() {
+	<-d.running
+	d.members.Kill()
+	d.front.Close()
+	d.stop()
+}
+
+func (d *Daemon) drain(ctx context.Context) {
+	events.Stopping.Log(ctx, d.Log, "host", d.Params.Host)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.Params.DrainTime))
+	defer cancel()
+	if !d.router.Drain(ctx) {
+		events.DrainStuck.Log(ctx, d.Log, "host", d.Params.Host)
+	}
+}
+
+func (d *Daemon) build() {
+	if d.Clock == nil {
+		d.Clock = SystemClock{}
+	}
+	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	d.members = &member.Manager{
+		Member: hoist.Member{
+			Host:       d.Params.Host,
+			Addr:       d.entry.Addr().String(),
+			DataCentre: d.Params.DataCentre,
+			Weight:     d.Params.Cores,
+		},
+		Table:  d.Table,
+		Dial:   func(addr string) hoist.Peer { return &entry.Client{Addr: addr} },
+		Clock:  d.Clock,
+		Log:    d.Log,
+		Beat:   d,
+		Settle: time.Duration(d.Params.Settle),
+	}
+	d.router = &route.Router{
+		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log,
+		DialExecutor: func(l hoist.Listed) hoist.Executor {
+			return &exec.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.ExecutorID(l.ID)}
+		},
+	}
+	d.tasks = &tasks.Manager{
+		Own: d.members, HostList: d.HostList, Table: d.Table, Clock: d.Clock, Log: d.Log,
+		DialWorker: func(l hoist.Listed) hoist.Worker {
+			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
+		},
+	}
+	d.front = &caller.Server{Listener: d.caller, Requests: d.router, Jobs: d.tasks, IsReady: d.members.IsReady}
+	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
+}
+
+// Beat implements member.Beater.
+func (d *Daemon) Beat(h *hoist.Heartbeat) {
+	h.Workers = d.tasks.Workers()
+	h.Slots = d.router.Slots()
+}
+
+// Heard implements member.Beater.
+func (d *Daemon) Heard(h hoist.Heartbeat) {
+	d.router.Heard(h)
+	d.tasks.Heard(h)
+}
--- /dev/null
+++ b/internal/core/daemon/peer.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Daemon serves the calls of other hosts.
+var _ hoist.Peer = (*Daemon)(nil)
+
+// Heartbeat implements hoist.Peer.
+func (d *Daemon) Heartbeat(_ context.Context, h hoist.Heartbeat) (hoist.Heartbeat, error) {
+	return d.members.Heartbeat(h), nil
+}
+
+// Promise implements hoist.Peer.
+func (d *Daemon) Promise(_ context.Context, l hoist.LeaseRef) (bool, error) {
+	return d.members.Promise(l), nil
+}
+
+// Release implements hoist.Peer.
+func (d *Daemon) Release(_ context.Context, l hoist.LeaseRef) (bool, error) {
+	return d.members.Release(l), nil
+}
+
+// Claim implements hoist.Peer.
+func (d *Daemon) Claim(ctx context.Context, c hoist.Claim) error {
+	d.members.Claim(ctx, c)
+	return nil
+}
+
+// Handover implements hoist.Peer.
+func (d *Daemon) Handover(_ context.Context, h hoist.Handover) error {
+	d.members.Handover(h)
+	return nil
+}
+
+// Submit implements hoist.Peer.
+func (d *Daemon) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	return d.router.Coordinate(ctx, r)
+}
+
+// Dispatch implements hoist.Peer.
+func (d *Daemon) Dispatch(ctx context.Context, a hoist.Attempt) (hoist.Answer, error) {
+	return d.router.Dispatch(ctx, a)
+}
+
+// SubmitJob implements hoist.Peer.
+func (d *Daemon) SubmitJob(ctx context.Context, s hoist.JobSpec) error {
+	return d.tasks.Accept(ctx, s)
+}
+
+// Reserve implements hoist.Peer.
+func (d *Daemon) Reserve(_ context.Context, p hoist.Placement) error {
+	return d.tasks.Reserve(p)
+}
+
+// Start implements hoist.Peer.
+func (d *Daemon) Start(ctx context.Context, p hoist.Placement) error {
+	return d.tasks.Start(ctx, p)
+}
+
+// Unreserve implements hoist.Peer.
+func (d *Daemon) Unreserve(_ context.Context, p hoist.Placement) error {
+	return d.tasks.Unreserve(p)
+}
+
+// TaskEnded implements hoist.Peer.
+func (d *Daemon) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
+	return d.tasks.TaskEnded(ctx, t)
+}
+
+// Survey implements hoist.Peer.
+func (d *Daemon) Survey(_ context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
+	return d.tasks.Survey(shards), nil
+}
+
+// Config implements hoist.Peer.
+func (d *Daemon) Config(_ context.Context, version hoist.ConfigVersion) ([]byte, error) {
+	return nil, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("configuration version %d", version))
+}
--- /dev/null
+++ b/internal/core/events/events.go
@@ -0,0 +1,91 @@
+// Package events numbers the log events of the daemon. Each event has a fixed
+// number and message; docs/EVENTS.md is their catalogue and a test keeps the
+// two in agreement.
+//
+// # Usage
+//
+//	events.ShardsClaimed.Log(ctx, logger, "shards", len(claimed))
+//
+// The record carries the number as the attribute "event".
+package events
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log record.
+type Event struct {
+	Number  int
+	Level   slog.Level
+	Message string
+}
+
+// Log writes a record of the event with the given attributes. A nil logger
+// drops it.
+func (e Event) Log(ctx context.Context, logger *slog.Logger, args ...any) {
+	if logger == nil {
+		return
+	}
+	logger.Log(ctx, e.Level, e.Message, append([]any{"event", e.Number}, args...)...)
+}
+
+// Events of membership and ownership: 100 to 199.
+var (
+	Joined         = register(100, slog.LevelInfo, "joined the cell")
+	JoinWaits      = register(101, slog.LevelInfo, "waiting for the lease of an earlier process to lapse")
+	RenewalFailed  = register(102, slog.LevelWarn, "lease renewal at the table failed")
+	LeasePromised  = register(103, slog.LevelWarn, "lease extended by promises of a majority")
+	LeaseLapsed    = register(104, slog.LevelError, "lease lapsed; this host grants nothing")
+	Fenced         = register(105, slog.LevelError, "fenced by another host; starting a new epoch")
+	MemberLapsed   = register(106, slog.LevelWarn, "lease of a member lapsed")
+	MemberFenced   = register(107, slog.LevelWarn, "fenced a lapsed member")
+	ReleaseRefused = register(108, slog.LevelInfo, "no majority for releasing a lapsed member")
+	ShardsClaimed  = register(109, slog.LevelInfo, "claimed shards")
+	ShardsGiven    = register(110, slog.LevelInfo, "handed shards over")
+	ShardsLost     = register(111, slog.LevelWarn, "lost shards")
+	PeerLost       = register(112, slog.LevelWarn, "heartbeat to a member failed")
+	Left           = register(113, slog.LevelInfo, "left the cell")
+	RowUnreadable  = register(114, slog.LevelError, "row of the table cannot be decoded")
+)
+
+// Events of executors and requests: 200 to 299.
+var (
+	ExecutorAdopted  = register(200, slog.LevelInfo, "adopted an executor")
+	ExecutorLost     = register(201, slog.LevelWarn, "executor cannot be reached")
+	ExecutorLeaving  = register(202, slog.LevelInfo, "executor is leaving")
+	AttemptUnsettled = register(203, slog.LevelWarn, "outcome of an attempt is unknown")
+	DrainStuck       = register(204, slog.LevelError, "requests still in flight at the end of the drain time")
+)
+
+// Events of workers and jobs: 300 to 399.
+var (
+	WorkerAdopted = register(300, slog.LevelInfo, "adopted a worker")
+	WorkerLost    = register(301, slog.LevelWarn, "worker cannot be reached")
+	WorkerLeaving = register(302, slog.LevelInfo, "worker is leaving")
+	JobAccepted   = register(303, slog.LevelInfo, "accepted a job")
+	JobEnded      = register(304, slog.LevelInfo, "job ended")
+	TaskFailed    = register(305, slog.LevelWarn, "task failed")
+	JobsRecovered = register(306, slog.LevelInfo, "recovered jobs from the table")
+	ProgressLate  = register(307, slog.LevelWarn, "progress of jobs could not be written")
+)
+
+// Events of the daemon: 400 to 499.
+var (
+	Started  = register(400, slog.LevelInfo, "daemon started")
+	Stopping = register(401, slog.LevelInfo, "daemon is stopping")
+	Stopped  = register(402, slog.LevelInfo, "daemon stopped")
+)
+
+var all []Event
+
+// All returns every registered event, in the order of registration.
+func All() []Event {
+	return all
+}
+
+func register(number int, level slog.Level, message string) Event {
+	e := Event{number, level, message}
+	all = append(all, e)
+	return e
+}
--- /dev/null
+++ b/internal/core/params/params_test.go
@@ -0,0 +1,49 @@
+package params_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"fuchsiahoist.example/hoist/internal/core/params"
+)
+
+const good = `
+host = "host-1"
+data-centre = "dc1"
+entry-addr = "127.0.0.1:7000"
+caller-addr = "127.0.0.1:8080"
+platform-url = "http://127.0.0.1:80"
+`
+
+// TestParse guards against settings that are accepted but not meant.
+func TestParse(t *testing.T) {
+	t.Run("good", func(t *testing.T) {
+		is := is.New(t)
+		p, err := params.Parse(good)
+		is.NoErr(err)
+		is.Equal(p.Cores, 1)
+	})
+	bad := []struct {
+		name, text, want string
+	}{
+		{"unknown key", good + "colour = 1\n", `key "colour" does not exist`},
+		{"missing key", strings.Replace(good, "host =", "cores = 2 #", 1), `key "host" is missing`},
+		{"host name for an address", strings.Replace(good, "127.0.0.1:7000", "localhost:7000", 1), `key "entry-addr" is "localhost:7000"`},
+		{"bad duration", good + `settle = "soon"`, "settle"},
+		{"bad size", good + "cores = 0\n", `key "cores" is 0`},
+		{"several at once", "cores = -1\n", `key "cores" is -1, expected 1 to 1024; key "entry-addr"`},
+	}
+	for _, c := range bad {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := params.Parse(c.text)
+			is.True(errors.Is(err, params.ErrSettings)) // the error is ErrSettings
+			if !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %q does not contain %q", err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/route/route.go
@@ -0,0 +1,229 @@
+// Package route carries requests from the host that receives them to the slot
+// of an executor and the answer back. A request goes to the coordinator of its
+// key, waits there for a slot, and is sent by the owner of the executor.
+//
+// # Usage
+//
+//	r := &route.Router{Own: members, HostList: list, DialExecutor: dial, Clock: clock, Log: logger}
+//	go r.Run(ctx)
+//	answer := r.Submit(ctx, request)
+//
+// Coordinate and Dispatch serve the same calls of other hosts.
+//
+// # Concurrency
+//
+// Each request has one goroutine that takes it from its arrival at the
+// coordinator to its answer, and each owned executor has one that adopts and
+// watches it. The decisions (dedup, queue, slots) are behind one mutex, which
+// is never held during a call to another process.
+package route
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/dedup"
+	"fuchsiahoist.example/hoist/internal/decide/queue"
+	"fuchsiahoist.example/hoist/internal/decide/slots"
+)
+
+const (
+	// forwardTries bounds how often a request follows a moving shard.
+	forwardTries = 20
+	// forwardPause is the wait before a request follows a moving shard.
+	forwardPause = 50 * time.Millisecond
+	// retryHint is the pause asked of callers whose request was not run.
+	retryHint = time.Second
+	// queuePerCustomer bounds the waiting requests of a customer and class.
+	queuePerCustomer = 5000
+)
+
+// Router routes the requests of one host. Set the exported fields before Run.
+type Router struct {
+	Own      hoist.Ownership
+	HostList hoist.HostList
+	// DialExecutor returns a client for a listed executor.
+	DialExecutor func(hoist.Listed) hoist.Executor
+	Clock        hoist.Clock
+	Log          *slog.Logger
+	// Policy chooses executors; nil means slots.FastestFree.
+	Policy hoist.ExecutorPolicy
+
+	once      sync.Once
+	mu        sync.Mutex
+	rng       *rand.Rand
+	keys      map[hoist.ShardID]*dedup.Table
+	calls     map[hoist.RequestKey]*call
+	queues    map[hoist.ServiceName]*queue.Queue[*call]
+	pool      *slots.Pool
+	executors map[hoist.ExecutorID]*handle
+	remote    map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots
+	// live holds the requests that a goroutine of this host waits for at an
+	// owned executor.
+	live     map[hoist.RequestKey]bool
+	inFlight sync.WaitGroup
+}
+
+var _ hoist.ShardHolder = (*Router)(nil)
+
+// init makes the zero value usable before Run, for shards that arrive early.
+func (r *Router) init() {
+	r.once.Do(func() {
+		if r.Policy == nil {
+			r.Policy = slots.FastestFree{}
+		}
+		r.rng = rand.New(rand.NewPCG(uint64(r.Clock.Now().UnixNano()), 0))
+		r.keys = make(map[hoist.ShardID]*dedup.Table)
+		r.calls = make(map[hoist.RequestKey]*call)
+		r.queues = make(map[hoist.ServiceName]*queue.Queue[*call])
+		r.pool = slots.New(r.Policy)
+		r.executors = make(map[hoist.ExecutorID]*handle)
+		r.live = make(map[hoist.RequestKey]bool)
+		r.remote = make(map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots)
+	})
+}
+
+// Submit takes a request from a caller to its coordinator and waits for the
+// answer. It always returns one of the three outcomes.
+func (r *Router) Submit(ctx context.Context, req hoist.Request) hoist.Answer {
+	r.init()
+	shard := hoist.ShardOf(hoist.KindRequest, string(req.Key))
+	reason := "no host owns the shard of the request key"
+	for range forwardTries {
+		answer, err := r.forward(ctx, shard, req)
+		switch {
+		case err == nil:
+			return answer
+		case errors.Is(err, hoist.ErrOutcomeUnknown):
+			return refusal(req.Key, hoist.Unknown, err.Error())
+		case !errors.Is(err, hoist.ErrNotOwner):
+			return refusal(req.Key, hoist.NotRun, err.Error())
+		}
+		reason = err.Error()
+		if !pause(ctx, forwardPause) || !r.Clock.Now().Before(req.Deadline) {
+			break
+		}
+	}
+	return refusal(req.Key, hoist.NotRun, reason)
+}
+
+func (r *Router) forward(ctx context.Context, shard hoist.ShardID, req hoist.Request) (hoist.Answer, error) {
+	host, ok := r.Own.OwnerOf(shard)
+	if !ok {
+		return hoist.Answer{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d has no owner", shard))
+	}
+	if host == r.Own.Self() {
+		return r.Coordinate(ctx, req)
+	}
+	peer, ok := r.Own.Peer(host)
+	if !ok {
+		return hoist.Answer{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("no connection to host %s", host))
+	}
+	return peer.Submit(ctx, req)
+}
+
+func refusal(key hoist.RequestKey, outcome hoist.Outcome, reason string) hoist.Answer {
+	answer := hoist.Answer{Key: key, Outcome: outcome, Reason: reason}
+	if outcome == hoist.NotRun {
+		answer.RetryAfter = retryHint
+	}
+	return answer
+}
+
+// pause waits for d and reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// Heard records the free slots that another host reports.
+func (r *Router) Heard(h hoist.Heartbeat) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h.Leaving {
+		delete(r.remote, h.Host)
+		return
+	}
+	byService := make(map[hoist.ServiceName]hoist.ServiceSlots, len(h.Slots))
+	for _, s := range h.Slots {
+		byService[s.Service] = s
+	}
+	r.remote[h.Host] = byService
+	r.assignAll()
+}
+
+// Slots returns the free slots that this host reports.
+func (r *Router) Slots() []hoist.ServiceSlots {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pool.Summary()
+}
+
+// Acquire implements hoist.ShardHolder.
+func (r *Router) Acquire(shards []hoist.ShardTerm, keys []hoist.KeyRecord, horizon time.Time) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range shards {
+		r.keys[s.Shard] = dedup.New(horizon)
+	}
+	for _, k := range keys {
+		shard := hoist.ShardOf(hoist.KindRequest, string(k.Key))
+		if t, ok := r.keys[shard]; ok {
+			t.Restore(k)
+		}
+	}
+}
+
+// Release implements hoist.ShardHolder. Requests that still wait for a slot go
+// back to the host that received them, which follows the shard; their keys are
+// not handed over as running.
+func (r *Router) Release(shards []hoist.ShardID) []hoist.KeyRecord {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []hoist.KeyRecord
+	for _, shard := range shards {
+		t, ok := r.keys[shard]
+		if !ok {
+			continue
+		}
+		delete(r.keys, shard)
+		for _, record := range t.Records() {
+			if c, ok := r.calls[record.Key]; ok && c.withdraw(r) {
+				continue
+			}
+			out = append(out, record)
+		}
+	}
+	return out
+}
+
+// Drain waits until no request is in flight or ctx ends; it reports whether
+// none was left.
+func (r *Router) Drain(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		r.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/tool/demo/demo.go
@@ -0,0 +1,273 @@
+// Package demo is the demonstration run: it starts the stand-ins of the
+// platform, workers and executors and several daemons in one process on
+// loopback, feeds them an input of requests and jobs, kills one daemon and
+// drains one worker and one executor in the middle, and checks that nothing
+// was lost, doubled, crossed or overcommitted.
+//
+// # Usage
+//
+//	input, err := demo.ReadInput(file, "input.jsonl")
+//	result, err := (&demo.Run{Out: os.Stdout, Input: input}).Do(ctx)
+//	if len(result.Violations) > 0 {
+//		// the run broke an invariant
+//	}
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/daemon"
+	"fuchsiahoist.example/hoist/internal/core/params"
+	"fuchsiahoist.example/hoist/internal/fake/execd"
+	"fuchsiahoist.example/hoist/internal/fake/plat"
+	"fuchsiahoist.example/hoist/internal/fake/work"
+	"fuchsiahoist.example/hoist/internal/peer/hosts"
+	"fuchsiahoist.example/hoist/internal/peer/table"
+	"fuchsiahoist.example/hoist/internal/proto/rest"
+)
+
+// Sizes of the demonstration cell.
+const (
+	numHosts     = 3
+	numExecutors = 6
+	numWorkers   = 6
+	slots        = 8
+)
+
+// readyTime bounds the start of the cell.
+const readyTime = 30 * time.Second
+
+// Run is one demonstration. Set the exported fields before Do.
+type Run struct {
+	// Out receives the report.
+	Out io.Writer
+	// Input is what is submitted.
+	Input []Line
+	// Log receives the events of the daemons; nil drops them.
+	Log *slog.Logger
+	// Seed fixes the service times.
+	Seed uint64
+
+	platform  *plat.Platform
+	executors []*execd.Executor
+	workers   []*work.Worker
+	daemons   []*daemon.Daemon
+	addrs     []string
+	client    *http.Client
+	running   sync.WaitGroup
+	stop      context.CancelFunc
+}
+
+// Result is what came of a run.
+type Result struct {
+	Answers    []Answered
+	Violations []string
+}
+
+// Do starts the cell, feeds the input, injects the failures and checks the
+// outcome. Its error means that the cell could not be run at all.
+func (r *Run) Do(ctx context.Context) (Result, error) {
+	ctx, r.stop = context.WithCancel(ctx)
+	defer r.shutdown()
+	if err := r.start(ctx); err != nil {
+		return Result{}, err
+	}
+	if err := r.waitReady(ctx); err != nil {
+		return Result{}, err
+	}
+	fmt.Fprintf(r.Out, "cell: %d hosts, %d executors of %d slots, %d workers\n", numHosts, numExecutors, slots, numWorkers)
+	failures := r.injectFailures(ctx)
+	answers := r.feed(ctx)
+	<-failures
+	violations := r.check(ctx, answers)
+	r.report(answers, violations)
+	return Result{answers, violations}, nil
+}
+
+func (r *Run) shutdown() {
+	r.stop()
+	r.running.Wait()
+	for _, e := range r.executors {
+		e.Close()
+	}
+	for _, w := range r.workers {
+		w.Close()
+	}
+	if r.platform != nil {
+		r.platform.Close()
+	}
+	if r.client != nil {
+		r.client.CloseIdleConnections()
+	}
+}
+
+func (r *Run) start(ctx context.Context) error {
+	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	r.platform = &plat.Platform{}
+	url, err := r.platform.Start()
+	if err != nil {
+		return err
+	}
+	if err := r.startExecutors(); err != nil {
+		return err
+	}
+	if err := r.startWorkers(); err != nil {
+		return err
+	}
+	for i := range numHosts {
+		if err := r.startDaemon(ctx, i, url); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dataCentre spreads the cell over three data centres.
+func dataCentre(i int) hoist.DataCentreID {
+	return hoist.DataCentreID(fmt.Sprintf("dc%d", i%3+1))
+}
+
+func (r *Run) startExecutors() error {
+	for i := range numExecutors {
+		base := time.Duration(1+i%3*2) * time.Millisecond
+		e := &execd.Executor{
+			ID:    hoist.ExecutorID(fmt.Sprintf("executor-%d", i+1)),
+			Slots: slots,
+			ServiceTime: func(key hoist.RequestKey) time.Duration {
+				return serviceTime(r.Seed, key, base)
+			},
+		}
+		addr, err := e.Start()
+		if err != nil {
+			return err
+		}
+		r.executors = append(r.executors, e)
+		r.platform.Add(hoist.Listed{
+			Kind: hoist.ListedExecutor, ID: string(e.ID), Addr: addr, DataCentre: dataCentre(i), Service: "matching",
+		})
+	}
+	return nil
+}
+
+// serviceTime is the same for a key in every run: base to twice base, and 40
+// times that for one request in 50, a straggler.
+func serviceTime(seed uint64, key hoist.RequestKey, base time.Duration) time.Duration {
+	rng := rand.New(rand.NewPCG(seed, uint64(hoist.DigestOf([]byte(key)))))
+	d := base + time.Duration(rng.Int64N(int64(base)))
+	if rng.IntN(50) == 0 {
+		d *= 40
+	}
+	return d
+}
+
+func (r *Run) startWorkers() error {
+	for i := range numWorkers {
+		w := &work.Worker{
+			ID:         hoist.WorkerID(fmt.Sprintf("worker-%d", i+1)),
+			DataCentre: dataCentre(i),
+			Rack:       hoist.RackID(fmt.Sprintf("rack-%d", i%3+1)),
+			Capacity:   hoist.Resources{CPU: 16_000, Memory: 32 << 10},
+		}
+		addr, err := w.Start()
+		if err != nil {
+			return err
+		}
+		r.workers = append(r.workers, w)
+		r.platform.Add(hoist.Listed{
+			Kind: hoist.ListedWorker, ID: string(w.ID), Addr: addr, DataCentre: w.DataCentre, Rack: w.Rack,
+		})
+	}
+	return nil
+}
+
+func (r *Run) startDaemon(ctx context.Context, i int, platformURL string) error {
+	p := params.Default()
+	p.Host = hoist.HostID(fmt.Sprintf("host-%d", i+1))
+	p.DataCentre = dataCentre(i)
+	p.Cores = 4 + 4*(i%2)
+	p.EntryAddr = "127.0.0.1:0"
+	p.CallerAddr = "127.0.0.1:0"
+	client := &rest.Client{BaseURL: platformURL, HTTP: r.client}
+	d := &daemon.Daemon{
+		Params:   p,
+		Table:    &table.Client{REST: client},
+		HostList: &hosts.Client{REST: client},
+		Log:      r.Log,
+	}
+	if err := d.Listen(); err != nil {
+		return err
+	}
+	r.daemons = append(r.daemons, d)
+	r.addrs = append(r.addrs, "http://"+d.CallerAddr())
+	r.running.Go(func() {
+		if err := d.Run(ctx); err != nil {
+			fmt.Fprintf(r.Out, "%s: %v\n", p.Host, err)
+		}
+	})
+	return nil
+}
+
+// waitReady waits until every host owns shards and a request is answered by
+// each of them.
+func (r *Run) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for i := 0; ; i++ {
+		done := 0
+		for h := range r.addrs {
+			line := Line{
+				Type: LineRequest, Key: hoist.RequestKey(fmt.Sprintf("ready-%d-%d", i, h)), Customer: "demo",
+				Service: "matching", Class: hoist.Quick, Idempotent: true, TimeoutMS: 1000,
+			}
+			if r.submit(ctx, line, h).Outcome == hoist.Done {
+				done++
+			}
+		}
+		if done == len(r.addrs) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("the cell was not ready within %s", readyTime)
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// injectFailures kills a host and drains a worker and an executor while the
+// input runs. The channel is closed when all is done.
+func (r *Run) injectFailures(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	steps := []struct {
+		after time.Duration
+		text  string
+		do    func()
+	}{
+		{1500 * time.Millisecond, "drain worker-2", func() { r.workers[1].SetLeaving(true) }},
+		{500 * time.Millisecond, "drain executor-5", func() { r.executors[4].SetLeaving(true) }},
+		{500 * time.Millisecond, "kill host-2", r.daemons[1].Kill},
+	}
+	go func() {
+		defer close(done)
+		for _, s := range steps {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(s.after):
+			}
+			fmt.Fprintf(r.Out, "failure: %s\n", s.text)
+			s.do()
+		}
+	}()
+	return done
+}
