Add the configuration: one checked document that never reverts

Cause: quotas, objectives, limits and report layouts need one document that is in force everywhere or not at all, through races of operators, lost answers of the table, outages and replaced hosts. Change: internal/decide/config checks a document whole and names every problem; internal/core/spread accepts changes by a transaction on the row version and spreads versions by heartbeats, fetching documents from the hosts that have them. The daemon is ready only when it knows the configuration. With the check of the row version taken out, TestNeverReverts fails with two documents under one version; a first form of the test, which applied changes one after another, did not notice, so it now lets all hosts apply at the same moment.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"fuchsiahoist.example/hoist/internal/core/member"
 	"fuchsiahoist.example/hoist/internal/core/params"
 	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/core/spread"
 	"fuchsiahoist.example/hoist/internal/core/tasks"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 	"fuchsiahoist.example/hoist/internal/peer/entry"
@@ -43,6 +44,7 @@
 	members *member.Manager
 	router  *route.Router
 	tasks   *tasks.Manager
+	spread  *spread.Keeper
 	entry   net.Listener
 	caller  net.Listener
 	client  *http.Client
@@ -98,6 +100,7 @@
 	g.Go(func() error { return (&entry.Server{Listener: d.entry, Peer: d}).Run(serving) })
 	g.Go(func() error { d.router.Run(serving); return nil })
 	g.Go(func() error { d.tasks.Run(serving); return nil })
+	g.Go(func() error { d.spread.Run(serving); return nil })
 	g.Go(func() error {
 		err := d.members.Run(joined)
 		d.drain(serving)
@@ -161,12 +164,22 @@
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
 	}
-	d.front = &caller.Server{Listener: d.caller, Requests: d.router, Jobs: d.tasks, IsReady: d.members.IsReady}
+	d.front = &caller.Server{Listener: d.caller, Requests: d.router, Jobs: d.tasks, IsReady: d.isReady}
+	d.spread = &spread.Keeper{
+		Own: d.members, Table: d.Table, Clock: d.Clock, Log: d.Log, Cell: d.tasks.Cell,
+	}
 	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
 }
 
+// isReady reports whether callers should be sent here: the host holds its lease
+// and knows the configuration.
+func (d *Daemon) isReady() bool {
+	return d.members.IsReady() && d.spread.IsKnown()
+}
+
 // Beat implements member.Beater.
 func (d *Daemon) Beat(h *hoist.Heartbeat) {
+	h.Config = d.spread.Current().Version
 	h.Workers = d.tasks.Workers()
 	h.Slots = d.router.Slots()
 }
@@ -175,4 +188,5 @@
 func (d *Daemon) Heard(h hoist.Heartbeat) {
 	d.router.Heard(h)
 	d.tasks.Heard(h)
+	d.spread.Heard(h)
 }
--- a/internal/core/daemon/peer.go
+++ b/internal/core/daemon/peer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/ansel1/merry/v2"
-
 	hoist "fuchsiahoist.example/hoist"
 )
 
@@ -80,5 +78,5 @@
 
 // Config implements hoist.Peer.
 func (d *Daemon) Config(_ context.Context, version hoist.ConfigVersion) ([]byte, error) {
-	return nil, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("configuration version %d", version))
+	return d.spread.Config(version)
 }
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -77,6 +77,14 @@
 	Stopped  = register(402, slog.LevelInfo, "daemon stopped")
 )
 
+// Events of the configuration: 500 to 599.
+var (
+	ConfigAccepted    = register(500, slog.LevelInfo, "accepted a configuration")
+	ConfigInForce     = register(501, slog.LevelInfo, "configuration is in force on this host")
+	ConfigReadFailed  = register(502, slog.LevelWarn, "configuration could not be read from the table")
+	ConfigFetchFailed = register(503, slog.LevelWarn, "configuration could not be fetched from a host")
+)
+
 var all []Event
 
 // All returns every registered event, in the order of registration.
--- /dev/null
+++ b/internal/core/spread/spread_test.go
@@ -0,0 +1,341 @@
+package spread_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/spread"
+	"fuchsiahoist.example/hoist/internal/decide/config"
+	"fuchsiahoist.example/hoist/internal/fake/plat"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// host is one entry host of the test cell.
+type host struct {
+	id     hoist.HostID
+	cell   *cell
+	keeper *spread.Keeper
+	stop   context.CancelFunc
+	isCut  bool
+}
+
+// own is a host's view of the others.
+type own struct {
+	hoist.Ownership
+	host *host
+}
+
+func (o own) Self() hoist.HostID { return o.host.id }
+
+func (o own) Peer(id hoist.HostID) (hoist.Peer, bool) {
+	for _, other := range o.host.cell.hosts {
+		if other.id == id && !other.isCut && !o.host.isCut {
+			return peer{host: other}, true
+		}
+	}
+	return nil, false
+}
+
+// peer is the connection to another host.
+type peer struct {
+	hoist.Peer
+	host *host
+}
+
+func (p peer) Config(_ context.Context, v hoist.ConfigVersion) ([]byte, error) {
+	text, err := p.host.keeper.Config(v)
+	p.host.cell.mu.Lock()
+	defer p.host.cell.mu.Unlock()
+	p.host.cell.fetches++
+	p.host.cell.bytes += len(text)
+	return text, err
+}
+
+// cell is a set of hosts with one table. beat exchanges heartbeats; time is
+// that of the synctest bubble.
+type cell struct {
+	platform   plat.Platform
+	mu         sync.Mutex
+	hosts      []*host
+	inForce    map[hoist.ConfigVersion]string
+	violations []string
+	fetches    int
+	bytes      int
+}
+
+func newCell(n int) *cell {
+	c := &cell{inForce: make(map[hoist.ConfigVersion]string)}
+	for i := range n {
+		c.hosts = append(c.hosts, &host{id: hoist.HostID(fmt.Sprintf("h%03d", i)), cell: c})
+		c.start(i)
+	}
+	return c
+}
+
+func (c *cell) close() {
+	for _, h := range c.hosts {
+		h.stop()
+	}
+	synctest.Wait()
+}
+
+// start starts host i, or replaces it by a new process that knows nothing.
+func (c *cell) start(i int) {
+	h := c.hosts[i]
+	if h.stop != nil {
+		h.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	var last hoist.ConfigVersion
+	k := &spread.Keeper{Own: own{host: h}, Table: &c.platform, Clock: clock{}}
+	k.OnChange = func(d config.Document) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if d.Version <= last {
+			c.violations = append(c.violations, fmt.Sprintf("%s went from version %d to %d", h.id, last, d.Version))
+		}
+		last = d.Version
+		c.assertSame(d.Version, config.Encode(d))
+	}
+	h.keeper = k
+	go k.Run(ctx)
+	synctest.Wait()
+}
+
+// assertSame checks that a version is one document wherever it is in force.
+func (c *cell) assertSame(v hoist.ConfigVersion, text string) {
+	if known, ok := c.inForce[v]; ok && known != text {
+		c.violations = append(c.violations, fmt.Sprintf("version %d is two documents", v))
+	}
+	c.inForce[v] = text
+}
+
+// beat lets half a second pass and exchanges heartbeats between all hosts that
+// are not cut off.
+func (c *cell) beat() {
+	time.Sleep(500 * time.Millisecond)
+	for _, to := range c.hosts {
+		for _, from := range c.hosts {
+			if from != to && !from.isCut && !to.isCut {
+				to.keeper.Heard(hoist.Heartbeat{Host: from.id, Config: from.keeper.Current().Version})
+			}
+		}
+	}
+	synctest.Wait()
+}
+
+func document(base hoist.ConfigVersion, change string) string {
+	doc := config.Default()
+	doc.Version = base + 1
+	doc.ChangeID = hoist.ChangeID(change)
+	doc.Customers = []config.Customer{{Name: hoist.CustomerID(change), Weight: 1}}
+	return config.Encode(doc)
+}
+
+// highest returns the highest version in force on any host.
+func (c *cell) highest() hoist.ConfigVersion {
+	var v hoist.ConfigVersion
+	for _, h := range c.hosts {
+		v = max(v, h.keeper.Current().Version)
+	}
+	return v
+}
+
+// step is one thing that happens to the cell.
+type step struct {
+	Kind string
+	Host int
+	Base int
+}
+
+func (c *cell) do(n int, s step) {
+	h := c.hosts[s.Host%len(c.hosts)]
+	switch s.Kind {
+	case "apply":
+		_, _ = h.keeper.Apply(context.Background(), document(h.keeper.Current().Version, fmt.Sprintf("change-%d", n)))
+	case "race":
+		c.race(n)
+	case "lose":
+		c.platform.SetTableFault(plat.Fault{LoseAnswers: 2})
+	case "down":
+		c.platform.SetTableFault(plat.Fault{Down: true})
+	case "up":
+		c.platform.SetTableFault(plat.Fault{})
+	case "cut":
+		h.isCut = !h.isCut
+	case "restart":
+		c.start(s.Host % len(c.hosts))
+	case "beat":
+		c.beat()
+	}
+	synctest.Wait()
+}
+
+// race lets an operator at each host apply a change at the same moment.
+func (c *cell) race(n int) {
+	c.platform.SetTableFault(plat.Fault{Delay: 50 * time.Millisecond})
+	for i, h := range c.hosts {
+		text := document(h.keeper.Current().Version, fmt.Sprintf("change-%d-%d", n, i))
+		go func() { _, _ = h.keeper.Apply(context.Background(), text) }()
+	}
+	time.Sleep(time.Second)
+	c.platform.SetTableFault(plat.Fault{})
+}
+
+// TestNeverReverts guards against two documents under one version, hosts that
+// go back, and accepted changes that do not reach everyone after the faults
+// end: over races of operators, outages, lost answers, partitions, restarts.
+func TestNeverReverts(t *testing.T) {
+	kinds := []string{"apply", "apply", "race", "race", "lose", "down", "up", "cut", "restart", "beat", "beat"}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Host: rapid.IntRange(0, 3).Draw(t, "host")}
+		}), 1, 40).Draw(rt, "steps")
+		var violations []string
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(4)
+			defer c.close()
+			for n, s := range steps {
+				c.do(n, s)
+			}
+			c.heal()
+			violations = c.violations
+		})
+		if len(violations) > 0 {
+			rt.Fatalf("%v", violations)
+		}
+	})
+}
+
+// heal ends all faults and checks that the accepted version is in force
+// everywhere within the 14 s that are promised.
+func (c *cell) heal() {
+	c.platform.SetTableFault(plat.Fault{})
+	for _, h := range c.hosts {
+		h.isCut = false
+	}
+	for range 28 {
+		c.beat()
+	}
+	accepted := c.highest()
+	for _, h := range c.hosts {
+		if v := h.keeper.Current().Version; v != accepted {
+			c.violations = append(c.violations, fmt.Sprintf("%s has version %d, %d is accepted", h.id, v, accepted))
+		}
+	}
+}
+
+// TestApply guards against silent overwrites, changes that are accepted twice,
+// and unclear outcomes after lost answers.
+func TestApply(t *testing.T) {
+	ctx := context.Background()
+	cases := []struct {
+		name  string
+		fault plat.Fault
+		text  string
+		check func(is *is.I, err error)
+	}{
+		{"follows", plat.Fault{}, document(1, "b"), func(is *is.I, err error) { is.NoErr(err) }},
+		{"same change again", plat.Fault{}, document(0, "a"), func(is *is.I, err error) { is.NoErr(err) }},
+		{"answer lost", plat.Fault{LoseAnswers: 1}, document(1, "b"), func(is *is.I, err error) { is.NoErr(err) }},
+		{"race lost", plat.Fault{}, document(0, "b"), func(is *is.I, err error) {
+			var conflict *spread.ConflictError
+			is.True(errors.As(err, &conflict))                         // the error is a conflict
+			is.Equal(conflict.Current.ChangeID, hoist.ChangeID("a"))   // it has the accepted document
+			is.Equal(conflict.Changes[0].Old, `customers: name = "a"`) // and the difference
+			is.True(errors.Is(err, hoist.ErrConflict))                 // layers above see a conflict
+		}},
+		{"version skipped", plat.Fault{}, document(4, "b"), func(is *is.I, err error) { is.True(errors.Is(err, hoist.ErrConflict)) }},
+		{"table down", plat.Fault{Down: true}, document(1, "b"), func(is *is.I, err error) { is.True(errors.Is(err, hoist.ErrUnavailable)) }},
+		{"not valid", plat.Fault{}, "version = 2", func(is *is.I, err error) { is.True(errors.Is(err, config.ErrDocument)) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCell(2)
+				defer c.close()
+				_, err := c.hosts[0].keeper.Apply(ctx, document(0, "a"))
+				is.NoErr(err)
+				c.beat()
+				c.platform.SetTableFault(tc.fault)
+				_, err = c.hosts[1].keeper.Apply(ctx, tc.text)
+				tc.check(is, err)
+			})
+		})
+	}
+}
+
+// TestStartsWithoutTable guards against a new host that serves without knowing
+// the configuration, or with an old one, while the table is down.
+func TestStartsWithoutTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCell(3)
+		defer c.close()
+		_, err := c.hosts[0].keeper.Apply(context.Background(), document(0, "a"))
+		is.NoErr(err)
+		c.beat()
+		c.platform.SetTableFault(plat.Fault{Down: true})
+		c.start(2)
+		is.True(!c.hosts[2].keeper.IsKnown()) // it knows nothing yet
+		c.beat()
+		is.True(c.hosts[2].keeper.IsKnown())
+		is.Equal(c.hosts[2].keeper.Current().Version, hoist.ConfigVersion(1))
+	})
+}
+
+// BenchmarkSpread reports how long a change takes to be in force everywhere, in
+// the time of the cell, and what it costs.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{8, 120} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var took time.Duration
+			var fetches, bytes, reads int
+			for range b.N {
+				synctest.Test(&testing.T{}, func(*testing.T) {
+					c := newCell(n)
+					defer c.close()
+					before, _ := c.platform.Counts()
+					start := time.Now()
+					_, _ = c.hosts[0].keeper.Apply(context.Background(), document(0, "a"))
+					for !c.isEverywhere(1) {
+						c.beat()
+					}
+					took += time.Since(start)
+					after, _ := c.platform.Counts()
+					reads += after - before
+					fetches += c.fetches
+					bytes += c.bytes
+				})
+			}
+			perOp := func(v float64) float64 { return v / float64(b.N) }
+			b.ReportMetric(perOp(took.Seconds()), "cell-s/change")
+			b.ReportMetric(perOp(float64(fetches)), "fetches/change")
+			b.ReportMetric(perOp(float64(bytes)), "B/change")
+			b.ReportMetric(perOp(float64(reads)), "table-reads/change")
+		})
+	}
+}
+
+func (c *cell) isEverywhere(v hoist.ConfigVersion) bool {
+	for _, h := range c.hosts {
+		if h.keeper.Current().Version < v {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/tasks/cell.go
@@ -0,0 +1,28 @@
+package tasks
+
+import (
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/config"
+)
+
+// Cell returns what the workers of the cell hold, as far as this host knows,
+// for the check of configurations.
+func (m *Manager) Cell() config.Cell {
+	m.init()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var cell config.Cell
+	add := func(capacity hoist.Resources) {
+		cell.Total = cell.Total.Add(capacity)
+		cell.Workers = append(cell.Workers, capacity)
+	}
+	for _, c := range m.localCandidates() {
+		add(c.Capacity)
+	}
+	for _, workers := range m.remote {
+		for _, c := range workers {
+			add(c.Capacity)
+		}
+	}
+	return cell
+}
--- /dev/null
+++ b/internal/decide/config/check.go
@@ -0,0 +1,251 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Problem is one reason why a document is not valid.
+type Problem struct {
+	Key    string
+	Reason string
+}
+
+// String formats p for people.
+func (p Problem) String() string {
+	return p.Key + ": " + p.Reason
+}
+
+type problemsKey struct{}
+
+func problemsError(problems []Problem) error {
+	texts := make([]string, len(problems))
+	for i, p := range problems {
+		texts[i] = p.String()
+	}
+	return merry.Wrap(ErrDocument, merry.AppendMessage(strings.Join(texts, "; ")), merry.WithValue(problemsKey{}, problems))
+}
+
+// Problems returns the problems that an ErrDocument names.
+func Problems(err error) []Problem {
+	problems, _ := merry.Value(err, problemsKey{}).([]Problem)
+	return problems
+}
+
+// Bounds of a document.
+const (
+	maxQueue    = 1_000_000
+	maxReplicas = 100_000
+	maxSlots    = 1024
+	maxWeight   = 10_000
+	maxPriority = 1000
+	maxWidth    = 200
+	maxDecimals = 6
+	maxName     = 100
+)
+
+// checker collects problems.
+type checker struct {
+	problems []Problem
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.problems = append(c.problems, Problem{key, fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) inRange(key string, value, low, high int) {
+	if value < low || value > high {
+		c.add(key, "is %d, expected %d to %d", value, low, high)
+	}
+}
+
+// name checks a name and that it is the first of its kind.
+func (c *checker) name(key, name string, seen map[string]bool) {
+	switch {
+	case name == "" || len(name) > maxName:
+		c.add(key, "is %q, expected 1 to %d bytes", name, maxName)
+	case strings.ContainsAny(name, "/\n\r\t "):
+		c.add(key, "is %q, expected no spaces and no slash", name)
+	case seen[name]:
+		c.add(key, "is %q a second time", name)
+	}
+	seen[name] = true
+}
+
+// check returns everything that is wrong with the document by itself.
+func (d Document) check() []Problem {
+	c := &checker{}
+	if d.Version == 0 {
+		c.add("version", "is missing")
+	}
+	c.name("change-id", string(d.ChangeID), map[string]bool{})
+	c.inRange("limits.queue-per-customer", d.Limits.QueuePerCustomer, 1, maxQueue)
+	c.inRange("limits.queue-total", d.Limits.QueueTotal, d.Limits.QueuePerCustomer, maxQueue)
+	c.inRange("limits.retry-percent", d.Limits.RetryPercent, 0, 100)
+	d.checkClasses(c)
+	d.checkCustomers(c)
+	d.checkTeams(c)
+	d.checkServices(c)
+	d.checkReports(c)
+	return c.problems
+}
+
+func (d Document) checkClasses(c *checker) {
+	seen := make(map[string]bool)
+	for i, class := range d.Classes {
+		key := fmt.Sprintf("classes[%d]", i)
+		c.name(key+".name", string(class.Name), seen)
+		if !class.Name.IsValid() {
+			c.add(key+".name", "is %q, expected quick, patient or watch", class.Name)
+		}
+		if class.Wait <= 0 || time.Duration(class.Wait) > 24*time.Hour {
+			c.add(key+".wait", "is %s, expected more than 0s, up to 24h", time.Duration(class.Wait))
+		}
+		if class.GoodPercent < 50 || class.GoodPercent >= 100 {
+			c.add(key+".good-percent", "is %g, expected 50 or more and less than 100", class.GoodPercent)
+		}
+	}
+	for _, class := range []hoist.Class{hoist.Quick, hoist.Patient, hoist.Watch} {
+		if !seen[string(class)] {
+			c.add("classes", "has no class %q", class)
+		}
+	}
+}
+
+func (d Document) checkCustomers(c *checker) {
+	seen := make(map[string]bool)
+	for i, customer := range d.Customers {
+		key := fmt.Sprintf("customers[%d]", i)
+		c.name(key+".name", string(customer.Name), seen)
+		c.inRange(key+".weight", customer.Weight, 1, maxWeight)
+	}
+}
+
+func (d Document) checkTeams(c *checker) {
+	seen := make(map[string]bool)
+	for i, team := range d.Teams {
+		key := fmt.Sprintf("teams[%d]", i)
+		c.name(key+".name", string(team.Name), seen)
+		c.inRange(key+".max-priority", int(team.MaxPriority), 0, maxPriority)
+		if !team.Quota.Resources().IsValid() {
+			c.add(key+".quota", "is %v, expected a positive amount", team.Quota.Resources())
+		}
+	}
+}
+
+func (d Document) checkServices(c *checker) {
+	seen := make(map[string]bool)
+	for i, s := range d.Services {
+		key := fmt.Sprintf("services[%d]", i)
+		c.name(key+".name", string(s.Name), seen)
+		c.inRange(key+".replicas", s.Replicas, 0, maxReplicas)
+		c.inRange(key+".slots", s.Slots, 1, maxSlots)
+		if !s.Need.Resources().IsValid() {
+			c.add(key+".need", "is %v, expected a positive amount", s.Need.Resources())
+		}
+		d.checkServiceTeam(c, key, s)
+		for j, customer := range s.Customers {
+			if !d.hasCustomer(customer) {
+				c.add(fmt.Sprintf("%s.customers[%d]", key, j), "customer %q does not exist", customer)
+			}
+		}
+	}
+}
+
+func (d Document) checkServiceTeam(c *checker, key string, s Service) {
+	team, ok := d.Team(s.Team)
+	if !ok {
+		c.add(key+".team", "team %q does not exist", s.Team)
+		return
+	}
+	total := times(s.Need.Resources(), s.Replicas)
+	if !total.Fits(team.Quota.Resources()) {
+		c.add(key+".replicas", "%d replicas need %v, the quota of team %q is %v", s.Replicas, total, s.Team, team.Quota.Resources())
+	}
+}
+
+func times(r hoist.Resources, n int) hoist.Resources {
+	return hoist.Resources{
+		CPU:    r.CPU * hoist.MilliCPU(n),
+		Memory: r.Memory * hoist.MiB(n),
+		Accel:  r.Accel * hoist.Accelerators(n),
+	}
+}
+
+func (d Document) hasCustomer(name hoist.CustomerID) bool {
+	for _, c := range d.Customers {
+		if c.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (d Document) checkReports(c *checker) {
+	seen := make(map[string]bool)
+	for i, r := range d.Reports {
+		key := fmt.Sprintf("reports[%d]", i)
+		c.name(key+".name", string(r.Name), seen)
+		if _, ok := fields[r.Name]; !ok {
+			c.add(key+".name", "is %q, expected one of %v", r.Name, reportNames)
+			continue
+		}
+		if len(r.Columns) == 0 {
+			c.add(key+".columns", "is empty")
+		}
+		for j, column := range r.Columns {
+			columnKey := fmt.Sprintf("%s.columns[%d]", key, j)
+			if _, ok := findField(r.Name, column.Field); !ok {
+				c.add(columnKey+".field", "report %q has no field %q", r.Name, column.Field)
+			}
+			c.inRange(columnKey+".width", column.Width, 1, maxWidth)
+			c.inRange(columnKey+".decimals", column.Decimals, 0, maxDecimals)
+		}
+	}
+}
+
+// Cell is what a document is checked against.
+type Cell struct {
+	// Total is what all workers hold together.
+	Total hoist.Resources
+	// Workers lists what each worker holds when it is empty.
+	Workers []hoist.Resources
+}
+
+// CheckCell checks a document against the cell: quotas that no cell of this
+// size can honour, and services that fit no worker. An empty cell, of which
+// nothing is known, passes.
+func (d Document) CheckCell(cell Cell) error {
+	if len(cell.Workers) == 0 {
+		return nil
+	}
+	c := &checker{}
+	for i, team := range d.Teams {
+		if quota := team.Quota.Resources(); !quota.Fits(cell.Total) {
+			c.add(fmt.Sprintf("teams[%d].quota", i), "is %v, the cell holds %v", quota, cell.Total)
+		}
+	}
+	for i, s := range d.Services {
+		if need := s.Need.Resources(); !fitsAny(need, cell.Workers) {
+			c.add(fmt.Sprintf("services[%d].need", i), "is %v, no worker is that large", need)
+		}
+	}
+	if len(c.problems) > 0 {
+		return problemsError(c.problems)
+	}
+	return nil
+}
+
+func fitsAny(need hoist.Resources, workers []hoist.Resources) bool {
+	for _, w := range workers {
+		if need.Fits(w) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -211,6 +211,42 @@
 	return nil
 }
 
+// The table's row that names the accepted configuration.
+type ConfigCurrent struct {
+	// ChangeId corresponds to the JSON schema field "change-id".
+	ChangeId string `json:"change-id"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest string `json:"digest"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigCurrent) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["change-id"]; raw != nil && !ok {
+		return fmt.Errorf("field change-id in ConfigCurrent: required")
+	}
+	if _, ok := raw["digest"]; raw != nil && !ok {
+		return fmt.Errorf("field digest in ConfigCurrent: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in ConfigCurrent: required")
+	}
+	type Plain ConfigCurrent
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigCurrent(plain)
+	return nil
+}
+
 // A configuration document.
 type ConfigDocument struct {
 	// Document corresponds to the JSON schema field "document".
