Record service-level burn, waiting, packing and cost of control

Cause: operators read reports; nothing recorded what they need, and their layout must follow the configuration. Change: internal/decide/burn counts good and bad requests by minute and computes burn rates; internal/core/report adds up the shares of all hosts and writes them in the configured layout, as text and HTML; internal/core/metric has the Prometheus metrics and the cost of control. Hosts exchange their shares by a report call. Conclusion: reports need no state beyond memory; a replaced host starts its windows anew.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -21,10 +21,13 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/member"
+	"fuchsiahoist.example/hoist/internal/core/metric"
 	"fuchsiahoist.example/hoist/internal/core/params"
+	"fuchsiahoist.example/hoist/internal/core/report"
 	"fuchsiahoist.example/hoist/internal/core/route"
 	"fuchsiahoist.example/hoist/internal/core/spread"
 	"fuchsiahoist.example/hoist/internal/core/tasks"
+	"fuchsiahoist.example/hoist/internal/decide/config"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 	"fuchsiahoist.example/hoist/internal/peer/entry"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
@@ -41,16 +44,19 @@
 	// Clock is the system clock if it is nil.
 	Clock hoist.Clock
 
-	members *member.Manager
-	router  *route.Router
-	tasks   *tasks.Manager
-	spread  *spread.Keeper
-	entry   net.Listener
-	caller  net.Listener
-	client  *http.Client
-	front   *caller.Server
-	stop    context.CancelFunc
-	running chan struct{}
+	members  *member.Manager
+	router   *route.Router
+	tasks    *tasks.Manager
+	spread   *spread.Keeper
+	recorder *report.Recorder
+	metrics  *metric.Set
+	cost     metric.Cost
+	entry    net.Listener
+	caller   net.Listener
+	client   *http.Client
+	front    *caller.Server
+	stop     context.CancelFunc
+	running  chan struct{}
 }
 
 // SystemClock is the clock of the operating system.
@@ -164,13 +170,23 @@
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
 	}
-	d.front = &caller.Server{Listener: d.caller, Requests: d.router, Jobs: d.tasks, IsReady: d.isReady}
+	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: d.tasks, IsReady: d.isReady}
 	d.spread = &spread.Keeper{
 		Own: d.members, Table: d.Table, Clock: d.Clock, Log: d.Log, Cell: d.tasks.Cell,
 	}
+	d.buildReports()
 	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
 }
 
+// document returns the configuration in force, or the defaults before there is
+// one.
+func (d *Daemon) document() config.Document {
+	if current := d.spread.Current(); current.Version > 0 {
+		return current.Document
+	}
+	return config.Default()
+}
+
 // isReady reports whether callers should be sent here: the host holds its lease
 // and knows the configuration.
 func (d *Daemon) isReady() bool {
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -85,6 +85,7 @@
 	isLapsed   bool
 	txnCounter int
 	isKilled   atomic.Bool
+	messages   atomic.Uint64
 }
 
 var _ hoist.Ownership = (*Manager)(nil)
@@ -205,6 +206,18 @@
 	return m.lease.IsValid(m.Clock.Now()) && !m.isLeaving
 }
 
+// TableAge returns the time since the last answer of the table.
+func (m *Manager) TableAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now().Sub(m.tableOK)
+}
+
+// Messages returns the number of heartbeats sent and received so far.
+func (m *Manager) Messages() uint64 {
+	return m.messages.Load()
+}
+
 // Members returns the members as the table last said.
 func (m *Manager) Members() []hoist.Member {
 	m.mu.Lock()
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -69,6 +69,7 @@
 func (m *Manager) beatLoop(ctx context.Context, host hoist.HostID, peer hoist.Peer) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		m.messages.Add(1)
 		reply, err := peer.Heartbeat(callCtx, m.heartbeat())
 		cancel()
 		if err == nil {
@@ -95,6 +96,7 @@
 
 // Heartbeat answers another host's heartbeat.
 func (m *Manager) Heartbeat(h hoist.Heartbeat) hoist.Heartbeat {
+	m.messages.Add(1)
 	m.Beat.Heard(h)
 	return m.heartbeat()
 }
--- /dev/null
+++ b/internal/decide/burn/burn_test.go
@@ -0,0 +1,67 @@
+package burn_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"fuchsiahoist.example/hoist/internal/decide/burn"
+)
+
+// TestBurn guards against a burn rate that hides an outage or divides by zero.
+func TestBurn(t *testing.T) {
+	cases := []struct {
+		name       string
+		w          burn.Window
+		objective  float64
+		burn, left float64
+	}{
+		{"no requests", burn.Window{}, 99, 0, 100},
+		{"all good", burn.Window{Good: 10, Total: 10}, 99, 0, 100},
+		{"just at the objective", burn.Window{Good: 99, Total: 100}, 99, 1, 0},
+		{"all bad", burn.Window{Good: 0, Total: 100}, 99, 100, -9900},
+		{"no budget", burn.Window{Good: 0, Total: 100}, 100, 0, 100},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.w.Burn(c.objective), c.burn)
+			is.Equal(c.w.BudgetLeft(c.objective), c.left)
+		})
+	}
+}
+
+// TestWindows guards against counts that are lost or stay in a window for too
+// long, against a plain list of the requests as the model.
+func TestWindows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type request struct {
+			minute int64
+			isGood bool
+		}
+		var c burn.Counter
+		var all []request
+		now := time.Unix(1_000_000, 0)
+		for range rapid.IntRange(0, 60).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(t, "pause-s")) * time.Second)
+			r := request{now.Unix() / 60, rapid.Bool().Draw(t, "good")}
+			all = append(all, r)
+			c.Add(r.isGood, now)
+		}
+		minutes := rapid.Int64Range(1, 360).Draw(t, "window-min")
+		var want burn.Window
+		for _, r := range all {
+			if r.minute > now.Unix()/60-minutes {
+				want.Total++
+				if r.isGood {
+					want.Good++
+				}
+			}
+		}
+		if got := c.Window(time.Duration(minutes)*time.Minute, now); got != want {
+			t.Fatalf("window of %d min is %v, expected %v", minutes, got, want)
+		}
+	})
+}
--- a/internal/decide/config/config.go
+++ b/internal/decide/config/config.go
@@ -226,6 +226,16 @@
 	return Report{}, false
 }
 
+// Objective returns the objective of a class of requests.
+func (d Document) Objective(class hoist.Class) Class {
+	for _, c := range d.Classes {
+		if c.Name == class {
+			return c
+		}
+	}
+	return Class{Name: class}
+}
+
 // Team returns the settings of a team.
 func (d Document) Team(name hoist.TeamID) (Team, bool) {
 	for _, t := range d.Teams {
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -52,6 +52,7 @@
 	methodTaskEnded method = "task-ended"
 	methodSurvey    method = "survey"
 	methodConfig    method = "config"
+	methodReport    method = "report"
 )
 
 // errorCode is the JSON-RPC code of all errors of the scheduler; the domain
@@ -254,3 +255,9 @@
 	out, err := call[wire.ConfigDocument](ctx, c, methodConfig, wire.ConfigRequest{Version: int(version)})
 	return []byte(out.Document), err
 }
+
+// Report implements hoist.Peer.
+func (c *Client) Report(ctx context.Context) (hoist.HostReport, error) {
+	out, err := call[wire.HostReport](ctx, c, methodReport, wire.Empty{})
+	return codec.ToHostReport(out), err
+}
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -153,5 +153,9 @@
 			out, err := p.Config(ctx, hoist.ConfigVersion(in.Version))
 			return wire.ConfigDocument{Version: in.Version, Document: string(out)}, err
 		}),
+		methodReport: decode(func(ctx context.Context, _ wire.Empty) (wire.HostReport, error) {
+			out, err := p.Report(ctx)
+			return codec.HostReport(out), err
+		}),
 	}
 }
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -211,6 +211,42 @@
 	return nil
 }
 
+// A host's record of one class of requests.
+type ClassReport struct {
+	// Class corresponds to the JSON schema field "class".
+	Class string `json:"class"`
+
+	// Waits corresponds to the JSON schema field "waits".
+	Waits []byte `json:"waits"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []Window `json:"windows"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ClassReport) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["class"]; raw != nil && !ok {
+		return fmt.Errorf("field class in ClassReport: required")
+	}
+	if _, ok := raw["waits"]; raw != nil && !ok {
+		return fmt.Errorf("field waits in ClassReport: required")
+	}
+	if _, ok := raw["windows"]; raw != nil && !ok {
+		return fmt.Errorf("field windows in ClassReport: required")
+	}
+	type Plain ClassReport
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ClassReport(plain)
+	return nil
+}
+
 // The table's row that names the accepted configuration.
 type ConfigCurrent struct {
 	// ChangeId corresponds to the JSON schema field "change-id".
@@ -532,6 +568,66 @@
 	return nil
 }
 
+// What one host contributes to the reports of the cell.
+type HostReport struct {
+	// Classes corresponds to the JSON schema field "classes".
+	Classes []ClassReport `json:"classes"`
+
+	// CpuPercent corresponds to the JSON schema field "cpu-percent".
+	CpuPercent float64 `json:"cpu-percent"`
+
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// MemoryMib corresponds to the JSON schema field "memory-mib".
+	MemoryMib int `json:"memory-mib"`
+
+	// MessagesPerS corresponds to the JSON schema field "messages-per-s".
+	MessagesPerS float64 `json:"messages-per-s"`
+
+	// Shards corresponds to the JSON schema field "shards".
+	Shards int `json:"shards"`
+
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []Candidate `json:"workers"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostReport) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["classes"]; raw != nil && !ok {
+		return fmt.Errorf("field classes in HostReport: required")
+	}
+	if _, ok := raw["cpu-percent"]; raw != nil && !ok {
+		return fmt.Errorf("field cpu-percent in HostReport: required")
+	}
+	if _, ok := raw["host"]; raw != nil && !ok {
+		return fmt.Errorf("field host in HostReport: required")
+	}
+	if _, ok := raw["memory-mib"]; raw != nil && !ok {
+		return fmt.Errorf("field memory-mib in HostReport: required")
+	}
+	if _, ok := raw["messages-per-s"]; raw != nil && !ok {
+		return fmt.Errorf("field messages-per-s in HostReport: required")
+	}
+	if _, ok := raw["shards"]; raw != nil && !ok {
+		return fmt.Errorf("field shards in HostReport: required")
+	}
+	if _, ok := raw["workers"]; raw != nil && !ok {
+		return fmt.Errorf("field workers in HostReport: required")
+	}
+	type Plain HostReport
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostReport(plain)
+	return nil
+}
+
 // The table's row of a job. Done lists the numbers of the tasks that are done.
 type JobRow struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -1594,6 +1690,36 @@
 	return nil
 }
 
+// Counts the requests of a span of time.
+type Window struct {
+	// Good corresponds to the JSON schema field "good".
+	Good int `json:"good"`
+
+	// Total corresponds to the JSON schema field "total".
+	Total int `json:"total"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Window) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["good"]; raw != nil && !ok {
+		return fmt.Errorf("field good in Window: required")
+	}
+	if _, ok := raw["total"]; raw != nil && !ok {
+		return fmt.Errorf("field total in Window: required")
+	}
+	type Plain Window
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Window(plain)
+	return nil
+}
+
 // A worker's own account of itself.
 type WorkerReport struct {
 	// Capacity corresponds to the JSON schema field "capacity".
--- a/peer.go
+++ b/peer.go
@@ -140,6 +140,8 @@
 	// Survey lists the tasks of team shards on the workers of the peer.
 	Survey(ctx context.Context, shards []ShardID) (SurveyReply, error)
 	Config(ctx context.Context, version ConfigVersion) ([]byte, error)
+	// Report returns what the peer contributes to the reports of the cell.
+	Report(ctx context.Context) (HostReport, error)
 }
 
 // Ownership tells which host owns which shard. Its methods may be called
