Add quotas per team

Cause: a team's use must be counted in one place, by the owner of its shard, without a table write for each start. Change: package quota charges attempts against the quota of their team, a gang as a whole or not at all, and counts again from running tasks after a change of ownership. Lowering a quota stops nothing; it only refuses new tasks. Conclusion: the property test (go test ./internal/decide/quota) finds no order of admissions, releases, rebuilds and changes of quota that admits beyond it.

--- /dev/null
+++ b/internal/decide/quota/quota_test.go
@@ -0,0 +1,132 @@
+package quota_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
+)
+
+func charge(task hoist.TaskID, attempt hoist.AttemptNo, cpu hoist.MilliCPU) quota.Charge {
+	return quota.Charge{Team: "a", Task: task, Attempt: attempt, Need: hoist.Resources{CPU: cpu, Memory: 10}}
+}
+
+func limits(cpu hoist.MilliCPU) map[hoist.TeamID]hoist.Resources {
+	return map[hoist.TeamID]hoist.Resources{"a": {CPU: cpu, Memory: 1000}}
+}
+
+// TestAdmit guards against admissions beyond the quota, double charges, and
+// refusals that do not say what is missing.
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		name    string
+		charges []quota.Charge
+		kind    error
+		message string
+	}{
+		{"within the quota", []quota.Charge{charge("new", 1, 600)}, nil, ""},
+		{"the same attempt again", []quota.Charge{charge("old", 1, 400)}, nil, ""},
+		{"another attempt", []quota.Charge{charge("old", 2, 400)}, hoist.ErrConflict, "attempt 1 of task old"},
+		{"beyond the quota", []quota.Charge{charge("new", 1, 601)}, hoist.ErrOverLimit, "lacks 0.001 cores"},
+		{"accelerators without quota", []quota.Charge{{Team: "a", Task: "x", Need: hoist.Resources{Accel: 2}}}, hoist.ErrOverLimit, "lacks 2 accelerators"},
+		{"negative need", []quota.Charge{charge("new", 1, -1)}, hoist.ErrInvalid, "task new"},
+		{"gang beyond the quota", []quota.Charge{charge("old", 1, 400), charge("g1", 1, 400), charge("g2", 1, 400)}, hoist.ErrOverLimit, "task g2"},
+		{"team without quota", []quota.Charge{{Team: "b", Task: "x", Need: quota.Unlimited}}, nil, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := quota.NewBook()
+			b.SetLimits(limits(1000), quota.Unlimited)
+			is.NoErr(b.Admit(charge("old", 1, 400)))
+			before := b.Usage("a")
+			err := b.Admit(c.charges...)
+			is.True(errors.Is(err, c.kind)) // the kind of the refusal
+			if err != nil {
+				is.True(strings.Contains(err.Error(), c.message)) // the reason is named
+				is.Equal(b.Usage("a"), before)                    // a refusal charges nothing
+			}
+		})
+	}
+}
+
+// TestLoweredQuota guards against admissions to a team whose quota was lowered
+// below its usage, and against resources it does not use being blocked.
+func TestLoweredQuota(t *testing.T) {
+	is := is.New(t)
+	b := quota.NewBook()
+	is.NoErr(b.Admit(charge("t1", 1, 400), charge("t2", 1, 400)))
+	b.SetLimits(limits(500), quota.Unlimited)
+	is.True(b.Usage("a").IsOver())
+	is.True(errors.Is(b.Admit(charge("t3", 1, 1)), hoist.ErrOverLimit))
+	is.NoErr(b.Admit(quota.Charge{Team: "a", Task: "t4", Need: hoist.Resources{Memory: 1}}))
+	b.Release("t1", 2) // a late message of another attempt
+	is.True(b.Usage("a").IsOver())
+	b.Release("t1", 1)
+	b.Release("t1", 1)
+	is.NoErr(b.Admit(charge("t3", 1, 100)))
+}
+
+// TestNeverPassed guards against any order of operations that admits beyond the
+// quota or lets the sum drift from the tasks that are charged.
+func TestNeverPassed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := quota.NewBook()
+		limit := hoist.MilliCPU(1000)
+		b.SetLimits(limits(limit), quota.Unlimited)
+		model := make(map[hoist.TaskID]quota.Charge)
+		task := rapid.SampledFrom([]hoist.TaskID{"t1", "t2", "t3", "t4", "t5"})
+		attempt := rapid.Custom(func(t *rapid.T) hoist.AttemptNo { return hoist.AttemptNo(rapid.IntRange(1, 2).Draw(t, "attempt")) })
+		cpu := rapid.Custom(func(t *rapid.T) hoist.MilliCPU { return hoist.MilliCPU(rapid.IntRange(-100, 700).Draw(t, "cpu")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				cs := []quota.Charge{charge(task.Draw(t, "task"), attempt.Draw(t, "attempt"), cpu.Draw(t, "cpu")), charge(task.Draw(t, "task"), 1, cpu.Draw(t, "cpu"))}
+				before := b.Usage("a").Used.CPU
+				if b.Admit(cs...) != nil {
+					return
+				}
+				for _, c := range cs {
+					model[c.Task] = c
+				}
+				if after := b.Usage("a").Used.CPU; after > before && after > limit {
+					t.Fatalf("admitted %v millicores beyond %v", after, limit)
+				}
+			},
+			"release": func(t *rapid.T) {
+				id, no := task.Draw(t, "task"), attempt.Draw(t, "attempt")
+				b.Release(id, no)
+				if model[id].Attempt == no {
+					delete(model, id)
+				}
+			},
+			"set limit": func(t *rapid.T) {
+				limit = hoist.MilliCPU(rapid.IntRange(0, 2000).Draw(t, "limit"))
+				b.SetLimits(limits(limit), quota.Unlimited)
+			},
+			"rebuild": func(t *rapid.T) {
+				var running []hoist.TaskStatus
+				for _, c := range model {
+					running = append(running, hoist.TaskStatus{Task: c.Task, Team: c.Team, Attempt: c.Attempt, Need: c.Need})
+				}
+				b = quota.NewBook()
+				b.SetLimits(limits(limit), quota.Unlimited)
+				b.Rebuild("a", running)
+				b.Rebuild("a", running)
+			},
+			"": func(t *rapid.T) {
+				var want hoist.Resources
+				for _, c := range model {
+					want = want.Add(c.Need)
+				}
+				if got := b.Usage("a"); got.Used != want || got.Tasks != len(model) {
+					t.Fatalf("used %v by %d tasks, expected %v by %d", got.Used, got.Tasks, want, len(model))
+				}
+			},
+		})
+	})
+}
