Add the placement policies and their measurement

Cause: placement was first fit by declared size alone, and nothing measured it. Change: aligned sampling (default), best fit, first fit and random fit behind PlacementPolicy.Choose, which also knows the learned size, the data centre and whether replicas are kept apart. All of them avoid workers that the learned size overloads, keep accelerator workers free and spread replicas.

--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -28,7 +28,8 @@
 )
 
 type cli struct {
-	Demo demoCmd `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
+	Demo  demoCmd  `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
+	Bench benchCmd `cmd:"" help:"Measure decisions on seeded input."`
 }
 
 // demoCmd runs the demonstration.
--- a/iface.go
+++ b/iface.go
@@ -121,20 +121,54 @@
 	Stop(ctx context.Context, term Term, task TaskID, mode StopMode) error
 }
 
+// WorkerState tells whether a worker takes new work.
+type WorkerState string
+
+// The states of a worker.
+const (
+	WorkerReady   WorkerState = ""
+	WorkerLeaving WorkerState = "leaving"
+	// WorkerFailing is backed off, because tasks fail on it.
+	WorkerFailing WorkerState = "failing"
+)
+
 // Candidate is a worker as a placement policy sees it.
 type Candidate struct {
 	Worker     WorkerID
 	DataCentre DataCentreID
 	Rack       RackID
+	State      WorkerState
 	Capacity   Resources
-	Free       Resources
+	// Free is what can be granted, by declared sizes.
+	Free Resources
+	// Usage is what the tasks on the worker take, as reported or learned. It
+	// is zero if unknown.
+	Usage Resources
 	// Replicas is how many tasks of the job run in the worker's rack.
 	Replicas int
+	// WorkerReplicas and DataCentreReplicas are how many of them run on the
+	// worker and in its data centre.
+	WorkerReplicas     int
+	DataCentreReplicas int
+}
+
+// Ask is what a placement policy knows about the task to place.
+type Ask struct {
+	// Need is the declared size; it decides where the task fits.
+	Need Resources
+	// Size is the learned size; it ranks workers. It is zero if unknown.
+	Size Resources
+	// DataCentre limits the choice unless empty.
+	DataCentre DataCentreID
+	// Spread keeps replicas apart, by data centre, then rack, then worker.
+	Spread bool
 }
 
 // PlacementPolicy chooses a worker for a task.
 type PlacementPolicy interface {
-	// Pick returns the index of the chosen candidate, or -1 if none fits.
+	// Choose returns the index of the chosen candidate, or -1 if none fits.
+	Choose(ask Ask, candidates []Candidate, rng *rand.Rand) int
+	// Pick is Choose for a task of which only the declared size is known.
 	Pick(need Resources, candidates []Candidate, rng *rand.Rand) int
 }
 
