Explain why tasks fit nowhere

Cause: a job that waits said only that no worker has its need free; people could not tell whether it lacks one resource, a constraint, or can never run. Change: place.Explain counts the workers for each cause, names the one that lacks the least and how much, and tells whether the tasks would fit if nothing else ran. With no worker known it never says that a job cannot run.

--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -111,3 +111,66 @@
 		}
 	})
 }
+
+// TestExplain guards against reasons that are wrong, miss the nearest worker,
+// or tell people to wait for what can never run.
+func TestExplain(t *testing.T) {
+	cell := []hoist.Candidate{
+		with(idle("full", size), func(c *hoist.Candidate) { c.Free = hoist.Resources{CPU: 500} }),
+		with(idle("fuller", size), func(c *hoist.Candidate) { c.Free = hoist.Resources{Memory: 900} }),
+		with(idle("leaving", accel), func(c *hoist.Candidate) { c.State = hoist.WorkerLeaving }),
+		with(idle("failing", size), func(c *hoist.Candidate) { c.State = hoist.WorkerFailing }),
+		with(idle("far", size), func(c *hoist.Candidate) { c.DataCentre = "dc2" }),
+	}
+	inDC1 := func(need hoist.Resources) hoist.Ask { return hoist.Ask{Need: need, DataCentre: "dc1"} }
+	cases := []struct {
+		name       string
+		ask        hoist.Ask
+		tasks      int
+		cell       []hoist.Candidate
+		impossible bool
+		want       string
+	}{
+		{"fits", hoist.Ask{Need: need}, 1, cell, false, "fits now"},
+		{"no worker", hoist.Ask{Need: need}, 1, nil, false, "no worker is known"},
+		{
+			"not now", inDC1(need), 1, cell, false,
+			"fits nowhere now: of 5 workers, 1 in another data centre; 1 leaving; " +
+				"1 backed off because tasks fail on them; 2 with too few cores free (full lacks 0.500 cores); " +
+				"2 with too little memory free (fuller lacks 100 MiB)",
+		},
+		{
+			"too large",
+			hoist.Ask{Need: hoist.Resources{CPU: 9000, Memory: 8001}},
+			1, cell[4:], true,
+			"can never run on these 1 workers: 1 with too few cores even when empty (far lacks 1.000 cores); " +
+				"1 with too little memory even when empty (far lacks 1 MiB)",
+		},
+		{
+			"accelerators only on a leaving worker", inDC1(accel), 1, cell[2:4], true,
+			"can never run on these 2 workers: 1 leaving; " +
+				"1 with too few accelerators even when empty (failing lacks 1 accelerators)",
+		},
+		{
+			"gang not now",
+			hoist.Ask{Need: need},
+			9, cell[3:], false,
+			"fits nowhere now: of 2 workers, 1 backed off because tasks fail on them; " +
+				"1 with room for some of the tasks, but not for all at once now (1.000 cores, 1000 MiB more needed)",
+		},
+		{
+			"gang never",
+			hoist.Ask{Need: need},
+			10, cell[4:], true,
+			"can never run on these 1 workers: 1 with room for some of the tasks, but not for all at once even when empty (2.000 cores, 2000 MiB more needed)",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := place.Explain(c.ask, c.tasks, c.cell)
+			if v.String() != c.want || v.IsImpossible() != c.impossible {
+				t.Errorf("verdict is %q (impossible: %v), expected %q", v, v.IsImpossible(), c.want)
+			}
+		})
+	}
+}
