Measure placement on three mixes of work

Cause: one mix of small tasks does not show policies that leave no room for large ones, or that run out of memory first. Change: hoist bench placement has a mix with tasks of up to 32 cores and one in which memory is the scarcest resource.

--- a/internal/tool/bench/fill.go
+++ b/internal/tool/bench/fill.go
@@ -12,6 +12,7 @@
 
 // Input selects a cell and the work that is placed on it.
 type Input struct {
+	Mix     Mix
 	Workers int
 	Seed    uint64
 }
@@ -48,7 +49,7 @@
 	cell := newCell(in.Workers, rng)
 	r := Result{Times: newTimes()}
 	for {
-		j := newJob(rng)
+		j := in.Mix.newJob(rng)
 		if !r.place(policy, j, cell, policyRNG) {
 			r.Refused = j.ask.Need
 			r.CPU, r.Memory = shares(cell)
