Apply delayed writes of the table stand-in after the caller gave up

Cause: a slow table dropped a write whose caller timed out, so no test could see a write that takes effect late, which the design allows for 4 s. Change: a delayed write takes effect when its delay has passed, whatever the caller does. The timer works with the fake clock of testing/synctest.

--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -32,7 +32,8 @@
 type Fault struct {
 	// Down refuses every call; nothing takes effect.
 	Down bool
-	// Delay is added to each call before it takes effect.
+	// Delay is added to each call before it takes effect. A write takes effect
+	// even if its caller gives up before.
 	Delay time.Duration
 	// LoseAnswers lets this many writes take effect and then loses the answer.
 	LoseAnswers int
@@ -167,9 +168,26 @@
 // Commit implements hoist.Table. A deleted row keeps no version: it starts at 1
 // again when it is written anew.
 func (p *Platform) Commit(ctx context.Context, txn hoist.Txn) error {
-	if err := p.enterTable(ctx); err != nil {
+	p.mu.Lock()
+	f := p.tableFault
+	p.mu.Unlock()
+	if f.Down || f.Delay == 0 {
+		if err := enter(ctx, f); err != nil {
+			return err
+		}
+		return p.commitNow(txn)
+	}
+	done := make(chan error, 1)
+	time.AfterFunc(f.Delay, func() { done <- p.commitNow(txn) })
+	select {
+	case err := <-done:
 		return err
+	case <-ctx.Done():
+		return hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
 	}
+}
+
+func (p *Platform) commitNow(txn hoist.Txn) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
