Give the read that settles a lost answer its own time

Cause: CommitSettled read the rows back with the context of the write. When the answer was lost because that context had ended, the read failed at once and every slow write counted as unknown. Change: the read has 500 ms of its own.

--- a/internal/peer/table/table.go
+++ b/internal/peer/table/table.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -25,6 +26,10 @@
 	"fuchsiahoist.example/hoist/internal/proto/wire"
 )
 
+// settleTimeout bounds the read that settles a lost answer. It is as long as
+// the membership waits for one call, which must fit twice in a renewal period.
+const settleTimeout = 500 * time.Millisecond
+
 // Client implements hoist.Table. Its methods may be called concurrently.
 type Client struct {
 	REST *rest.Client
@@ -71,6 +76,10 @@
 	for _, p := range txn.Puts {
 		keys = append(keys, p.Key)
 	}
+	// The answer is often lost because ctx has ended, so the read has a time of
+	// its own.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
 	rows, readErr := t.Read(ctx, keys...)
 	if readErr != nil {
 		return err
