Mend the vote protocol, claims, handovers and leaving

Electorates now name electors, a host at one address, and a vote counts only for that elector. - A voter that restarted forgot its releases after 4.04 s, while the write that relied on them could still take effect. Voters abstain for 5.1 s and a fencing write is sent within 1 s of asking for the votes. - A host counted an owner that its member rows did not show as gone, so it could claim from a host that joined between its two reads. A shard is claimable only if its owner's epoch is known to have ended. - A claim or handover message overwrote the shard map with a guessed row version. Messages now raise terms and routes only; the map holds what the table said. A handover takes effect if the table names the receiver in its present epoch and that term, so late or repeated messages do nothing. - Two processes that had not joined used the same transaction ids, so one could take the other's write for its own. - The electorates of lost renewals grew without bound and were kept after the row had moved on (owner.OwnRow). - A lost answer to the joining write made the host wait for its own lease. - Self raced with the renewal; closing a link waited for a dial under the lock; heartbeat goroutines were not waited for. - Many lapsed members were fenced one after the other, which delayed the own renewal; a hand over whose write had certainly failed left the shards idle; surplus was given to members that do not answer. - Leaving did not extend the lease by promises while the table was down and gave up after one failed write. Change: as said above. Hosts take turns in taking over, wake when a lease lapses or another host announces a fence, and start observations anew after the table was out of reach. FenceMember fences on the operator's word.

--- a/internal/core/daemon/peer.go
+++ b/internal/core/daemon/peer.go
@@ -33,9 +33,8 @@
 }
 
 // Handover implements hoist.Peer.
-func (d *Daemon) Handover(_ context.Context, h hoist.Handover) error {
-	d.members.Handover(h)
-	return nil
+func (d *Daemon) Handover(ctx context.Context, h hoist.Handover) error {
+	return d.members.Handover(ctx, h)
 }
 
 // Submit implements hoist.Peer.
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -47,6 +47,13 @@
 	PeerLost       = register(112, slog.LevelWarn, "heartbeat to a member failed")
 	Left           = register(113, slog.LevelInfo, "left the cell")
 	RowUnreadable  = register(114, slog.LevelError, "row of the table cannot be decoded")
+
+	FencedByOperator = register(115, slog.LevelWarn, "fenced a member on the operator's word, without a vote")
+	ClaimFailed      = register(116, slog.LevelWarn, "shards could not be claimed")
+	GiveFailed       = register(117, slog.LevelWarn, "shards could not be handed over")
+	HandoverLost     = register(118, slog.LevelWarn, "handover did not reach the new owner")
+	FenceFailed      = register(119, slog.LevelWarn, "lapsed member could not be fenced")
+	LeaveFailed      = register(120, slog.LevelWarn, "leaving could not be recorded in the table")
 )
 
 // Events of executors and requests: 200 to 299.
--- a/internal/core/member/fence.go
+++ b/internal/core/member/fence.go
@@ -2,126 +2,163 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/owner"
 )
 
-// fenceLapsed fences the members whose lease lapsed.
-func (m *Manager) fenceLapsed(ctx context.Context) {
-	rows, err := m.scanMembers(ctx)
-	if err != nil {
-		return
-	}
+// fenceLapsed fences the members whose lease lapsed, all at the same time, as
+// the loss of a data centre must not keep this host from its next renewal.
+func (m *Manager) fenceLapsed(ctx context.Context, rows []memberRow) {
+	var wg sync.WaitGroup
+	var fenced atomic.Int32
 	for _, row := range rows {
 		isOther := row.member.Host != m.Member.Host && row.member.State != hoist.MemberFenced
-		if isOther && m.mayFence(ctx, row.member) {
-			m.fence(ctx, row)
+		if !isOther || !m.isTurn(row.member) {
+			continue
 		}
+		wg.Go(func() {
+			if m.fence(ctx, row) {
+				fenced.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if fenced.Load() > 0 {
+		m.readMembers(ctx)
+		m.announceFence(ctx)
 	}
 }
 
+// announceFence makes the other members see that one was fenced. A claim
+// without shards asks for a look at the table.
+func (m *Manager) announceFence(ctx context.Context) {
+	m.announce(ctx, hoist.Claim{Host: m.Member.Host})
+}
+
+// isTurn reports whether the lease of member lapsed and it is this host's turn
+// to take over.
+func (m *Manager) isTurn(member hoist.Member) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	delay := m.observer.TakeoverDelay(member.Host, m.Member.Host, m.members, now)
+	return m.observer.LapsedFor(member, now) > delay
+}
+
 // mayFence reports whether the lease of member lapsed and a majority of its
-// electorate agrees.
+// electorate agrees. The write that relies on it must be sent before
+// owner.FenceWindow has passed since the call.
 func (m *Manager) mayFence(ctx context.Context, member hoist.Member) bool {
 	lease := hoist.LeaseRef{Host: member.Host, Epoch: member.Epoch, Renewals: member.Renewals}
 	m.mu.Lock()
 	now := m.Clock.Now()
 	hasLapsed := m.observer.HasLapsed(member, now)
 	self := hasLapsed && m.voter.Release(lease, now)
+	isNews := hasLapsed && m.reported.lapsed[member.Host] != lease
+	if isNews {
+		m.reported.lapsed[member.Host] = lease
+	}
 	m.mu.Unlock()
 	if !hasLapsed {
 		return false
 	}
-	events.MemberLapsed.Log(ctx, m.Log, "host", member.Host, "epoch", member.Epoch)
-	m.connect(ctx)
-	granted := m.vote(ctx, [][]hoist.HostID{member.Electorate}, func(ctx context.Context, p hoist.Peer) (bool, error) {
+	if isNews {
+		events.MemberLapsed.Log(ctx, m.Log, "host", member.Host, "epoch", member.Epoch)
+	}
+	electorates := [][]hoist.ElectorID{member.Electorate}
+	granted := m.vote(ctx, electorates, self, func(ctx context.Context, p hoist.Peer) (bool, error) {
 		return p.Release(ctx, lease)
 	})
-	granted[m.Member.Host] = self
-	if !owner.HasMajority(member.Electorate, granted) {
+	if owner.HasMajorities(electorates, granted) {
+		return true
+	}
+	if isNews {
 		events.ReleaseRefused.Log(ctx, m.Log, "host", member.Host, "released", len(granted), "electorate", len(member.Electorate))
+	}
+	return false
+}
+
+// fence writes the row of a lapsed member as fenced if a majority releases it.
+// It reports whether it did.
+func (m *Manager) fence(ctx context.Context, row memberRow) bool {
+	// The voters forget a release after a restart, so an old one is not used.
+	window, cancel := context.WithTimeout(ctx, owner.FenceWindow)
+	defer cancel()
+	if !m.mayFence(window, row.member) {
 		return false
 	}
+	if err := m.writeFenced(window, row); err != nil {
+		events.FenceFailed.Log(ctx, m.Log, "host", row.member.Host, "error", err)
+		return false
+	}
+	events.MemberFenced.Log(ctx, m.Log, "host", row.member.Host, "epoch", row.member.Epoch)
 	return true
 }
 
-func (m *Manager) fence(ctx context.Context, row memberRow) {
+func (m *Manager) writeFenced(ctx context.Context, row memberRow) error {
 	member := row.member
 	member.State = hoist.MemberFenced
-	err := m.commit(ctx, hoist.Txn{
+	return m.commit(ctx, hoist.Txn{
 		ID:     m.txnID(),
 		Checks: []hoist.Check{{Key: memberKey(member.Host), Version: row.version}},
 		Puts:   []hoist.Put{memberPut(member)},
 	})
-	if err != nil {
-		events.RenewalFailed.Log(ctx, m.Log, "error", err)
-		return
-	}
-	events.MemberFenced.Log(ctx, m.Log, "host", member.Host, "epoch", member.Epoch)
-	m.readMembers(ctx)
-}
-
-// Promise answers another host's Promise call.
-func (m *Manager) Promise(lease hoist.LeaseRef) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.voter.Promise(lease, m.Clock.Now())
 }
 
-// Release answers another host's Release call.
-func (m *Manager) Release(lease hoist.LeaseRef) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.voter.Release(lease, m.Clock.Now())
+// FenceMember fences a member on the operator's word, without a vote. It is the
+// way out when half or more of the members were lost at once. The operator must
+// know that the process of the member has ended or reaches neither workers nor
+// executors; docs/operations/membership.md tells how.
+//
+// The error is hoist.ErrNotFound if there is no such member, hoist.ErrConflict
+// if its lease has not lapsed or it changed its row meanwhile, and
+// hoist.ErrInvalid for this host itself. Fencing a fenced member does nothing.
+func (m *Manager) FenceMember(ctx context.Context, host hoist.HostID) error {
+	rows, err := m.scanMembers(ctx)
+	if err != nil {
+		return merry.Prependf(err, "fencing host %s", host)
+	}
+	for _, row := range rows {
+		if row.member.Host == host {
+			return m.fenceByOperator(ctx, row)
+		}
+	}
+	return merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("host %s", host))
 }
 
-// Claim records the terms of another host's claim, so that outdated messages
-// of these shards are refused from now on.
-func (m *Manager) Claim(ctx context.Context, c hoist.Claim) {
-	epoch, _ := m.epochOf(c.Host)
-	var lost []hoist.ShardID
-	m.mu.Lock()
-	for _, s := range c.Shards {
-		if s.Term <= m.seenTerms[s.Shard] {
-			continue
-		}
-		m.seenTerms[s.Shard] = s.Term
-		version := m.shards.Get(s.Shard).Version + 1
-		m.shards.Set(s.Shard, owner.ShardState{Owner: c.Host, Epoch: epoch, Term: s.Term, Version: version})
-		if m.active[s.Shard] {
-			m.active[s.Shard] = false
-			lost = append(lost, s.Shard)
-		}
+func (m *Manager) fenceByOperator(ctx context.Context, row memberRow) error {
+	member := row.member
+	if member.State == hoist.MemberFenced {
+		return nil
 	}
+	m.mu.Lock()
+	isSelf := member.Host == m.Member.Host && m.hasJoined
+	hasLapsed := m.observer.HasLapsed(member, m.Clock.Now())
 	m.mu.Unlock()
-	if len(lost) > 0 {
-		m.release(ctx, lost)
+	if isSelf {
+		return merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("host %s cannot fence itself", member.Host))
+	}
+	if !hasLapsed {
+		return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("host %s renewed its lease", member.Host))
+	}
+	if err := m.writeFenced(ctx, row); err != nil {
+		return merry.Prependf(err, "fencing host %s", member.Host)
 	}
+	events.FencedByOperator.Log(ctx, m.Log, "host", member.Host, "epoch", member.Epoch)
+	m.announceFence(ctx)
+	m.wakeUp()
+	return nil
 }
 
-// Handover starts to act for shards that another host handed over.
-// Shards that were claimed in a later term meanwhile are left out.
-func (m *Manager) Handover(h hoist.Handover) {
-	var shards []hoist.ShardTerm
-	var states []owner.ShardState
-	m.mu.Lock()
-	for _, s := range h.Shards {
-		old := m.shards.Get(s.Shard)
-		if s.Term < old.Term || s.Term < m.seenTerms[s.Shard] || m.active[s.Shard] {
-			continue
-		}
-		version := old.Version
-		if s.Term > old.Term {
-			version++
-		}
-		shards = append(shards, s)
-		states = append(states, owner.ShardState{Owner: m.Member.Host, Epoch: m.Member.Epoch, Term: s.Term, Version: version})
-	}
-	m.mu.Unlock()
-	m.setActive(shards, states)
-	for _, holder := range m.Holders {
-		holder.Acquire(shards, h.Keys, h.Horizon)
+func (m *Manager) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
 	}
 }
--- /dev/null
+++ b/internal/core/member/join.go
@@ -0,0 +1,172 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/decide/owner"
+)
+
+// join registers the host in a new epoch. While the row of an earlier process
+// is live it waits for that lease to lapse, as for any other host. It reports
+// false if ctx ends first.
+func (m *Manager) join(ctx, round context.Context) bool {
+	for ctx.Err() == nil {
+		rows, ok := m.readMembers(round)
+		if ok && m.tryJoin(round, rows) {
+			return true
+		}
+		sleep(ctx, owner.RenewEvery/4)
+	}
+	return false
+}
+
+func (m *Manager) tryJoin(ctx context.Context, rows []memberRow) bool {
+	var old memberRow
+	for _, row := range rows {
+		if row.member.Host == m.Member.Host {
+			old = row
+		}
+	}
+	if old.version != 0 && old.txn == m.joinTxn {
+		// The answer to the write that joined was lost.
+		m.enter(ctx, old, time.Time{})
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, owner.FenceWindow)
+	defer cancel()
+	isActing := old.version != 0 && old.member.State != hoist.MemberFenced
+	if isActing && !m.mayFence(ctx, old.member) {
+		m.reportWait(ctx, old.member.Epoch)
+		return false
+	}
+	return m.writeJoin(ctx, old)
+}
+
+// writeJoin registers the host in the epoch after that of its old row.
+func (m *Manager) writeJoin(ctx context.Context, old memberRow) bool {
+	m.mu.Lock()
+	member := m.Member
+	member.Epoch = old.member.Epoch + 1
+	member.State = hoist.MemberLive
+	member.Renewals = 1
+	member.Electorate = owner.Electorate(m.Member, m.members)
+	sent := m.Clock.Now()
+	m.mu.Unlock()
+	m.joinTxn = m.txnID()
+	err := m.commit(ctx, hoist.Txn{
+		ID:     m.joinTxn,
+		Checks: []hoist.Check{{Key: memberKey(member.Host), Version: old.version}},
+		Puts:   []hoist.Put{memberPut(member)},
+	})
+	if err != nil {
+		events.RenewalFailed.Log(ctx, m.Log, "error", err)
+		return false
+	}
+	m.enter(ctx, memberRow{member: member, version: old.version + 1}, sent)
+	return true
+}
+
+// enter starts the epoch of the row that was written.
+func (m *Manager) enter(ctx context.Context, row memberRow, sent time.Time) {
+	m.mu.Lock()
+	m.epoch = row.member.Epoch
+	m.hasJoined = true
+	m.row = owner.OwnRow{}
+	m.row.Know(row.version, row.member.Renewals, row.member.Electorate)
+	m.joinedAt = m.Clock.Now()
+	m.lease.Extend(sent)
+	m.reported.isLapsed = false
+	m.reported.waitsFor = 0
+	m.mu.Unlock()
+	events.Joined.Log(ctx, m.Log, "host", row.member.Host, "epoch", row.member.Epoch)
+}
+
+func (m *Manager) reportWait(ctx context.Context, epoch hoist.Epoch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.reported.waitsFor != epoch {
+		events.JoinWaits.Log(ctx, m.Log, "epoch", epoch)
+	}
+	m.reported.waitsFor = epoch
+}
+
+// leave hands over all shards and marks the row as fenced, so that nobody waits
+// for the lease to lapse.
+func (m *Manager) leave(ctx context.Context) {
+	const leaveTime = 5 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, leaveTime)
+	defer cancel()
+	m.mu.Lock()
+	m.isLeaving = true
+	m.mu.Unlock()
+	for ctx.Err() == nil && m.OwnedShards() > 0 && m.hasSuccessor() {
+		if !m.leaveRound(ctx) {
+			break
+		}
+		if m.OwnedShards() > 0 {
+			sleep(ctx, owner.RenewEvery/4)
+		}
+	}
+	m.drop()
+	m.fenceSelf(ctx)
+}
+
+// leaveRound hands over what it can. It reports false if the host was fenced.
+func (m *Manager) leaveRound(ctx context.Context) bool {
+	if _, ok := m.readMembers(ctx); !ok {
+		m.extendByPromises(ctx)
+		return true
+	}
+	if m.wasFenced() {
+		return false
+	}
+	if !m.renew(ctx) {
+		m.extendByPromises(ctx)
+		return true
+	}
+	if m.readShards(ctx) {
+		m.giveSurplus(ctx, m.Clock.Now().Add(workTime))
+	}
+	return true
+}
+
+// hasSuccessor reports whether another member can take shards.
+func (m *Manager) hasSuccessor() bool {
+	for _, member := range m.Members() {
+		if member.Host != m.Member.Host && member.State == hoist.MemberLive {
+			return true
+		}
+	}
+	return false
+}
+
+// fenceSelf marks the row as fenced. The others fence it when the lease lapses
+// if that fails until ctx ends.
+func (m *Manager) fenceSelf(ctx context.Context) {
+	for {
+		m.mu.Lock()
+		row := m.ownRow(hoist.MemberFenced)
+		checked := m.row.Version
+		m.mu.Unlock()
+		err := m.commit(ctx, hoist.Txn{
+			ID:     m.txnID(),
+			Checks: []hoist.Check{{Key: memberKey(row.Host), Version: checked}},
+			Puts:   []hoist.Put{memberPut(row)},
+		})
+		if err == nil {
+			events.Left.Log(ctx, m.Log, "host", row.Host)
+			return
+		}
+		events.LeaveFailed.Log(ctx, m.Log, "error", err)
+		sleep(ctx, owner.RenewEvery/4)
+		if ctx.Err() != nil {
+			return
+		}
+		if _, ok := m.readMembers(ctx); ok && m.wasFenced() {
+			return
+		}
+	}
+}
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
@@ -12,6 +13,8 @@
 	addr   string
 	peer   hoist.Peer
 	cancel context.CancelFunc
+	// heardAt is when the host last answered a heartbeat.
+	heardAt time.Time
 }
 
 // closer is implemented by peers that hold a connection.
@@ -22,16 +25,17 @@
 // connect keeps one link, with one goroutine, to each other member.
 func (m *Manager) connect(ctx context.Context) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	wanted := make(map[hoist.HostID]string)
 	for _, member := range m.members {
 		if member.Host != m.Member.Host && member.State != hoist.MemberFenced {
 			wanted[member.Host] = member.Addr
 		}
 	}
+	var closed []*link
 	for host, l := range m.peers {
 		if wanted[host] != l.addr {
-			m.closeLink(host, l)
+			closed = append(closed, l)
+			delete(m.peers, host)
 		}
 	}
 	for host, addr := range wanted {
@@ -39,6 +43,8 @@
 			m.openLink(ctx, host, addr)
 		}
 	}
+	m.mu.Unlock()
+	closeLinks(closed)
 }
 
 func (m *Manager) openLink(ctx context.Context, host hoist.HostID, addr string) {
@@ -46,45 +52,73 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	l := &link{addr: addr, peer: m.Dial(addr), cancel: cancel}
 	m.peers[host] = l
-	go m.beatLoop(ctx, host, l.peer)
+	m.links.Go(func() { m.beatLoop(ctx, host, l) })
 }
 
-func (m *Manager) closeLink(host hoist.HostID, l *link) {
-	l.cancel()
-	if c, ok := l.peer.(closer); ok {
-		c.Close()
+// closeLinks must not be called with the lock held: closing waits for a
+// connection that is being made.
+func closeLinks(links []*link) {
+	for _, l := range links {
+		l.cancel()
+		if c, ok := l.peer.(closer); ok {
+			c.Close()
+		}
 	}
-	delete(m.peers, host)
 }
 
 func (m *Manager) closePeers() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for host, l := range m.peers {
-		m.closeLink(host, l)
+	var closed []*link
+	for _, l := range m.peers {
+		closed = append(closed, l)
 	}
+	clear(m.peers)
+	m.mu.Unlock()
+	closeLinks(closed)
 }
 
-// beatLoop exchanges heartbeats with one other host.
-func (m *Manager) beatLoop(ctx context.Context, host hoist.HostID, peer hoist.Peer) {
+// beatLoop exchanges heartbeats with one other host. A peer that stops
+// answering is logged once.
+func (m *Manager) beatLoop(ctx context.Context, host hoist.HostID, l *link) {
+	isLost := false
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		reply, err := peer.Heartbeat(callCtx, m.heartbeat())
+		reply, err := l.peer.Heartbeat(callCtx, m.heartbeat())
 		cancel()
 		if err == nil {
+			m.heard(l)
 			m.Beat.Heard(reply)
-		} else if ctx.Err() == nil {
+		} else if ctx.Err() == nil && !isLost {
 			events.PeerLost.Log(ctx, m.Log, "host", host, "error", err)
 		}
+		isLost = err != nil
 		sleep(ctx, heartbeatEvery)
 	}
 }
 
+func (m *Manager) heard(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l.heardAt = m.Clock.Now()
+}
+
+// reachable returns the link to a host that answered a heartbeat lately.
+func (m *Manager) reachable(host hoist.HostID) (hoist.Peer, bool) {
+	const lately = 3 * heartbeatEvery
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l, ok := m.peers[host]
+	if !ok || m.Clock.Now().Sub(l.heardAt) > lately {
+		return nil, false
+	}
+	return l.peer, true
+}
+
 func (m *Manager) heartbeat() hoist.Heartbeat {
 	m.mu.Lock()
 	h := hoist.Heartbeat{
 		Host:     m.Member.Host,
-		Epoch:    m.Member.Epoch,
+		Epoch:    m.epoch,
 		Leaving:  m.isLeaving,
 		TableAge: m.Clock.Now().Sub(m.tableOK),
 	}
@@ -120,13 +154,3 @@
 	}
 	return out
 }
-
-func (m *Manager) peerIDs() []hoist.HostID {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]hoist.HostID, 0, len(m.peers))
-	for host := range m.peers {
-		out = append(out, host)
-	}
-	return out
-}
--- a/internal/core/member/rows.go
+++ b/internal/core/member/rows.go
@@ -41,12 +41,13 @@
 	return hoist.ShardID(n), nil
 }
 
-// txnID returns an id that no other transaction of the cell has.
+// txnID returns an id that no other transaction of the cell has. The random
+// number of the process keeps apart two processes that have not joined yet.
 func (m *Manager) txnID() hoist.TxnID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.txnCounter++
-	return hoist.TxnID(fmt.Sprintf("%s/%d/%d/%d", m.Member.Host, m.Member.Epoch, m.joinedAt.UnixNano(), m.txnCounter))
+	m.txnCount++
+	return hoist.TxnID(fmt.Sprintf("%s/%d/%016x/%d", m.Member.Host, m.epoch, m.process, m.txnCount))
 }
 
 func (m *Manager) commit(ctx context.Context, txn hoist.Txn) error {
@@ -61,10 +62,11 @@
 	return m.Table.Scan(ctx, prefix)
 }
 
-// memberRow is a decoded member row with its version.
+// memberRow is a decoded member row with its version and last writer.
 type memberRow struct {
 	member  hoist.Member
 	version hoist.RowVersion
+	txn     hoist.TxnID
 }
 
 func (m *Manager) scanMembers(ctx context.Context) ([]memberRow, error) {
@@ -79,7 +81,7 @@
 			events.RowUnreadable.Log(ctx, m.Log, "error", err)
 			continue
 		}
-		out = append(out, memberRow{codec.ToMember(w), row.Version})
+		out = append(out, memberRow{codec.ToMember(w), row.Version, row.Txn})
 	}
 	return out, nil
 }
--- a/internal/core/member/shards.go
+++ b/internal/core/member/shards.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
@@ -10,35 +11,41 @@
 	"fuchsiahoist.example/hoist/internal/decide/owner"
 )
 
-// readShards refreshes the shard map if it changed in the table.
-func (m *Manager) readShards(ctx context.Context) {
+// readShards refreshes the shard map if it changed in the table. It reports
+// whether the map is as current as the table.
+func (m *Manager) readShards(ctx context.Context) bool {
 	rows, err := m.scan(ctx, generationKey)
-	if err != nil || len(rows) == 0 {
-		return
+	if err != nil {
+		return false
+	}
+	if len(rows) == 0 {
+		return true // nobody has claimed a shard yet
 	}
+	generation := rows[0].Version
 	m.mu.Lock()
-	isCurrent := rows[0].Version == m.shardGen
+	isCurrent := generation == m.shardGen
 	m.mu.Unlock()
 	if isCurrent {
-		return
+		return true
 	}
-	generation := rows[0].Version
 	rows, err = m.scan(ctx, shardPrefix)
 	if err != nil {
-		return
+		return false
 	}
-	if lost := m.setShards(ctx, rows, generation); len(lost) > 0 {
-		m.release(ctx, lost)
-	}
-}
-
-// setShards records the shard rows and returns the shards that this host acted
-// for and that now have another owner.
-func (m *Manager) setShards(ctx context.Context, rows []hoist.Row, generation hoist.RowVersion) []hoist.ShardID {
+	m.setShards(ctx, rows)
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.shardGen = generation
+	m.mu.Unlock()
+	return true
+}
+
+// setShards records shard rows and stops acting for the shards that were
+// claimed in a later term.
+func (m *Manager) setShards(ctx context.Context, rows []hoist.Row) {
+	m.notices.Lock()
+	defer m.notices.Unlock()
 	var lost []hoist.ShardID
+	m.mu.Lock()
 	for _, row := range rows {
 		shard, state, err := decodeShard(row)
 		if err != nil {
@@ -48,71 +55,98 @@
 		if !m.shards.Set(shard, state) {
 			continue
 		}
-		m.seenTerms[shard] = max(m.seenTerms[shard], state.Term)
-		isOurs := state.Owner == m.Member.Host && state.Epoch == m.Member.Epoch
-		if m.active[shard] && !isOurs {
-			m.active[shard] = false
+		if m.learnTerm(shard, state.Owner, state.Term) {
 			lost = append(lost, shard)
 		}
 	}
-	return lost
+	m.mu.Unlock()
+	m.release(ctx, lost)
 }
 
+// learnTerm records that host owns shard in term. It reports whether this host
+// acted for the shard in an earlier term and no longer does.
+func (m *Manager) learnTerm(shard hoist.ShardID, host hoist.HostID, term hoist.Term) bool {
+	m.seenTerms[shard] = max(m.seenTerms[shard], term)
+	if term >= m.routes[shard].term {
+		m.routes[shard] = route{host, term}
+	}
+	h := &m.held[shard]
+	if h.term == 0 || h.term >= term {
+		return false
+	}
+	h.term = 0
+	return true
+}
+
+// release tells the holders of lost shards. The caller holds notices.
 func (m *Manager) release(ctx context.Context, lost []hoist.ShardID) {
+	if len(lost) == 0 {
+		return
+	}
 	events.ShardsLost.Log(ctx, m.Log, "shards", len(lost))
 	for _, h := range m.Holders {
 		h.Release(lost)
 	}
 }
 
-// dropAll stops acting for every shard.
-func (m *Manager) dropAll() {
+// drop ends the epoch of this host: it stops acting for every shard.
+func (m *Manager) drop() {
+	m.notices.Lock()
+	defer m.notices.Unlock()
 	m.mu.Lock()
 	m.lease.Void()
-	var owned []hoist.ShardID
-	for i, active := range m.active {
-		if active {
-			owned = append(owned, hoist.ShardID(i))
+	m.hasJoined = false
+	var held []hoist.ShardID
+	for i := range m.held {
+		if m.held[i].term != 0 {
+			held = append(held, hoist.ShardID(i))
 		}
-		m.active[i] = false
+		m.held[i] = holding{}
 	}
 	m.mu.Unlock()
 	for _, h := range m.Holders {
-		h.Release(owned)
+		h.Release(held)
 	}
 }
 
 // claim takes the shards that nobody can act for and that this host ranks
-// first for.
-func (m *Manager) claim(ctx context.Context) {
+// first for. It begins no transaction after end.
+func (m *Manager) claim(ctx context.Context, end time.Time) {
 	m.mu.Lock()
-	if m.isLeaving || m.Clock.Now().Sub(m.joinedAt) < m.Settle {
+	now := m.Clock.Now()
+	if m.isLeaving || now.Sub(m.joinedAt) < m.Settle {
 		m.mu.Unlock()
 		return
 	}
-	claimable := append(m.shards.Claimable(m.Member.Host, m.members), m.idleShards()...)
+	claimable := append(m.shards.Claimable(m.Member.Host, m.members), m.idleShards(now)...)
 	m.mu.Unlock()
 	for batch := range slices.Chunk(claimable, shardsPerTxn) {
+		if m.Clock.Now().After(end) {
+			return
+		}
 		m.claimBatch(ctx, batch)
 	}
 }
 
 // idleShards returns the shards that this host owns in the table without acting
-// for them, because a handover was lost on its way. They are claimed in a new
-// term when two rounds have passed, as the handover may still arrive.
-func (m *Manager) idleShards() []hoist.ShardID {
-	const graceRounds = 2
+// for them, because a handover was lost or the outcome of a write was unknown.
+// They are claimed in a new term after a grace time, as the handover may still
+// arrive.
+func (m *Manager) idleShards(now time.Time) []hoist.ShardID {
+	const grace = 2 * owner.RenewEvery
 	var out []hoist.ShardID
-	for i := range m.idleRounds {
-		shard := hoist.ShardID(i)
-		s := m.shards.Get(shard)
-		if m.active[shard] || s.Owner != m.Member.Host || s.Epoch != m.Member.Epoch {
-			m.idleRounds[i] = 0
+	for i := range m.held {
+		h := &m.held[i]
+		s := m.shards.Get(hoist.ShardID(i))
+		if h.term != 0 || s.Owner != m.Member.Host || s.Epoch != m.epoch {
+			h.idleSince = time.Time{}
 			continue
 		}
-		m.idleRounds[i]++
-		if m.idleRounds[i] > graceRounds {
-			out = append(out, shard)
+		if h.idleSince.IsZero() {
+			h.idleSince = now
+		}
+		if now.Sub(h.idleSince) >= grace {
+			out = append(out, hoist.ShardID(i))
 		}
 	}
 	return out
@@ -127,121 +161,114 @@
 		old := m.shards.Get(shard)
 		states[i] = owner.ShardState{
 			Owner:   m.Member.Host,
-			Epoch:   m.Member.Epoch,
+			Epoch:   m.epoch,
 			Term:    max(old.Term, m.seenTerms[shard]) + 1,
 			Version: old.Version + 1,
 		}
+		m.held[shard].isClaiming = true
 		txn.Checks = append(txn.Checks, hoist.Check{Key: shardKey(shard), Version: old.Version})
 		txn.Puts = append(txn.Puts, shardPut(shard, states[i]))
 		claim.Shards = append(claim.Shards, hoist.ShardTerm{Shard: shard, Term: states[i].Term})
 	}
 	m.mu.Unlock()
-	if err := m.commit(ctx, txn); err != nil {
-		events.RenewalFailed.Log(ctx, m.Log, "error", err)
-		return
+	err := m.commit(ctx, txn)
+	if err != nil {
+		events.ClaimFailed.Log(ctx, m.Log, "shards", len(shards), "error", err)
+	} else {
+		m.announce(ctx, claim)
+		m.setStates(claim.Shards, states)
+		horizon := m.Clock.Now().Add(dedup.ClockSkew)
+		m.act(states[0].Epoch, hoist.Handover{Shards: claim.Shards, Horizon: horizon}, true)
+		events.ShardsClaimed.Log(ctx, m.Log, "shards", len(shards))
 	}
-	m.announce(ctx, claim)
-	m.activate(claim.Shards, states)
-	events.ShardsClaimed.Log(ctx, m.Log, "shards", len(shards))
-}
-
-// activate starts to act for shards that this host claimed after their owner
-// went away.
-func (m *Manager) activate(shards []hoist.ShardTerm, states []owner.ShardState) {
-	m.setActive(shards, states)
-	horizon := m.Clock.Now().Add(dedup.ClockSkew)
-	for _, h := range m.Holders {
-		h.Acquire(shards, nil, horizon)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, shard := range shards {
+		m.held[shard].isClaiming = false
 	}
 }
 
-func (m *Manager) setActive(shards []hoist.ShardTerm, states []owner.ShardState) {
+// setStates records shard rows that this host wrote.
+func (m *Manager) setStates(shards []hoist.ShardTerm, states []owner.ShardState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, s := range shards {
 		m.shards.Set(s.Shard, states[i])
-		m.seenTerms[s.Shard] = max(m.seenTerms[s.Shard], s.Term)
-		m.active[s.Shard] = true
+		m.learnTerm(s.Shard, states[i].Owner, s.Term)
 	}
 }
 
-// announce tells the other members of a claim. A member that does not hear it
-// reads the shard map from the table.
-func (m *Manager) announce(ctx context.Context, claim hoist.Claim) {
-	m.vote(ctx, [][]hoist.HostID{m.peerIDs()}, func(ctx context.Context, p hoist.Peer) (bool, error) {
-		err := p.Claim(ctx, claim)
-		return err == nil, err
-	})
-}
-
-// giveSurplus hands shards to the members that rank first for them.
-func (m *Manager) giveSurplus(ctx context.Context) {
+// act starts to act for shards in the terms that the table has for this host
+// in the given epoch. Shards that it acts for already, that were claimed in a
+// later term, or that another goroutine is claiming are left out.
+func (m *Manager) act(epoch hoist.Epoch, h hoist.Handover, isClaim bool) {
+	m.notices.Lock()
+	defer m.notices.Unlock()
+	var started []hoist.ShardTerm
+	isStarted := make(map[hoist.ShardID]bool)
 	m.mu.Lock()
-	surplus := m.shards.Surplus(m.Member.Host, m.Member.Epoch, m.members)
-	m.mu.Unlock()
-	byHost := make(map[hoist.HostID][]hoist.ShardID)
-	for shard, to := range surplus {
-		byHost[to] = append(byHost[to], shard)
-	}
-	for to, shards := range byHost {
-		slices.Sort(shards)
-		for batch := range slices.Chunk(shards, shardsPerTxn) {
-			m.give(ctx, to, batch)
+	isCurrent := m.hasJoined && epoch == m.epoch
+	for _, s := range h.Shards {
+		held := m.held[s.Shard]
+		if !isCurrent || held.term != 0 || held.isClaiming != isClaim || s.Term < m.seenTerms[s.Shard] {
+			continue
 		}
-	}
-}
-
-// give hands a batch of shards over: this host stops acting for them, passes
-// the request keys, and writes the new owner. If the write fails it claims the
-// shards back in a later round, with a horizon.
-func (m *Manager) give(ctx context.Context, to hoist.HostID, shards []hoist.ShardID) {
-	peer, ok := m.Peer(to)
-	epoch, isMember := m.epochOf(to)
-	if !ok || !isMember {
-		return
-	}
-	handover := hoist.Handover{Host: m.Member.Host, Horizon: m.Clock.Now()}
-	txn := hoist.Txn{ID: m.txnID(), Puts: []hoist.Put{{Key: generationKey, Value: []byte("{}")}}}
-	states := make([]owner.ShardState, len(shards))
-	m.mu.Lock()
-	for i, shard := range shards {
-		old := m.shards.Get(shard)
-		states[i] = owner.ShardState{Owner: to, Epoch: epoch, Term: old.Term + 1, Version: old.Version + 1}
-		txn.Checks = append(txn.Checks, hoist.Check{Key: shardKey(shard), Version: old.Version})
-		txn.Puts = append(txn.Puts, shardPut(shard, states[i]))
-		handover.Shards = append(handover.Shards, hoist.ShardTerm{Shard: shard, Term: states[i].Term})
-		m.active[shard] = false
+		m.held[s.Shard] = holding{term: s.Term, horizon: h.Horizon}
+		started = append(started, s)
+		isStarted[s.Shard] = true
 	}
 	m.mu.Unlock()
-	for _, h := range m.Holders {
-		handover.Keys = append(handover.Keys, h.Release(shards)...)
-	}
-	if err := m.commit(ctx, txn); err != nil {
-		events.RenewalFailed.Log(ctx, m.Log, "error", err)
+	if len(started) == 0 {
 		return
 	}
-	m.mu.Lock()
-	for i, shard := range shards {
-		m.shards.Set(shard, states[i])
-		m.seenTerms[shard] = max(m.seenTerms[shard], states[i].Term)
+	keys := slices.DeleteFunc(slices.Clone(h.Keys), func(k hoist.KeyRecord) bool {
+		return !isStarted[hoist.ShardOf(hoist.KindRequest, string(k.Key))]
+	})
+	for _, holder := range m.Holders {
+		holder.Acquire(started, keys, h.Horizon)
 	}
-	m.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+}
+
+// announce tells the other members of a claim. A member that does not hear it
+// reads the shard map from the table.
+func (m *Manager) announce(ctx context.Context, claim hoist.Claim) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if err := peer.Handover(callCtx, handover); err != nil {
-		events.PeerLost.Log(ctx, m.Log, "host", to, "error", err)
-		return
+	peers := m.Peers()
+	done := make(chan struct{}, len(peers))
+	for _, peer := range peers {
+		m.links.Go(func() {
+			// A member that misses the claim reads it from the table.
+			_ = peer.Claim(ctx, claim)
+			done <- struct{}{}
+		})
+	}
+	for range peers {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
 	}
-	events.ShardsGiven.Log(ctx, m.Log, "shards", len(shards), "to", to)
 }
 
-func (m *Manager) epochOf(host hoist.HostID) (hoist.Epoch, bool) {
+// Claim records the terms of another host's claim, so that outdated messages
+// of these shards are refused from now on. The shard map keeps what the table
+// said, as only that tells which shards may be claimed.
+func (m *Manager) Claim(ctx context.Context, c hoist.Claim) {
+	if len(c.Shards) == 0 {
+		m.wakeUp()
+		return
+	}
+	m.notices.Lock()
+	defer m.notices.Unlock()
+	var lost []hoist.ShardID
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, member := range m.members {
-		if member.Host == host && member.State == hoist.MemberLive {
-			return member.Epoch, true
+	for _, s := range c.Shards {
+		if m.learnTerm(s.Shard, c.Host, s.Term) {
+			lost = append(lost, s.Shard)
 		}
 	}
-	return 0, false
+	m.mu.Unlock()
+	m.release(ctx, lost)
 }
--- a/internal/decide/owner/lease.go
+++ b/internal/decide/owner/lease.go
@@ -37,6 +37,17 @@
 	Drift = LeaseTime / 100
 	// Margin covers the time between the check of a lease and the send.
 	Margin = 200 * time.Millisecond
+	// FenceWindow is how long after asking for releases a host may still send
+	// the write that fences. It fits one round of votes and one table call.
+	FenceWindow = time.Second
+	// TableBound is how long after its request the table may still apply a
+	// transaction.
+	TableBound = 4 * time.Second
+	// VoterYouth is how long a new voter abstains: until every promise that an
+	// earlier process at its address made has ended, and until no write that
+	// relies on a release of that process can still take effect. The last term
+	// is the drift over the other two.
+	VoterYouth = FenceWindow + TableBound + (FenceWindow+TableBound)/50
 )
 
 // Lease is a host's own lease. The zero value is not valid.
--- a/internal/decide/owner/observe.go
+++ b/internal/decide/owner/observe.go
@@ -3,12 +3,15 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	hoist "fuchsiahoist.example/hoist"
 )
 
 // Observer watches the renewals of other hosts.
 type Observer struct {
 	seen map[hoist.HostID]observation
+	last time.Time
 }
 
 // observation is one state of a member row and when it was first read.
@@ -18,13 +21,17 @@
 }
 
 // Observe records the member rows that a read which returned at the time now
-// found.
+// found. After a gap in the reads as long as a lease, all observations start
+// anew: the table was out of reach, perhaps for the other hosts too, and they
+// need time to renew before they are worth a vote.
 func (o *Observer) Observe(members []hoist.Member, now time.Time) {
+	hasGap := now.Sub(o.last) > LeaseTime
+	o.last = now
 	next := make(map[hoist.HostID]observation, len(members))
 	for _, m := range members {
 		lease := hoist.LeaseRef{Host: m.Host, Epoch: m.Epoch, Renewals: m.Renewals}
 		seen, ok := o.seen[m.Host]
-		if !ok || seen.lease != lease {
+		if !ok || hasGap || seen.lease != lease {
 			seen = observation{lease, now}
 		}
 		next[m.Host] = seen
@@ -35,9 +42,56 @@
 // HasLapsed reports whether the row of m has stayed unchanged for longer than
 // a lease can last, drift included.
 func (o *Observer) HasLapsed(m hoist.Member, now time.Time) bool {
+	return o.LapsedFor(m, now) > 0
+}
+
+// LapsedFor returns how long ago the lease of m lapsed. It is not positive
+// while the lease may be valid.
+func (o *Observer) LapsedFor(m hoist.Member, now time.Time) time.Duration {
 	seen, ok := o.seen[m.Host]
 	if !ok || seen.lease.Epoch != m.Epoch || seen.lease.Renewals != m.Renewals {
-		return false
+		return 0
+	}
+	return now.Sub(seen.since) - LeaseTime - Drift
+}
+
+// NextLapse returns the first time after now at which the lease of one of the
+// members lapses unless it is renewed, and false if there is none.
+func (o *Observer) NextLapse(members []hoist.Member, now time.Time) (time.Time, bool) {
+	var next time.Time
+	for _, m := range members {
+		left := -o.LapsedFor(m, now)
+		if m.State == hoist.MemberFenced || left < 0 {
+			continue
+		}
+		// One nanosecond later the lease has lapsed.
+		at := now.Add(left + 1)
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
 	}
-	return now.Sub(seen.since) > LeaseTime+Drift
+	return next, !next.IsZero()
+}
+
+// TakeoverDelay returns how long self waits after the lease of lapsed ended
+// before it asks for releases. The hosts take turns, two in each renewal
+// period, so that a death in a large cell does not make every host ask every
+// other.
+func (o *Observer) TakeoverDelay(lapsed, self hoist.HostID, members []hoist.Member, now time.Time) time.Duration {
+	const perTurn = 2
+	own := turnOf(lapsed, self)
+	before := 0
+	for _, m := range members {
+		if m.State == hoist.MemberFenced || m.Host == self || m.Host == lapsed || o.HasLapsed(m, now) {
+			continue
+		}
+		if turnOf(lapsed, m.Host) < own {
+			before++
+		}
+	}
+	return time.Duration(before/perTurn) * RenewEvery
+}
+
+func turnOf(lapsed, taker hoist.HostID) uint64 {
+	return xxhash.Sum64String(string(lapsed) + "/" + string(taker))
 }
--- /dev/null
+++ b/internal/decide/owner/row.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"slices"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// OwnRow is what a host knows about its own member row, including renewals
+// whose outcome is unknown. The zero value knows of no row.
+type OwnRow struct {
+	// Version and Renewals are those of the last known state of the row.
+	Version    hoist.RowVersion
+	Renewals   uint64
+	electorate []hoist.ElectorID
+	lost       []lostRenewal
+}
+
+// lostRenewal is a renewal that may have replaced the row at version checked.
+type lostRenewal struct {
+	checked    hoist.RowVersion
+	electorate []hoist.ElectorID
+}
+
+// Know records the state of the row, from a read or a write that took effect.
+// Lost renewals of earlier versions can take no effect any more. An older state
+// than the known one is ignored.
+func (r *OwnRow) Know(version hoist.RowVersion, renewals uint64, electorate []hoist.ElectorID) {
+	if version < r.Version {
+		return
+	}
+	r.Version = version
+	r.Renewals = renewals
+	r.electorate = electorate
+	r.lost = slices.DeleteFunc(r.lost, func(l lostRenewal) bool { return l.checked < version })
+}
+
+// Lose records a renewal of the row at version checked whose outcome is
+// unknown.
+func (r *OwnRow) Lose(checked hoist.RowVersion, electorate []hoist.ElectorID) {
+	for _, l := range r.lost {
+		if l.checked == checked && slices.Equal(l.electorate, electorate) {
+			return
+		}
+	}
+	r.lost = append(r.lost, lostRenewal{checked, electorate})
+}
+
+// Electorates returns every electorate that the row may hold. A promise needs
+// a majority of each, as a host that takes over needs one of the electorate
+// that it reads in the row.
+func (r *OwnRow) Electorates() [][]hoist.ElectorID {
+	out := [][]hoist.ElectorID{r.electorate}
+	for _, l := range r.lost {
+		out = append(out, l.electorate)
+	}
+	return out
+}
--- a/internal/decide/owner/shards.go
+++ b/internal/decide/owner/shards.go
@@ -65,20 +65,19 @@
 	return -float64(m.Weight) / math.Log(uniform)
 }
 
-// Claimable returns the shards that self ranks first for and that no member
-// can act for: they never had an owner, or their owner was fenced, has left or
-// is in a later epoch.
+// Claimable returns the shards that self ranks first for and that certainly
+// have no acting owner: they never had one, or their owner was fenced, has left
+// or is in a later epoch. An owner that members does not show, or not yet in
+// its epoch, may have joined since they were read, so its shards are left out.
 func (m *Map) Claimable(self hoist.HostID, members []hoist.Member) []hoist.ShardID {
-	acting := make(map[epochKey]bool, len(members))
+	known := make(map[hoist.HostID]hoist.Member, len(members))
 	for _, member := range members {
-		if member.State != hoist.MemberFenced {
-			acting[epochKey{member.Host, member.Epoch}] = true
-		}
+		known[member.Host] = member
 	}
 	var out []hoist.ShardID
 	for i, s := range m.shards {
 		shard := hoist.ShardID(i)
-		if acting[epochKey{s.Owner, s.Epoch}] {
+		if s.Owner != "" && !hasGone(known[s.Owner], s.Epoch) {
 			continue
 		}
 		if Preferred(shard, members) == self {
@@ -88,6 +87,12 @@
 	return out
 }
 
+// hasGone reports whether the process of the host in the given epoch can never
+// act again. Once true it stays true, however old member is.
+func hasGone(member hoist.Member, epoch hoist.Epoch) bool {
+	return member.Epoch > epoch || (member.Epoch == epoch && member.State == hoist.MemberFenced)
+}
+
 // Surplus returns the shards that self owns and another live member ranks
 // first for, with that member.
 func (m *Map) Surplus(self hoist.HostID, epoch hoist.Epoch, members []hoist.Member) map[hoist.ShardID]hoist.HostID {
--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -13,8 +13,8 @@
 }
 
 // Voter decides this host's votes on the leases of other hosts. Its state is
-// in memory only, so it does not vote until every promise that an earlier
-// process of this host can have made has ended.
+// in memory only, so it does not vote until the votes of an earlier process at
+// its address can have no effect any more (VoterYouth).
 type Voter struct {
 	started  time.Time
 	promises map[epochKey]time.Time
@@ -60,7 +60,7 @@
 }
 
 func (v *Voter) isTooYoung(now time.Time) bool {
-	return now.Sub(v.started) < LeaseTime+Drift
+	return now.Sub(v.started) < VoterYouth
 }
 
 // Forget drops what is kept on epochs of host before epoch. Call it when the
@@ -79,12 +79,34 @@
 }
 
 // HasMajority reports whether more than half of the electorate is in granted.
-func HasMajority(electorate []hoist.HostID, granted map[hoist.HostID]bool) bool {
+func HasMajority(electorate []hoist.ElectorID, granted map[hoist.ElectorID]bool) bool {
 	n := 0
-	for _, host := range electorate {
-		if granted[host] {
+	for _, elector := range electorate {
+		if granted[elector] {
 			n++
 		}
 	}
 	return 2*n > len(electorate)
 }
+
+// HasMajorities reports whether granted holds a majority of each electorate.
+func HasMajorities(electorates [][]hoist.ElectorID, granted map[hoist.ElectorID]bool) bool {
+	for _, electorate := range electorates {
+		if !HasMajority(electorate, granted) {
+			return false
+		}
+	}
+	return true
+}
+
+// Electorate returns the members that vote on the lease of self: all that are
+// not fenced, and self.
+func Electorate(self hoist.Member, members []hoist.Member) []hoist.ElectorID {
+	out := []hoist.ElectorID{self.Elector()}
+	for _, m := range members {
+		if m.Host != self.Host && m.State != hoist.MemberFenced {
+			out = append(out, m.Elector())
+		}
+	}
+	return out
+}
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -165,6 +165,6 @@
 		Weight:     m.Weight,
 		State:      hoist.MemberState(m.State),
 		Renewals:   uint64(m.Renewals),
-		Electorate: IDs[hoist.HostID](m.Electorate),
+		Electorate: IDs[hoist.ElectorID](m.Electorate),
 	}
 }
--- a/peer.go
+++ b/peer.go
@@ -18,7 +18,12 @@
 	Renewals uint64
 	// Electorate lists the members that the host knew when it renewed. Only
 	// they vote on this host's lease.
-	Electorate []HostID
+	Electorate []ElectorID
+}
+
+// Elector returns the voter that the member is.
+func (m Member) Elector() ElectorID {
+	return ElectorOf(m.Host, m.Addr)
 }
 
 // LeaseRef names one renewal of one host's lease.
