Refuse promises for epochs that have ended

Cause: Voter.Forget dropped the releases of earlier epochs of a host. A process that was fenced while paused, and replaced by a process at another address, then got promises for its old epoch when it woke and owned its shards again next to the new process (TestFailures, 'second process, first one paused': 'h1:1 and h1:5 both own shard 0'). Change: the voter keeps the latest epoch of each host and refuses promises for earlier ones.

--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -19,6 +19,7 @@
 	started  time.Time
 	promises map[epochKey]time.Time
 	released map[epochKey]uint64
+	epochs   map[hoist.HostID]hoist.Epoch
 }
 
 // NewVoter returns a voter of a process that started at the given time.
@@ -27,13 +28,15 @@
 		started:  started,
 		promises: make(map[epochKey]time.Time),
 		released: make(map[epochKey]uint64),
+		epochs:   make(map[hoist.HostID]hoist.Epoch),
 	}
 }
 
 // Promise asks for the promise not to release the lease for one lease time.
-// It is refused if the lease was released at this or a later renewal.
+// It is refused if the lease was released at this or a later renewal, or if the
+// host is known to be in a later epoch.
 func (v *Voter) Promise(l hoist.LeaseRef, now time.Time) bool {
-	if v.isTooYoung(now) {
+	if v.isTooYoung(now) || l.Epoch < v.epochs[l.Host] {
 		return false
 	}
 	key := epochKey{l.Host, l.Epoch}
@@ -63,9 +66,14 @@
 	return now.Sub(v.started) < VoterYouth
 }
 
-// Forget drops what is kept on epochs of host before epoch. Call it when the
-// table shows the host in a later epoch.
+// Forget drops what is kept on epochs of host before epoch and refuses promises
+// for them from now on, since a process of such an epoch may still ask. Call it
+// with the epoch that the table shows.
 func (v *Voter) Forget(host hoist.HostID, epoch hoist.Epoch) {
+	if epoch <= v.epochs[host] {
+		return
+	}
+	v.epochs[host] = epoch
 	for key := range v.promises {
 		if key.host == host && key.epoch < epoch {
 			delete(v.promises, key)
