Send heartbeats once a second, as the design says

Cause: heartbeats went out every 500 ms; section 2.8 of the design says one each second. Change: the period is 1 s.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -48,7 +48,7 @@
 	// minPause keeps rounds apart when the table is slow.
 	minPause = 100 * time.Millisecond
 	// heartbeatEvery is the period of heartbeats to each member.
-	heartbeatEvery = 500 * time.Millisecond
+	heartbeatEvery = time.Second
 	// shardsPerTxn keeps claim transactions small.
 	shardsPerTxn = 64
 )
