--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -102,6 +102,12 @@
 	return p.reads, p.writes
 }
 
+// Rows returns the rows whose keys start with prefix, whatever the fault. It is
+// for checks and does not count as a read.
+func (p *Platform) Rows(prefix hoist.RowKey) []hoist.Row {
+	return p.rowsOf(func(k hoist.RowKey) bool { return strings.HasPrefix(string(k), string(prefix)) })
+}
+
 // Add puts a host on the list or replaces its entry.
 func (p *Platform) Add(h hoist.Listed) {
 	p.change(listChange{at: time.Now(), host: h})
@@ -153,8 +159,14 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.reads++
+	p.mu.Unlock()
+	return p.rowsOf(match), nil
+}
+
+func (p *Platform) rowsOf(match func(hoist.RowKey) bool) []hoist.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var out []hoist.Row
 	for key, row := range p.rows {
 		if match(key) {
@@ -162,7 +174,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b hoist.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
-	return out, nil
+	return out
 }
 
 // Commit implements hoist.Table. A deleted row keeps no version: it starts at 1
