--- a/internal/core/member/lease.go
+++ b/internal/core/member/lease.go
@@ -35,6 +35,7 @@
 		}
 	}
 	m.observer.Observe(m.members, now)
+	m.targets = owner.BeatTargets(m.Member, m.members)
 }
 
 // wasFenced reports whether the table shows this host fenced or in another
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -49,6 +49,9 @@
 	minPause = 100 * time.Millisecond
 	// heartbeatEvery is the period of heartbeats to each member.
 	heartbeatEvery = time.Second
+	// farBeatEvery is the number of periods between heartbeats to members that
+	// are not among owner.BeatTargets, which only find half-open connections.
+	farBeatEvery = 10
 	// shardsPerTxn keeps claim transactions small.
 	shardsPerTxn = 64
 )
@@ -97,6 +100,7 @@
 	tableOK   time.Time
 	isLeaving bool
 	peers     map[hoist.HostID]*link
+	targets   map[hoist.HostID]bool
 	process   uint64
 	txnCount  int
 	joinTxn   hoist.TxnID
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -81,7 +81,11 @@
 // answering is logged once.
 func (m *Manager) beatLoop(ctx context.Context, host hoist.HostID, l *link) {
 	isLost := false
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
+		if n%farBeatEvery != 0 && !m.isTarget(host) {
+			sleep(ctx, heartbeatEvery)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		reply, err := l.peer.Heartbeat(callCtx, m.heartbeat())
 		cancel()
@@ -96,6 +100,12 @@
 	}
 }
 
+func (m *Manager) isTarget(host hoist.HostID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets[host]
+}
+
 func (m *Manager) heard(l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -104,14 +114,17 @@
 
 // reachable returns the link to a host that answered a heartbeat lately.
 func (m *Manager) reachable(host hoist.HostID) (hoist.Peer, bool) {
-	const lately = 3 * heartbeatEvery
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l, ok := m.peers[host]
-	if !ok || m.Clock.Now().Sub(l.heardAt) > lately {
+	if !ok {
 		return nil, false
 	}
-	return l.peer, true
+	lately := 3 * heartbeatEvery
+	if !m.targets[host] {
+		lately *= farBeatEvery
+	}
+	return l.peer, m.Clock.Now().Sub(l.heardAt) <= lately
 }
 
 func (m *Manager) heartbeat() hoist.Heartbeat {
--- a/internal/decide/owner/observe.go
+++ b/internal/decide/owner/observe.go
@@ -79,19 +79,20 @@
 // other.
 func (o *Observer) TakeoverDelay(lapsed, self hoist.HostID, members []hoist.Member, now time.Time) time.Duration {
 	const perTurn = 2
-	own := turnOf(lapsed, self)
+	own := rank(lapsed, self)
 	before := 0
 	for _, m := range members {
 		if m.State == hoist.MemberFenced || m.Host == self || m.Host == lapsed || o.HasLapsed(m, now) {
 			continue
 		}
-		if turnOf(lapsed, m.Host) < own {
+		if rank(lapsed, m.Host) < own {
 			before++
 		}
 	}
 	return time.Duration(before/perTurn) * RenewEvery
 }
 
-func turnOf(lapsed, taker hoist.HostID) uint64 {
-	return xxhash.Sum64String(string(lapsed) + "/" + string(taker))
+// rank orders candidates by a hash that is different for each host.
+func rank(host, candidate hoist.HostID) uint64 {
+	return xxhash.Sum64String(string(host) + "/" + string(candidate))
 }
