Let a restarted voter promise only after it has read the table

Cause: a voter that restarts forgets which hosts it helped to fence. A host that was fenced while cut off from the table could get promises from restarted voters once their youth had ended, and own its shards again. Found by TestVotes (rapid: take over, restart the voters, wait, extend: 'fenced at version 3 with 3.76s of the lease left'). Change: a voter promises only after a read of the table that was sent after its youth, and refuses promises for epochs that the table shows as fenced or replaced. A host that restarts while the table is down therefore makes no promises until the table is back. TestVotes is a state machine of one lease holder, its row, five voters that restart, and a host that takes over, with lost and late writes.

--- a/internal/core/member/lease.go
+++ b/internal/core/member/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
@@ -11,17 +12,18 @@
 
 // readMembers refreshes the members from the table.
 func (m *Manager) readMembers(ctx context.Context) ([]memberRow, bool) {
+	sent := m.Clock.Now()
 	rows, err := m.scanMembers(ctx)
 	if err != nil {
 		events.RenewalFailed.Log(ctx, m.Log, "error", err)
 		return nil, false
 	}
-	m.observe(rows)
+	m.observe(rows, sent)
 	m.connect(ctx)
 	return rows, true
 }
 
-func (m *Manager) observe(rows []memberRow) {
+func (m *Manager) observe(rows []memberRow, sent time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
@@ -29,12 +31,12 @@
 	m.members = make([]hoist.Member, 0, len(rows))
 	for _, row := range rows {
 		m.members = append(m.members, row.member)
-		m.voter.Forget(row.member.Host, row.member.Epoch)
 		if row.member.Host == m.Member.Host && row.member.Epoch == m.epoch {
 			m.row.Know(row.version, row.member.Renewals, row.member.Electorate)
 		}
 	}
 	m.observer.Observe(m.members, now)
+	m.voter.Read(m.members, sent)
 	m.targets = owner.BeatTargets(m.Member, m.members)
 }
 
--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -19,7 +19,11 @@
 	started  time.Time
 	promises map[epochKey]time.Time
 	released map[epochKey]uint64
-	epochs   map[hoist.HostID]hoist.Epoch
+	// firstEpoch is the earliest epoch of a host that may still act.
+	firstEpoch map[hoist.HostID]hoist.Epoch
+	// isInformed is set by a read that shows every fence which an earlier
+	// process at this address can have agreed to.
+	isInformed bool
 }
 
 // NewVoter returns a voter of a process that started at the given time.
@@ -28,15 +32,17 @@
 		started:  started,
 		promises: make(map[epochKey]time.Time),
 		released: make(map[epochKey]uint64),
-		epochs:   make(map[hoist.HostID]hoist.Epoch),
+
+		firstEpoch: make(map[hoist.HostID]hoist.Epoch),
 	}
 }
 
 // Promise asks for the promise not to release the lease for one lease time.
-// It is refused if the lease was released at this or a later renewal, or if the
-// host is known to be in a later epoch.
+// It is refused if the lease was released at this or a later renewal, if its
+// epoch is known to have ended, and until the voter has read the table after
+// its youth: without that it may not know that the host was fenced.
 func (v *Voter) Promise(l hoist.LeaseRef, now time.Time) bool {
-	if v.isTooYoung(now) || l.Epoch < v.epochs[l.Host] {
+	if !v.isInformed || l.Epoch < v.firstEpoch[l.Host] {
 		return false
 	}
 	key := epochKey{l.Host, l.Epoch}
@@ -66,21 +72,34 @@
 	return now.Sub(v.started) < VoterYouth
 }
 
-// Forget drops what is kept on epochs of host before epoch and refuses promises
-// for them from now on, since a process of such an epoch may still ask. Call it
-// with the epoch that the table shows.
-func (v *Voter) Forget(host hoist.HostID, epoch hoist.Epoch) {
-	if epoch <= v.epochs[host] {
-		return
+// Read tells the voter what a read of the table that was sent at the given time
+// found: promises for epochs that have ended are refused from then on, since a
+// process of such an epoch may still ask.
+func (v *Voter) Read(members []hoist.Member, sent time.Time) {
+	for _, m := range members {
+		first := m.Epoch
+		if m.State == hoist.MemberFenced {
+			first++
+		}
+		if first > v.firstEpoch[m.Host] {
+			v.firstEpoch[m.Host] = first
+			v.forget(m.Host, first)
+		}
 	}
-	v.epochs[host] = epoch
+	if !v.isTooYoung(sent) {
+		v.isInformed = true
+	}
+}
+
+// forget drops what is kept on epochs of host before first.
+func (v *Voter) forget(host hoist.HostID, first hoist.Epoch) {
 	for key := range v.promises {
-		if key.host == host && key.epoch < epoch {
+		if key.host == host && key.epoch < first {
 			delete(v.promises, key)
 		}
 	}
 	for key := range v.released {
-		if key.host == host && key.epoch < epoch {
+		if key.host == host && key.epoch < first {
 			delete(v.released, key)
 		}
 	}
