--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -13,12 +13,17 @@
 }
 
 // Voter decides this host's votes on the leases of other hosts. Its state is
-// in memory only, so it does not vote until every promise that an earlier
-// process of this host can have made has ended.
+// in memory only, so it does not vote until the votes of an earlier process at
+// its address can have no effect any more (VoterYouth).
 type Voter struct {
 	started  time.Time
 	promises map[epochKey]time.Time
 	released map[epochKey]uint64
+	// firstEpoch is the earliest epoch of a host that may still act.
+	firstEpoch map[hoist.HostID]hoist.Epoch
+	// isInformed is set by a read that shows every fence which an earlier
+	// process at this address can have agreed to.
+	isInformed bool
 }
 
 // NewVoter returns a voter of a process that started at the given time.
@@ -27,13 +32,17 @@
 		started:  started,
 		promises: make(map[epochKey]time.Time),
 		released: make(map[epochKey]uint64),
+
+		firstEpoch: make(map[hoist.HostID]hoist.Epoch),
 	}
 }
 
 // Promise asks for the promise not to release the lease for one lease time.
-// It is refused if the lease was released at this or a later renewal.
+// It is refused if the lease was released at this or a later renewal, if its
+// epoch is known to have ended, and until the voter has read the table after
+// its youth: without that it may not know that the host was fenced.
 func (v *Voter) Promise(l hoist.LeaseRef, now time.Time) bool {
-	if v.isTooYoung(now) {
+	if !v.isInformed || l.Epoch < v.firstEpoch[l.Host] {
 		return false
 	}
 	key := epochKey{l.Host, l.Epoch}
@@ -60,31 +69,71 @@
 }
 
 func (v *Voter) isTooYoung(now time.Time) bool {
-	return now.Sub(v.started) < LeaseTime+Drift
+	return now.Sub(v.started) < VoterYouth
 }
 
-// Forget drops what is kept on epochs of host before epoch. Call it when the
-// table shows the host in a later epoch.
-func (v *Voter) Forget(host hoist.HostID, epoch hoist.Epoch) {
+// Read tells the voter what a read of the table that was sent at the given time
+// found: promises for epochs that have ended are refused from then on, since a
+// process of such an epoch may still ask.
+func (v *Voter) Read(members []hoist.Member, sent time.Time) {
+	for _, m := range members {
+		first := m.Epoch
+		if m.State == hoist.MemberFenced {
+			first++
+		}
+		if first > v.firstEpoch[m.Host] {
+			v.firstEpoch[m.Host] = first
+			v.forget(m.Host, first)
+		}
+	}
+	if !v.isTooYoung(sent) {
+		v.isInformed = true
+	}
+}
+
+// forget drops what is kept on epochs of host before first.
+func (v *Voter) forget(host hoist.HostID, first hoist.Epoch) {
 	for key := range v.promises {
-		if key.host == host && key.epoch < epoch {
+		if key.host == host && key.epoch < first {
 			delete(v.promises, key)
 		}
 	}
 	for key := range v.released {
-		if key.host == host && key.epoch < epoch {
+		if key.host == host && key.epoch < first {
 			delete(v.released, key)
 		}
 	}
 }
 
 // HasMajority reports whether more than half of the electorate is in granted.
-func HasMajority(electorate []hoist.HostID, granted map[hoist.HostID]bool) bool {
+func HasMajority(electorate []hoist.ElectorID, granted map[hoist.ElectorID]bool) bool {
 	n := 0
-	for _, host := range electorate {
-		if granted[host] {
+	for _, elector := range electorate {
+		if granted[elector] {
 			n++
 		}
 	}
 	return 2*n > len(electorate)
 }
+
+// HasMajorities reports whether granted holds a majority of each electorate.
+func HasMajorities(electorates [][]hoist.ElectorID, granted map[hoist.ElectorID]bool) bool {
+	for _, electorate := range electorates {
+		if !HasMajority(electorate, granted) {
+			return false
+		}
+	}
+	return true
+}
+
+// Electorate returns the members that vote on the lease of self: all that are
+// not fenced, and self.
+func Electorate(self hoist.Member, members []hoist.Member) []hoist.ElectorID {
+	out := []hoist.ElectorID{self.Elector()}
+	for _, m := range members {
+		if m.Host != self.Host && m.State != hoist.MemberFenced {
+			out = append(out, m.Elector())
+		}
+	}
+	return out
+}
--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -32,7 +32,8 @@
 type Fault struct {
 	// Down refuses every call; nothing takes effect.
 	Down bool
-	// Delay is added to each call before it takes effect.
+	// Delay is added to each call before it takes effect. A write takes effect
+	// even if its caller gives up before.
 	Delay time.Duration
 	// LoseAnswers lets this many writes take effect and then loses the answer.
 	LoseAnswers int
@@ -101,6 +102,12 @@
 	return p.reads, p.writes
 }
 
+// Rows returns the rows whose keys start with prefix, whatever the fault. It is
+// for checks and does not count as a read.
+func (p *Platform) Rows(prefix hoist.RowKey) []hoist.Row {
+	return p.rowsOf(func(k hoist.RowKey) bool { return strings.HasPrefix(string(k), string(prefix)) })
+}
+
 // Add puts a host on the list or replaces its entry.
 func (p *Platform) Add(h hoist.Listed) {
 	p.change(listChange{at: time.Now(), host: h})
@@ -152,8 +159,14 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.reads++
+	p.mu.Unlock()
+	return p.rowsOf(match), nil
+}
+
+func (p *Platform) rowsOf(match func(hoist.RowKey) bool) []hoist.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var out []hoist.Row
 	for key, row := range p.rows {
 		if match(key) {
@@ -161,15 +174,32 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b hoist.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
-	return out, nil
+	return out
 }
 
 // Commit implements hoist.Table. A deleted row keeps no version: it starts at 1
 // again when it is written anew.
 func (p *Platform) Commit(ctx context.Context, txn hoist.Txn) error {
-	if err := p.enterTable(ctx); err != nil {
+	p.mu.Lock()
+	f := p.tableFault
+	p.mu.Unlock()
+	if f.Down || f.Delay == 0 {
+		if err := enter(ctx, f); err != nil {
+			return err
+		}
+		return p.commitNow(txn)
+	}
+	done := make(chan error, 1)
+	time.AfterFunc(f.Delay, func() { done <- p.commitNow(txn) })
+	select {
+	case err := <-done:
 		return err
+	case <-ctx.Done():
+		return hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
 	}
+}
+
+func (p *Platform) commitNow(txn hoist.Txn) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
