--- /dev/null
+++ b/internal/core/access/access.go
@@ -0,0 +1,198 @@
+// Package access decides who a caller or operator is and what they may do.
+// Everyone presents a bearer token from the settings; tokens are compared in
+// constant time and never logged.
+//
+// # Usage
+//
+//	l, err := access.NewList(entries)
+//	id, err := l.Authenticate(request)
+//	if !id.May(access.Operate) {
+//		// refuse
+//	}
+package access
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// ErrDenied reports a missing or unknown token, or a role that does not allow
+// the call.
+var ErrDenied = merry.Sentinel("access denied")
+
+// Role tells what the holder of a token may do.
+type Role string
+
+// The roles.
+const (
+	// RoleCaller submits requests for one customer.
+	RoleCaller Role = "caller"
+	// RoleTeam submits jobs for one team.
+	RoleTeam Role = "team"
+	// RoleViewer reads everything that operators see.
+	RoleViewer Role = "viewer"
+	// RoleOperator reads and changes everything.
+	RoleOperator Role = "operator"
+)
+
+// Action is what a call does.
+type Action string
+
+// The actions.
+const (
+	Submit  Action = "submit"
+	View    Action = "view"
+	Operate Action = "operate"
+)
+
+// Token is a secret. It prints as "[token]".
+type Token string
+
+// String hides the secret.
+func (Token) String() string { return "[token]" }
+
+// GoString hides the secret.
+func (Token) GoString() string { return "[token]" }
+
+// LogValue hides the secret in logs.
+func (Token) LogValue() slog.Value { return slog.StringValue("[token]") }
+
+// Entry gives the holder of a token a name and a role.
+type Entry struct {
+	Name  string `toml:"name"`
+	Token Token  `toml:"token"`
+	Role  Role   `toml:"role"`
+	// Customer is whom a caller acts for.
+	Customer hoist.CustomerID `toml:"customer"`
+	// Team is whom a submitter of jobs acts for.
+	Team hoist.TeamID `toml:"team"`
+}
+
+// Identity is an authenticated caller or operator.
+type Identity struct {
+	Name     string
+	Role     Role
+	Customer hoist.CustomerID
+	Team     hoist.TeamID
+}
+
+// May reports whether the identity may do the action.
+func (id Identity) May(a Action) bool {
+	switch id.Role {
+	case RoleOperator:
+		return true
+	case RoleViewer:
+		return a == View
+	case RoleCaller, RoleTeam:
+		return a == Submit
+	default:
+		return false
+	}
+}
+
+// MayUse reports whether the identity may act for the customer.
+func (id Identity) MayUse(customer hoist.CustomerID) bool {
+	return id.Role == RoleOperator || (id.Role == RoleCaller && id.Customer == customer)
+}
+
+// MayCharge reports whether the identity may charge jobs to the team.
+func (id Identity) MayCharge(team hoist.TeamID) bool {
+	return id.Role == RoleOperator || (id.Role == RoleTeam && id.Team == team)
+}
+
+// minToken is the shortest token, in bytes; 16 random ones have 128 bits.
+const minToken = 16
+
+// Check returns the problems of an entry, without its token.
+func (e Entry) Check() []string {
+	var out []string
+	if e.Name == "" {
+		out = append(out, "has no name")
+	}
+	if len(e.Token) < minToken {
+		out = append(out, fmt.Sprintf("has a token of fewer than %d bytes", minToken))
+	}
+	switch e.Role {
+	case RoleCaller:
+		if e.Customer == "" {
+			out = append(out, "has role caller and no customer")
+		}
+	case RoleTeam:
+		if e.Team == "" {
+			out = append(out, "has role team and no team")
+		}
+	case RoleViewer, RoleOperator:
+	default:
+		out = append(out, fmt.Sprintf("has unknown role %q", e.Role))
+	}
+	return out
+}
+
+// List authenticates the holders of tokens. Its methods may be called
+// concurrently.
+type List struct {
+	entries []hashedEntry
+	isOpen  bool
+}
+
+// hashedEntry holds the hash of a token: hashes have one length, so comparing
+// them tells nothing about the length of the token.
+type hashedEntry struct {
+	hash     [sha256.Size]byte
+	identity Identity
+}
+
+// NewList returns a list of the entries, which were checked.
+func NewList(entries []Entry) *List {
+	l := &List{}
+	for _, e := range entries {
+		l.entries = append(l.entries, hashedEntry{
+			hash:     sha256.Sum256([]byte(e.Token)),
+			identity: Identity{Name: e.Name, Role: e.Role, Customer: e.Customer, Team: e.Team},
+		})
+	}
+	return l
+}
+
+// Open returns a list that takes everyone for an operator, for hosts whose
+// settings allow it.
+func Open() *List {
+	return &List{isOpen: true}
+}
+
+// Authenticate finds the identity of an HTTP request by its authorization
+// header. It returns ErrDenied if there is none.
+func (l *List) Authenticate(r *http.Request) (Identity, error) {
+	if l.isOpen {
+		return Identity{Name: "open", Role: RoleOperator}, nil
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("authorization"), "Bearer ")
+	if !ok {
+		return Identity{}, merry.Wrap(ErrDenied, merry.AppendMessage("no bearer token"))
+	}
+	return l.Find(Token(token))
+}
+
+// Find returns the identity of the holder of a token. It compares all entries,
+// whichever matches.
+func (l *List) Find(token Token) (Identity, error) {
+	hash := sha256.Sum256([]byte(token))
+	found := -1
+	for i, e := range l.entries {
+		if subtle.ConstantTimeCompare(hash[:], e.hash[:]) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return Identity{}, merry.Wrap(ErrDenied, merry.AppendMessage("unknown token"))
+	}
+	return l.entries[found].identity, nil
+}
