Add the load generator on virtual time

Cause: changes of queues and slots need a measurement that is the same on every run and compares policies over one input. Change: internal/tool/load fixes the arrivals of a workload beforehand and runs the decision packages on virtual time; hoist load prints the table. Baselines: queue.NewFIFO and slots.NewPlain with round robin and least outstanding.

--- /dev/null
+++ b/cmd/hoist/load.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/ansel1/merry/v2"
+
+	"fuchsiahoist.example/hoist/internal/tool/load"
+)
+
+// loadCmd compares policies over seeded loads.
+type loadCmd struct {
+	Workload []string `help:"Workloads to run; all if none is given." placeholder:"NAME"`
+	Policy   []string `help:"Policies to compare on virtual time; all if none is given." placeholder:"NAME"`
+	Seed     uint64   `help:"Seed of the arrivals, the work and the choices." default:"1"`
+	List     bool     `help:"List the workloads and policies and exit."`
+}
+
+// errLoad reports a breach of the checks; the table has the counts.
+var errLoad = merry.Sentinel("requests were lost, doubled or crossed, or slots were overcommitted")
+
+// Run implements the command.
+func (c *loadCmd) Run() error {
+	if c.List {
+		c.list()
+		return nil
+	}
+	workloads, err := pick(c.Workload, load.Workloads(), load.Find)
+	if err != nil {
+		return err
+	}
+	policies, err := pick(c.Policy, load.Policies(), load.FindPolicy)
+	if err != nil {
+		return err
+	}
+	violations := 0
+	load.PrintHeader(os.Stdout)
+	for _, w := range workloads {
+		if w.KillHost {
+			continue
+		}
+		in := w.Input(load.VirtualScale, c.Seed)
+		for _, p := range policies {
+			result := load.Simulate(in, p, c.Seed)
+			result.Print(os.Stdout)
+			violations += result.Violations()
+		}
+	}
+	if violations > 0 {
+		return errLoad
+	}
+	return nil
+}
+
+func (c *loadCmd) list() {
+	for _, w := range load.Workloads() {
+		fmt.Printf("workload %-18s %s\n", w.Name, w.Help)
+	}
+	for _, p := range load.Policies() {
+		fmt.Printf("policy   %-18s baseline: %v\n", p.Name, p.IsBaseline)
+	}
+}
+
+// pick returns the named values, or all if no name is given.
+func pick[T any](names []string, all []T, find func(string) (T, error)) ([]T, error) {
+	if len(names) == 0 {
+		return all, nil
+	}
+	var out []T
+	for _, name := range names {
+		v, err := find(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -29,6 +29,7 @@
 
 type cli struct {
 	Demo demoCmd `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
+	Load loadCmd `cmd:"" help:"Compare policies over seeded loads."`
 }
 
 // demoCmd runs the demonstration.
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -36,6 +36,7 @@
 // Queue holds waiting requests with a value of type T for each.
 type Queue[T any] struct {
 	limits  Limits
+	isFIFO  bool
 	classes map[hoist.Class]*lane[T]
 }
 
@@ -62,6 +63,14 @@
 	return &Queue[T]{limits: limits, classes: make(map[hoist.Class]*lane[T])}
 }
 
+// NewFIFO returns an empty queue that serves all classes and customers in the
+// order of arrival. It is a baseline.
+func NewFIFO[T any](limits Limits) *Queue[T] {
+	q := New[T](limits)
+	q.isFIFO = true
+	return q
+}
+
 // Ticket names a waiting request, so that it can be removed.
 type Ticket[T any] struct {
 	class hoist.Class
@@ -72,6 +81,9 @@
 // many requests of its customer and class wait.
 func (q *Queue[T]) Push(r hoist.Request, cost VirtualTime, value T) (Ticket[T], error) {
 	l := q.lane(r.Class)
+	if q.isFIFO {
+		cost = 0
+	}
 	if l.waiting[r.Customer] >= q.limits.PerCustomer {
 		return Ticket[T]{}, merry.Wrap(hoist.ErrOverLimit,
 			merry.PrependMessagef("customer %q has %d %s requests waiting", r.Customer, l.waiting[r.Customer], r.Class))
@@ -86,6 +98,9 @@
 }
 
 func (q *Queue[T]) lane(class hoist.Class) *lane[T] {
+	if q.isFIFO {
+		class = hoist.Quick
+	}
 	l, ok := q.classes[class]
 	if !ok {
 		l = &lane[T]{finish: make(map[hoist.CustomerID]VirtualTime), waiting: make(map[hoist.CustomerID]int)}
--- a/internal/decide/slots/slots.go
+++ b/internal/decide/slots/slots.go
@@ -28,6 +28,7 @@
 // Pool holds the accounts of all executors that a host owns.
 type Pool struct {
 	policy    hoist.ExecutorPolicy
+	isPlain   bool
 	executors map[hoist.ExecutorID]*account
 }
 
@@ -46,6 +47,13 @@
 	return &Pool{policy: policy, executors: make(map[hoist.ExecutorID]*account)}
 }
 
+// NewPlain returns an empty pool that reserves no slots. It is a baseline.
+func NewPlain(policy hoist.ExecutorPolicy) *Pool {
+	p := New(policy)
+	p.isPlain = true
+	return p
+}
+
 // Adopt opens the account of an executor with what it reports to run.
 func (p *Pool) Adopt(r hoist.ExecutorReport, service hoist.ServiceName) {
 	a := &account{
@@ -75,7 +83,7 @@
 func (p *Pool) Take(service hoist.ServiceName, class hoist.Class, key hoist.RequestKey, rng *rand.Rand) (hoist.ExecutorID, bool) {
 	var views []hoist.SlotView
 	for _, a := range p.executors {
-		if free := a.free(class); a.service == service && free > 0 {
+		if free := p.free(a, class); a.service == service && free > 0 {
 			views = append(views, hoist.SlotView{Executor: a.id, Free: free, InFlight: len(a.inFlight), Service: a.mean})
 		}
 	}
@@ -91,12 +99,12 @@
 
 // free returns how many slots class may take: one in four is kept for quick
 // requests.
-func (a *account) free(class hoist.Class) int {
+func (p *Pool) free(a *account, class hoist.Class) int {
 	if a.leaving {
 		return 0
 	}
 	free := a.slots - len(a.inFlight)
-	if class != hoist.Quick {
+	if class != hoist.Quick && !p.isPlain {
 		free -= a.slots / 4
 	}
 	return max(free, 0)
@@ -144,8 +152,8 @@
 			s = &hoist.ServiceSlots{Service: a.service}
 			byService[a.service] = s
 		}
-		s.Quick += a.free(hoist.Quick)
-		s.Patient += a.free(hoist.Patient)
+		s.Quick += p.free(a, hoist.Quick)
+		s.Patient += p.free(a, hoist.Patient)
 	}
 	out := make([]hoist.ServiceSlots, 0, len(byService))
 	for _, s := range byService {
--- /dev/null
+++ b/internal/tool/load/sim.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/queue"
+	"fuchsiahoist.example/hoist/internal/decide/slots"
+)
+
+// request is one arrival in a simulation.
+type request struct {
+	Arrival
+	ticket  queue.Ticket[*request]
+	request hoist.Request
+	runs    int
+	ended   bool
+}
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+// eventHeap orders events by time, then in the order in which they were added.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// sim is one run on virtual time.
+type sim struct {
+	in     Input
+	result *Result
+	queue  *queue.Queue[*request]
+	pool   *slots.Pool
+	rng    *rand.Rand
+	events eventHeap
+	seq    uint64
+	now    time.Duration
+	index  map[hoist.ExecutorID]int
+	// waiting counts the waiting requests, to judge refusals independently of
+	// the queue.
+	waiting   map[group]int
+	executors []simExecutor
+}
+
+// simExecutor is a stand-in executor; it holds what runs independently of the
+// account that is under test.
+type simExecutor struct {
+	spec    ExecutorSpec
+	running map[hoist.RequestKey]*request
+}
+
+// epoch is the wall time at which virtual time starts.
+var epoch = time.Unix(1_000_000_000, 0)
+
+// Simulate runs an input under a policy on virtual time until every request has
+// an outcome.
+func Simulate(in Input, p Policy, seed uint64) *Result {
+	s := &sim{
+		in: in, result: newResult(in, p.Name), queue: p.newQueue(), pool: p.newPool(),
+		rng: rand.New(rand.NewPCG(seed, 1)), index: make(map[hoist.ExecutorID]int), waiting: make(map[group]int),
+	}
+	for i, spec := range in.Executors {
+		s.index[spec.ID] = i
+		s.executors = append(s.executors, simExecutor{spec, make(map[hoist.RequestKey]*request)})
+		s.pool.Adopt(hoist.ExecutorReport{Executor: spec.ID, Slots: slotsPerExecutor}, service)
+	}
+	requests := make([]*request, len(in.Arrivals))
+	for i, a := range in.Arrivals {
+		requests[i] = newRequest(a)
+		s.at(a.At, func() { s.arrive(requests[i]) })
+	}
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.count(requests)
+	return s.result
+}
+
+func newRequest(a Arrival) *request {
+	return &request{Arrival: a, request: hoist.Request{
+		Key: a.Key, Customer: a.Customer, Service: service, Class: a.Class,
+		IssuedAt: epoch.Add(a.At), Deadline: epoch.Add(a.At + a.Timeout),
+	}}
+}
+
+func (s *sim) at(at time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{at, s.seq, do})
+}
+
+func (s *sim) arrive(r *request) {
+	ticket, err := s.queue.Push(r.request, 1, r)
+	if err != nil {
+		s.refuse(r)
+		return
+	}
+	r.ticket = ticket
+	s.waiting[group{r.Class, r.Customer}]++
+	s.at(r.At+r.Timeout, func() { s.expire(r) })
+	s.assign()
+}
+
+// expire refuses a request that still waits at its deadline.
+func (s *sim) expire(r *request) {
+	if s.queue.Remove(r.ticket) {
+		s.waiting[group{r.Class, r.Customer}]--
+		s.refuse(r)
+	}
+}
+
+func (s *sim) refuse(r *request) {
+	if r.ended || r.runs > 0 {
+		s.result.Doubled++
+	}
+	r.ended = true
+	if r.Class == hoist.Quick && s.isUnfair(r) {
+		s.result.Unfair++
+	}
+	s.result.refuse(r.Arrival)
+}
+
+// isUnfair reports whether the customer of a refused request waits with less
+// than an equal share of all waiting requests of the class while another has
+// more than that.
+func (s *sim) isUnfair(r *request) bool {
+	own := group{r.Class, r.Customer}
+	total, active, most := 0, 1, 0
+	for g, n := range s.waiting {
+		if g.class != r.Class || n == 0 {
+			continue
+		}
+		total += n
+		most = max(most, n)
+		if g != own {
+			active++
+		}
+	}
+	share := float64(total) / float64(active)
+	return float64(s.waiting[own]) < share && float64(most) > share
+}
+
+// assign gives free slots to waiting requests, as the coordinator does.
+func (s *sim) assign() {
+	for _, class := range classes {
+		for {
+			r, ok := s.queue.Peek(class)
+			if !ok {
+				break
+			}
+			id, ok := s.pool.Take(service, r.Class, r.Key, s.rng)
+			if !ok {
+				break
+			}
+			s.queue.Pop(class)
+			s.waiting[group{r.Class, r.Customer}]--
+			s.start(r, id)
+		}
+	}
+}
+
+func (s *sim) start(r *request, id hoist.ExecutorID) {
+	i := s.index[id]
+	e := s.executors[i]
+	r.runs++
+	s.result.Executors[i]++
+	e.running[r.Key] = r
+	if len(e.running) > slotsPerExecutor {
+		s.result.Overfull++
+	}
+	wait := s.now - r.At
+	took := e.spec.Takes(r.Work, s.now)
+	s.at(s.now+took, func() { s.finish(r, id, wait, took) })
+}
+
+func (s *sim) finish(r *request, id hoist.ExecutorID, wait, took time.Duration) {
+	e := s.executors[s.index[id]]
+	if e.running[r.Key] != r {
+		s.result.Crossed++
+	}
+	delete(e.running, r.Key)
+	if r.ended {
+		s.result.Doubled++
+	}
+	r.ended = true
+	s.result.answer(r.Arrival, wait)
+	s.pool.Give(id, r.Key, took)
+	s.assign()
+}
+
+// count finds the requests without an outcome and those that ran twice.
+func (s *sim) count(requests []*request) {
+	for _, r := range requests {
+		if !r.ended {
+			s.result.Lost++
+		}
+		if r.runs > 1 {
+			s.result.Doubled++
+		}
+	}
+}
