Close holes in the promises on requests

Cause: a review of the path from caller to executor found these faults. - A second request under a known key received the first one's answer even with another body or customer. - A try that was not the first was answered "not run" by a host that could not ask the coordinator, although an earlier try may have run. - A shard that was released while a call was between two steps caused a nil dereference, and the end of an old call could erase the record of a new one after the shard came back. - A slot was freed when a report made before the attempt arrived did not list it, and a slot that was assigned but not yet used was freed too. - An executor that restarted, or that forgot an answer after 60 s, made "settle" say "not run" for an attempt that had run. - A refused attempt was sent again at once, without a pause. - A joiner waited for the deadline of the first try instead of its own.

Change: keys carry a digest of the request's content. A refused request leaves a record that refuses other tries of the same issue, and lets a new issue run; a handover passes on that waiting requests have not run. The coordinator checks its term right before each send. The owner of an executor settles each attempt that it sent and keeps the slot until then; reports free only slots of attempts of earlier owners. Executors report their term, so that a restarted one is adopted again. Answers kept for a shard are bounded to 2 MiB.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -125,8 +125,8 @@
 	events.Stopping.Log(ctx, d.Log, "host", d.Params.Host)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.Params.DrainTime))
 	defer cancel()
-	if !d.router.Drain(ctx) {
-		events.DrainStuck.Log(ctx, d.Log, "host", d.Params.Host)
+	if stuck, isIdle := d.router.Drain(ctx); !isIdle {
+		d.router.Stuck(ctx, stuck)
 	}
 }
 
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -55,6 +55,7 @@
 	ExecutorLost     = register(201, slog.LevelWarn, "executor cannot be reached")
 	ExecutorLeaving  = register(202, slog.LevelInfo, "executor is leaving")
 	AttemptUnsettled = register(203, slog.LevelWarn, "outcome of an attempt is unknown")
+	AttemptSettled   = register(205, slog.LevelInfo, "an attempt of unknown outcome has ended and its slot is free")
 	DrainStuck       = register(204, slog.LevelError, "requests still in flight at the end of the drain time")
 )
 
--- a/internal/core/route/attempt.go
+++ b/internal/core/route/attempt.go
@@ -13,6 +13,12 @@
 // attempt runs one attempt of a call in its slot. An error other than
 // hoist.ErrOutcomeUnknown means that it certainly did not run.
 func (r *Router) attempt(ctx context.Context, c *call, s slot, no hoist.AttemptNo) (hoist.Answer, error) {
+	if err := r.mayCoordinate(c); err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.returnSlot(c, s)
+		return hoist.Answer{}, err
+	}
 	a := hoist.Attempt{Request: c.request, No: no, ShardTerm: c.term}
 	if s.host == "" {
 		return r.runLocal(ctx, a, s.executor)
@@ -28,6 +34,15 @@
 	return answer, err
 }
 
+// mayCoordinate checks right before the send that this host still coordinates
+// the call.
+func (r *Router) mayCoordinate(c *call) error {
+	if term, ok := r.Own.Owns(c.shard); !ok || term != c.term {
+		return merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d, term %d", c.shard, c.term))
+	}
+	return nil
+}
+
 // forgetRemote stops counting on free slots of a host until it reports again.
 func (r *Router) forgetRemote(host hoist.HostID, service hoist.ServiceName) {
 	r.mu.Lock()
@@ -45,45 +60,62 @@
 		return hoist.Answer{}, merry.Wrap(hoist.ErrStaleTerm, merry.PrependMessagef("shard %d, term %d", shard, a.ShardTerm))
 	}
 	r.mu.Lock()
-	id, ok := r.pool.Take(a.Request.Service, a.Request.Class, a.Request.Key, r.rng)
+	id, ok := r.takeFor(a)
 	r.mu.Unlock()
 	if !ok {
 		return hoist.Answer{}, merry.Wrap(hoist.ErrNoSlot, merry.PrependMessagef("service %s", a.Request.Service))
 	}
-	r.inFlight.Add(1)
-	defer r.inFlight.Done()
+	r.enter()
+	defer r.leave()
 	// The attempt goes on when the connection of the coordinator breaks.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Request.Deadline.Sub(r.Clock.Now())+settleTime)
 	defer cancel()
 	return r.runLocal(ctx, a, id)
 }
 
-// runLocal runs an attempt at an owned executor, whose slot was taken.
+// takeFor takes a slot for another host's attempt, unless an attempt of the key
+// is open here: it may be this one, sent twice. The mutex is held.
+func (r *Router) takeFor(a hoist.Attempt) (hoist.ExecutorID, bool) {
+	if r.sent.has(a.Request.Key) {
+		return "", false
+	}
+	return r.pool.Take(a.Request.Service, a.Request.Class, a.Request.Key, r.rng)
+}
+
+// runLocal runs an attempt at an owned executor, whose slot was taken. The slot
+// stays taken until the attempt has certainly ended: the executor's goroutine
+// settles what is unknown here.
 func (r *Router) runLocal(ctx context.Context, a hoist.Attempt, id hoist.ExecutorID) (hoist.Answer, error) {
-	r.setLive(a.Request.Key, true)
-	defer r.setLive(a.Request.Key, false)
 	h, term, err := r.mayRun(a, id)
 	if err != nil {
 		r.give(id, a.Request.Key, 0)
 		return hoist.Answer{}, err
 	}
 	started := r.Clock.Now()
-	answer, err := h.executor.Run(ctx, term, a)
+	answer, err := r.send(ctx, h, term, a)
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
-		answer, err = r.settle(ctx, h, term, a, err)
-	}
-	if errors.Is(err, hoist.ErrOutcomeUnknown) {
-		// The slot stays taken until the executor no longer lists the key.
+		r.orphan(id, a.Request.Key)
 		return hoist.Answer{}, err
 	}
 	took := r.Clock.Now().Sub(started)
 	if err != nil {
 		took = 0
 	}
+	r.refusedBy(id, err)
 	r.give(id, a.Request.Key, took)
 	return answer, err
 }
 
+// refusedBy keeps an executor that says that it is leaving from new attempts
+// until its next report.
+func (r *Router) refusedBy(id hoist.ExecutorID, err error) {
+	if errors.Is(err, hoist.ErrLeaving) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.pool.SetLeaving(id, true)
+	}
+}
+
 // mayRun checks both ownerships right before the send.
 func (r *Router) mayRun(a hoist.Attempt, id hoist.ExecutorID) (*handle, hoist.Term, error) {
 	term, ok := r.Own.Owns(hoist.ShardOf(hoist.KindExecutor, string(id)))
@@ -97,42 +129,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h, ok := r.executors[id]
-	if !ok || h.term != term {
+	if !ok || h.term != term || !h.isAdopted {
 		return nil, 0, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("executor %s is not adopted in term %d", id, term))
 	}
+	r.sent.open(id, a, h)
 	return h, term, nil
 }
 
-func (r *Router) setLive(key hoist.RequestKey, live bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if live {
-		r.live[key] = true
-		return
-	}
-	delete(r.live, key)
-}
-
 func (r *Router) give(id hoist.ExecutorID, key hoist.RequestKey, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sent.close(id, key)
 	r.pool.Give(id, key, took)
 	r.assignAll()
 }
 
-// settle asks an executor what became of an attempt whose answer was lost.
-func (r *Router) settle(ctx context.Context, h *handle, term hoist.Term, a hoist.Attempt, lost error) (hoist.Answer, error) {
-	for pause(ctx, settleEvery) {
-		answer, err := h.executor.Settle(ctx, term, a.Request.Key, a.No)
-		if err != nil {
-			continue
-		}
-		switch answer.Outcome {
-		case hoist.Done:
-			return answer, nil
-		case hoist.NotRun:
-			return hoist.Answer{}, hoist.Turn(hoist.ErrUnavailable, lost)
-		}
-	}
-	return hoist.Answer{}, lost
+// orphan leaves an attempt whose outcome is unknown to the executor's goroutine.
+func (r *Router) orphan(id hoist.ExecutorID, key hoist.RequestKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.sent[id][key]; ok {
+		s.isOrphan = true
+	}
 }
--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -16,11 +16,28 @@
 // classes lists the classes in the order in which free slots are offered.
 var classes = []hoist.Class{hoist.Quick, hoist.Patient, hoist.Watch}
 
-// settleEvery is the period of asking an executor for a lost answer.
-const settleEvery = 200 * time.Millisecond
+// answerGrace is how long after its deadline a caller waits for its answer,
+// which may be on its way.
+const answerGrace = time.Second
 
-// settleTime bounds the asking after the deadline of the request.
-const settleTime = 5 * time.Second
+const (
+	// refusedPause is the wait before a refused request asks for a slot again.
+	// It doubles up to maxRefusedPause, so that refusals cause no storm.
+	refusedPause    = 5 * time.Millisecond
+	maxRefusedPause = 500 * time.Millisecond
+)
+
+// phase tells what a call is doing.
+type phase int
+
+const (
+	// phaseIdle: between attempts; nothing of it runs.
+	phaseIdle phase = iota
+	// phaseWaiting: in the queue, on its way there, or with an assigned slot.
+	phaseWaiting
+	// phaseAttempt: an attempt may run.
+	phaseAttempt
+)
 
 // call is one request at its coordinator.
 type call struct {
@@ -28,6 +45,7 @@
 	shard   hoist.ShardID
 	term    hoist.Term
 	arrived time.Time
+	phase   phase
 	ticket  queue.Ticket[*call]
 	// slot receives the slot that the call may use; it is closed when the
 	// call is withdrawn.
@@ -44,10 +62,18 @@
 	host     hoist.HostID
 }
 
+// errMoved reports a call whose shard went to another owner before it ran.
+var errMoved = merry.Prepend(hoist.ErrNotOwner, "the shard moved while the request waited")
+
 // Coordinate serves a request as the coordinator of its key. It returns
-// hoist.ErrNotOwner if this host is not, and the request was not run.
+// hoist.ErrNotOwner if this host is not, or if the request must be issued anew;
+// the request was not run. It returns hoist.ErrInvalid if the key belongs to
+// another request, and hoist.ErrOutcomeUnknown if the request still runs when
+// ctx ends or the deadline has passed; a retry then joins it.
 func (r *Router) Coordinate(ctx context.Context, req hoist.Request) (hoist.Answer, error) {
 	r.init()
+	r.enter()
+	defer r.leave()
 	shard := hoist.ShardOf(hoist.KindRequest, string(req.Key))
 	term, ok := r.Own.Owns(shard)
 	if !ok {
@@ -60,11 +86,14 @@
 	if c == nil {
 		return verdict.Answer, nil
 	}
+	timer := time.NewTimer(req.Deadline.Sub(r.Clock.Now()) + answerGrace)
+	defer timer.Stop()
 	select {
 	case <-c.done:
 		return c.answer, c.err
+	case <-timer.C:
+		return hoist.Answer{}, merry.Prepend(hoist.ErrOutcomeUnknown, "the deadline has passed and the request still runs")
 	case <-ctx.Done():
-		// The call goes on; a retry of the caller joins it.
 		return hoist.Answer{}, hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
 	}
 }
@@ -74,84 +103,139 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.keys[shard]
-	if !ok {
+	if !ok || r.terms[shard] != term {
 		return nil, dedup.Verdict{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d is not active", shard))
 	}
 	now := r.Clock.Now()
 	verdict := t.Begin(req, now)
 	switch verdict.Decision {
+	case dedup.Mismatch:
+		return nil, verdict, merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("key %q belongs to another request", req.Key))
+	case dedup.Reissue:
+		return nil, verdict, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d changed its owner after the issue", shard))
 	case dedup.Join:
-		return r.calls[req.Key], verdict, nil
+		c, ok := r.calls[req.Key]
+		if !ok {
+			return nil, verdict, merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessagef("key %q has no call", req.Key))
+		}
+		return c, verdict, nil
 	case dedup.Run:
 		c := &call{
 			request: req, shard: shard, term: term, arrived: now,
 			slot: make(chan slot, 1), done: make(chan struct{}),
 		}
 		r.calls[req.Key] = c
-		r.inFlight.Add(1)
+		r.inFlight++
 		go r.runCall(c)
 		return c, verdict, nil
 	default:
+		if verdict.Answer.Outcome == hoist.NotRun {
+			verdict.Answer.RetryAfter = retryHint
+		}
 		return nil, verdict, nil
 	}
 }
 
 // runCall takes one request to its answer.
 func (r *Router) runCall(c *call) {
-	defer r.inFlight.Done()
+	defer r.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), c.request.Deadline.Sub(r.Clock.Now())+settleTime)
 	defer cancel()
+	wait := refusedPause
 	for no := hoist.AttemptNo(1); ; no++ {
 		s, err := r.waitForSlot(ctx, c)
 		if err != nil {
-			r.finish(c, refusal(c.request.Key, hoist.NotRun, err.Error()), err)
+			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), err)
 			return
 		}
 		waited := r.Clock.Now().Sub(c.arrived)
 		answer, err := r.attempt(ctx, c, s, no)
-		if err == nil {
+		switch {
+		case err == nil:
 			answer.Waited = waited
 			r.finish(c, answer, nil)
 			return
-		}
-		if errors.Is(err, hoist.ErrOutcomeUnknown) {
+		case errors.Is(err, hoist.ErrOutcomeUnknown):
 			events.AttemptUnsettled.Log(ctx, r.Log, "key", c.request.Key, "error", err)
-			r.finish(c, refusal(c.request.Key, hoist.Unknown, err.Error()), nil)
+			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
+			return
+		case errors.Is(err, hoist.ErrInvalid):
+			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
+		r.setPhase(c, phaseIdle)
+		pause(ctx, wait)
+		wait = min(2*wait, maxRefusedPause)
 	}
 }
 
+func (r *Router) setPhase(c *call, p phase) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.phase = p
+}
+
 // waitForSlot queues the call until it is assigned a slot. All its errors mean
 // that the request did not run.
 func (r *Router) waitForSlot(ctx context.Context, c *call) (slot, error) {
+	left := c.request.Deadline.Sub(r.Clock.Now())
+	if left <= 0 {
+		return slot{}, errLate
+	}
+	r.mu.Lock()
+	c.phase = phaseWaiting
+	c.ticket = queue.Ticket[*call]{}
+	r.mu.Unlock()
 	if err := r.enqueue(c); err != nil {
 		return slot{}, err
 	}
-	timer := time.NewTimer(c.request.Deadline.Sub(r.Clock.Now()))
+	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case s, ok := <-c.slot:
-		if !ok {
-			return slot{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessage("the shard moved while the request waited"))
-		}
-		return s, nil
+		return r.takeAssigned(c, s, ok)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.queueOf(c).Remove(c.ticket) {
-		return slot{}, merry.Wrap(hoist.ErrOverLimit, merry.PrependMessage("deadline passed while waiting for a slot"))
+	isRemoved := r.queueOf(c).Remove(c.ticket)
+	r.mu.Unlock()
+	if isRemoved {
+		return slot{}, errLate
 	}
 	// The slot was assigned, or the call withdrawn, at the same moment.
 	s, ok := <-c.slot
+	return r.takeAssigned(c, s, ok)
+}
+
+// errLate reports a call that found no slot in time.
+var errLate = merry.Prepend(hoist.ErrOverLimit, "deadline passed while waiting for a slot")
+
+// takeAssigned starts the attempt phase of a call that received a slot, unless
+// the call was withdrawn or its shard moved meanwhile.
+func (r *Router) takeAssigned(c *call, s slot, ok bool) (slot, error) {
 	if !ok {
-		return slot{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessage("the shard moved while the request waited"))
+		return slot{}, errMoved
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.terms[c.shard] != c.term {
+		r.returnSlot(c, s)
+		return slot{}, errMoved
+	}
+	c.phase = phaseAttempt
 	return s, nil
 }
 
+// returnSlot gives back a slot that was assigned and not used. The mutex is
+// held.
+func (r *Router) returnSlot(c *call, s slot) {
+	if s.host == "" {
+		r.pool.Give(s.executor, c.request.Key, 0)
+		r.assignAll()
+	}
+}
+
 func (r *Router) enqueue(c *call) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -176,24 +260,40 @@
 	return q
 }
 
-// withdraw takes a waiting call back. It reports false if the call has a slot.
-// The router's mutex is held.
+// withdraw takes back a call of which nothing runs, and reports whether that is
+// so. The router's mutex is held.
 func (c *call) withdraw(r *Router) bool {
-	if !r.queueOf(c).Remove(c.ticket) {
+	switch {
+	case c.phase == phaseAttempt:
 		return false
+	case c.phase == phaseIdle, c.ticket == queue.Ticket[*call]{}:
+		// The call has not been queued; it finds that the shard moved.
+		return true
+	case r.queueOf(c).Remove(c.ticket):
+		close(c.slot)
+		return true
+	}
+	select {
+	case s := <-c.slot:
+		r.returnSlot(c, s)
+		close(c.slot)
+	default:
+		// Its goroutine has the slot and finds that the shard moved.
 	}
-	close(c.slot)
 	return true
 }
 
 // finish answers the call and all that joined it. An answer of not run is not
-// stored, so that a retry can run.
+// stored, so that the request can be issued anew.
 func (r *Router) finish(c *call, answer hoist.Answer, err error) {
 	r.mu.Lock()
-	delete(r.calls, c.request.Key)
-	if t, ok := r.keys[c.shard]; ok {
+	if r.calls[c.request.Key] == c {
+		delete(r.calls, c.request.Key)
+	}
+	// A table opened in another term keeps its own record of the key.
+	if t, ok := r.keys[c.shard]; ok && r.terms[c.shard] == c.term {
 		if answer.Outcome == hoist.NotRun {
-			t.Forget(c.request.Key)
+			t.NotRun(c.request.Key, answer.Reason, r.Clock.Now())
 		} else {
 			t.Finish(c.request.Key, answer, r.Clock.Now())
 		}
--- a/internal/core/route/execs.go
+++ b/internal/core/route/execs.go
@@ -24,6 +24,14 @@
 	listed   hoist.Listed
 	term     hoist.Term
 	cancel   context.CancelFunc
+	// isAdopted tells that the executor has the term; adoption counts the
+	// adoptions, of which each but the first follows a new process.
+	isAdopted bool
+	adoption  int
+	// inherited holds the attempts of earlier owners that the executor listed
+	// when it was adopted.
+	inherited map[hoist.RequestKey]bool
+	isLeaving bool
 }
 
 // Run keeps a goroutine for each executor that this host owns, until ctx ends.
@@ -52,7 +60,8 @@
 		}
 		owned[id] = true
 		if h, ok := r.executors[id]; ok && h.term == term && h.listed.Addr == l.Addr {
-			r.pool.SetLeaving(id, l.Leaving)
+			h.listed.Leaving = l.Leaving
+			r.pool.SetLeaving(id, l.Leaving || h.isLeaving)
 			continue
 		}
 		r.drop(id)
@@ -76,16 +85,15 @@
 	}
 }
 
-// watch adopts one executor and then follows its reports.
+// watch adopts one executor and then follows its reports. An executor that no
+// longer knows its term is a new process and is adopted again.
 func (r *Router) watch(ctx context.Context, id hoist.ExecutorID, h *handle) {
-	for !r.adopt(ctx, id, h) {
-		if !pause(ctx, reportEvery) {
-			return
+	for ctx.Err() == nil {
+		if r.adopt(ctx, id, h) {
+			events.ExecutorAdopted.Log(ctx, r.Log, "executor", id, "term", h.term)
+			r.follow(ctx, id, h)
 		}
-	}
-	events.ExecutorAdopted.Log(ctx, r.Log, "executor", id, "term", h.term)
-	for pause(ctx, reportEvery) {
-		r.follow(ctx, id, h)
+		pause(ctx, reportEvery)
 	}
 }
 
@@ -104,28 +112,82 @@
 	if r.executors[id] != h {
 		return false
 	}
+	h.isAdopted = true
+	h.adoption++
+	h.inherited = make(map[hoist.RequestKey]bool)
+	for _, running := range report.Running {
+		if _, ok := r.sent[id][running.Key]; !ok {
+			h.inherited[running.Key] = true
+		}
+	}
+	report.Executor = id
 	report.Leaving = report.Leaving || h.listed.Leaving
+	report.Running = append(report.Running, r.unlisted(id, h, report.Running)...)
 	r.pool.Adopt(report, h.listed.Service)
 	r.assignAll()
 	return true
 }
 
+// unlisted returns the attempts that this host sent to an executor in its term
+// and that the executor does not list: they may still arrive and keep their
+// slots. Attempts of lower terms are refused by the executor and are forgotten.
+// The mutex is held.
+func (r *Router) unlisted(id hoist.ExecutorID, h *handle, listed []hoist.RunningAttempt) []hoist.RunningAttempt {
+	isListed := make(map[hoist.RequestKey]bool)
+	for _, l := range listed {
+		isListed[l.Key] = true
+	}
+	var out []hoist.RunningAttempt
+	for key, s := range r.sent[id] {
+		switch {
+		case isListed[key]:
+		case s.term == h.term:
+			out = append(out, hoist.RunningAttempt{Key: key, Attempt: s.no})
+		case s.isOrphan:
+			r.sent.close(id, key)
+		}
+	}
+	return out
+}
+
+// follow reads reports until ctx ends or the executor must be adopted again.
 func (r *Router) follow(ctx context.Context, id hoist.ExecutorID, h *handle) {
-	callCtx, cancel := context.WithTimeout(ctx, executorTimeout)
-	defer cancel()
-	report, err := h.executor.Report(callCtx)
-	if err != nil {
-		if ctx.Err() == nil {
-			events.ExecutorLost.Log(ctx, r.Log, "executor", id, "error", err)
+	for pause(ctx, reportEvery) {
+		callCtx, cancel := context.WithTimeout(ctx, executorTimeout)
+		report, err := h.executor.Report(callCtx)
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				events.ExecutorLost.Log(ctx, r.Log, "executor", id, "error", err)
+			}
+			continue
 		}
-		return
+		if report.Term != h.term {
+			return
+		}
+		if !r.reconcile(id, h, report) {
+			return
+		}
+		r.settleOrphans(ctx, id, h)
 	}
+}
+
+// reconcile frees the slots of attempts of earlier owners that have ended. An
+// attempt that this host sent is settled one by one instead, as a report may
+// have been made before the attempt arrived.
+func (r *Router) reconcile(id hoist.ExecutorID, h *handle, report hoist.ExecutorReport) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.executors[id] != h {
-		return
+		return false
+	}
+	if report.Leaving && !h.isLeaving {
+		events.ExecutorLeaving.Log(context.Background(), r.Log, "executor", id)
 	}
+	h.isLeaving = report.Leaving
+	report.Executor = id
 	report.Leaving = report.Leaving || h.listed.Leaving
-	r.pool.Reconcile(report, func(key hoist.RequestKey) bool { return r.live[key] })
+	r.pool.Reconcile(report, func(key hoist.RequestKey) bool { return !h.inherited[key] })
 	r.assignAll()
+	return true
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -56,19 +56,23 @@
 	// Policy chooses executors; nil means slots.FastestFree.
 	Policy hoist.ExecutorPolicy
 
-	once      sync.Once
-	mu        sync.Mutex
-	rng       *rand.Rand
+	once sync.Once
+	mu   sync.Mutex
+	rng  *rand.Rand
+	// keys and terms hold, for each shard that this host acts for, its table
+	// of keys and the term in which the table was opened.
 	keys      map[hoist.ShardID]*dedup.Table
+	terms     map[hoist.ShardID]hoist.Term
 	calls     map[hoist.RequestKey]*call
 	queues    map[hoist.ServiceName]*queue.Queue[*call]
 	pool      *slots.Pool
 	executors map[hoist.ExecutorID]*handle
 	remote    map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots
-	// live holds the requests that a goroutine of this host waits for at an
-	// owned executor.
-	live     map[hoist.RequestKey]bool
-	inFlight sync.WaitGroup
+	sent      sentAttempts
+	inFlight  int
+	// idle is closed when nothing is in flight any more; nil unless Drain
+	// waits.
+	idle chan struct{}
 }
 
 var _ hoist.ShardHolder = (*Router)(nil)
@@ -85,33 +89,48 @@
 		r.queues = make(map[hoist.ServiceName]*queue.Queue[*call])
 		r.pool = slots.New(r.Policy)
 		r.executors = make(map[hoist.ExecutorID]*handle)
-		r.live = make(map[hoist.RequestKey]bool)
+		r.terms = make(map[hoist.ShardID]hoist.Term)
+		r.sent = make(sentAttempts)
 		r.remote = make(map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots)
 	})
 }
 
 // Submit takes a request from a caller to its coordinator and waits for the
-// answer. It always returns one of the three outcomes.
-func (r *Router) Submit(ctx context.Context, req hoist.Request) hoist.Answer {
+// answer, which has one of the three outcomes. Its only error is
+// hoist.ErrInvalid, for a key that belongs to another request.
+//
+// When the connection to the coordinator breaks, the request is sent again
+// under the same key: the coordinator knows whether it has it. From then on
+// only the coordinator's own record of the key can settle it, so a refusal is
+// reported as outcome unknown.
+func (r *Router) Submit(ctx context.Context, req hoist.Request) (hoist.Answer, error) {
 	r.init()
+	r.enter()
+	defer r.leave()
 	shard := hoist.ShardOf(hoist.KindRequest, string(req.Key))
 	reason := "no host owns the shard of the request key"
-	for range forwardTries {
+	for try := 0; try < forwardTries || !req.FirstTry; try++ {
 		answer, err := r.forward(ctx, shard, req)
 		switch {
 		case err == nil:
-			return answer
+			return answer, nil
+		case errors.Is(err, hoist.ErrInvalid):
+			return hoist.Answer{}, err
 		case errors.Is(err, hoist.ErrOutcomeUnknown):
-			return refusal(req.Key, hoist.Unknown, err.Error())
-		case !errors.Is(err, hoist.ErrNotOwner):
-			return refusal(req.Key, hoist.NotRun, err.Error())
+			req.FirstTry = false
+		case !errors.Is(err, hoist.ErrNotOwner) && req.FirstTry:
+			return refusal(req, err.Error()), nil
 		}
 		reason = err.Error()
 		if !pause(ctx, forwardPause) || !r.Clock.Now().Before(req.Deadline) {
 			break
 		}
+		if req.FirstTry {
+			// It has certainly not run yet, so this is its first issue.
+			req.IssuedAt = r.Clock.Now()
+		}
 	}
-	return refusal(req.Key, hoist.NotRun, reason)
+	return refusal(req, reason), nil
 }
 
 func (r *Router) forward(ctx context.Context, shard hoist.ShardID, req hoist.Request) (hoist.Answer, error) {
@@ -129,7 +148,16 @@
 	return peer.Submit(ctx, req)
 }
 
-func refusal(key hoist.RequestKey, outcome hoist.Outcome, reason string) hoist.Answer {
+// refusal answers a request for which no coordinator spoke: it certainly did
+// not run if this was its first try, while an earlier one may have run.
+func refusal(req hoist.Request, reason string) hoist.Answer {
+	if req.FirstTry {
+		return refuse(req.Key, hoist.NotRun, reason)
+	}
+	return refuse(req.Key, hoist.Unknown, reason)
+}
+
+func refuse(key hoist.RequestKey, outcome hoist.Outcome, reason string) hoist.Answer {
 	answer := hoist.Answer{Key: key, Outcome: outcome, Reason: reason}
 	if outcome == hoist.NotRun {
 		answer.RetryAfter = retryHint
@@ -179,6 +207,7 @@
 	defer r.mu.Unlock()
 	for _, s := range shards {
 		r.keys[s.Shard] = dedup.New(horizon)
+		r.terms[s.Shard] = s.Term
 	}
 	for _, k := range keys {
 		shard := hoist.ShardOf(hoist.KindRequest, string(k.Key))
@@ -190,7 +219,7 @@
 
 // Release implements hoist.ShardHolder. Requests that still wait for a slot go
 // back to the host that received them, which follows the shard; their keys are
-// not handed over as running.
+// handed over as not run.
 func (r *Router) Release(shards []hoist.ShardID) []hoist.KeyRecord {
 	r.init()
 	r.mu.Lock()
@@ -202,28 +231,13 @@
 			continue
 		}
 		delete(r.keys, shard)
+		delete(r.terms, shard)
 		for _, record := range t.Records() {
-			if c, ok := r.calls[record.Key]; ok && c.withdraw(r) {
-				continue
+			if c, ok := r.calls[record.Key]; ok && record.Answer == nil && c.withdraw(r) {
+				record = dedup.Withdrawn(record)
 			}
 			out = append(out, record)
 		}
 	}
 	return out
 }
-
-// Drain waits until no request is in flight or ctx ends; it reports whether
-// none was left.
-func (r *Router) Drain(ctx context.Context) bool {
-	done := make(chan struct{})
-	go func() {
-		r.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/decide/dedup/dedup.go
+++ b/internal/decide/dedup/dedup.go
@@ -14,6 +14,8 @@
 //	case dedup.Join: // wait for the running attempt
 //	case dedup.Replay: // v.Answer is the stored answer
 //	case dedup.Refuse: // v.Answer tells why
+//	case dedup.Reissue: // issue it anew
+//	case dedup.Mismatch: // the request is invalid
 //	}
 //
 // The type is not safe for concurrent use and reads no clock.
@@ -33,6 +35,9 @@
 	KeepAnswers = 10 * time.Minute
 	// MaxKeys bounds the keys of one shard.
 	MaxKeys = 20_000
+	// MaxAnswerBytes bounds the bodies of the answers kept for one shard, so
+	// that a host with a share of 32 shards keeps at most 64 MiB.
+	MaxAnswerBytes = 2 << 20
 )
 
 // Decision tells what to do with a request.
@@ -40,7 +45,7 @@
 
 // The decisions on a request.
 const (
-	// Run means that the key is new; the caller must call Finish or Forget.
+	// Run means that the key is new; the caller must call Finish or NotRun.
 	Run Decision = iota
 	// Join means that an attempt of the key is running on this host.
 	Join
@@ -48,6 +53,11 @@
 	Replay
 	// Refuse means that the request must not run.
 	Refuse
+	// Reissue means that the request has not run and must not run with its
+	// time of issue; issued anew it may.
+	Reissue
+	// Mismatch means that the key belongs to another request.
+	Mismatch
 )
 
 // Verdict is the decision on a request, with the answer for Replay and Refuse.
@@ -62,17 +72,28 @@
 	entries map[hoist.RequestKey]*entry
 	// answered holds the entries with an answer, oldest answer first.
 	answered *list.List
+	// withBody holds the entries whose answer still has its body, oldest
+	// first; bytes is the sum of these bodies.
+	withBody *list.List
+	bytes    int
 }
 
 // entry is what is known about one key.
 type entry struct {
-	key      hoist.RequestKey
+	key     hoist.RequestKey
+	content hoist.Digest
+	// issuedAt is the latest time of issue of the tries that arrived.
 	issuedAt time.Time
-	answer   *hoist.Answer
-	at       time.Time
+	// isFirst tells that no try of the caller other than this one exists.
+	isFirst bool
+	answer  *hoist.Answer
+	at      time.Time
 	// isElsewhere marks a request that an earlier owner was still running
 	// when it handed the shard over.
 	isElsewhere bool
+	// place is the entry's place in answered, body its place in withBody; they
+	// are nil while it is in neither.
+	place, body *list.Element
 }
 
 // New returns a table that refuses unknown keys issued before horizon.
@@ -81,6 +102,7 @@
 		horizon:  horizon,
 		entries:  make(map[hoist.RequestKey]*entry),
 		answered: list.New(),
+		withBody: list.New(),
 	}
 }
 
@@ -97,33 +119,69 @@
 // Begin decides on a request that arrived at the time now.
 func (t *Table) Begin(r hoist.Request, now time.Time) Verdict {
 	t.evict(now)
-	if e, ok := t.entries[r.Key]; ok {
-		return e.verdict()
+	content := r.Content()
+	e, isKnown := t.entries[r.Key]
+	if isKnown && !e.isReissued(r) {
+		return e.verdict(r, content)
 	}
 	if r.IssuedAt.After(now.Add(ClockSkew)) {
-		return refuse(r.Key, hoist.NotRun, "issued-at is in the future")
+		return refuseTry(r, "issued-at is in the future")
 	}
-	if r.IssuedAt.Before(t.horizon) {
+	if isKnown {
+		t.remove(e)
+	} else if r.IssuedAt.Before(t.horizon) {
 		return refuseOld(r)
 	}
+	return t.admit(r, content, now)
+}
+
+// isReissued reports whether r is a new issue of a request that was answered as
+// not run.
+func (e *entry) isReissued(r hoist.Request) bool {
+	return e.answer != nil && e.answer.Outcome == hoist.NotRun && r.IssuedAt.After(e.issuedAt)
+}
+
+// admit opens an entry for a request that has not run.
+func (t *Table) admit(r hoist.Request, content hoist.Digest, now time.Time) Verdict {
 	if len(t.entries) >= MaxKeys && !t.evictOldest() {
-		return refuse(r.Key, hoist.NotRun, "too many requests in flight in this shard")
+		return refuseTry(r, "too many requests in flight in this shard")
+	}
+	t.entries[r.Key] = &entry{key: r.Key, content: content, issuedAt: r.IssuedAt, isFirst: r.FirstTry}
+	if !r.Deadline.After(now) {
+		const reason = "the deadline has passed"
+		t.NotRun(r.Key, reason, now)
+		return refuse(r.Key, hoist.NotRun, reason)
 	}
-	t.entries[r.Key] = &entry{key: r.Key, issuedAt: r.IssuedAt}
 	return Verdict{Decision: Run}
 }
 
 // refuseOld refuses a request that an earlier owner may have run. A first try
 // reached no earlier owner, or the host that forwards it would not have sent it
-// here; the caller may issue it anew.
+// here; it may be issued anew.
 func refuseOld(r hoist.Request) Verdict {
 	if r.FirstTry {
-		return refuse(r.Key, hoist.NotRun, "the owner of the key changed; issue the request anew")
+		return Verdict{Decision: Reissue}
 	}
 	return refuse(r.Key, hoist.Unknown, "an earlier owner of the key may have run the request")
 }
 
-func (e *entry) verdict() Verdict {
+// refuseTry refuses a try of which no record is kept. An earlier try of the
+// request may still arrive and run, unless this is the first.
+func refuseTry(r hoist.Request, reason string) Verdict {
+	if r.FirstTry {
+		return refuse(r.Key, hoist.NotRun, reason)
+	}
+	return refuse(r.Key, hoist.Unknown, reason)
+}
+
+func (e *entry) verdict(r hoist.Request, content hoist.Digest) Verdict {
+	if e.content != content {
+		return Verdict{Decision: Mismatch}
+	}
+	e.isFirst = e.isFirst && r.FirstTry
+	if r.IssuedAt.After(e.issuedAt) {
+		e.issuedAt = r.IssuedAt
+	}
 	switch {
 	case e.answer != nil:
 		return Verdict{Decision: Replay, Answer: *e.answer}
@@ -146,15 +204,54 @@
 	}
 	e.answer = &answer
 	e.at = now
-	t.answered.PushBack(e)
+	t.keep(e)
+}
+
+// keep files an answered entry and drops the oldest bodies beyond the bound.
+func (t *Table) keep(e *entry) {
+	e.place = t.answered.PushBack(e)
+	if len(e.answer.Body) == 0 {
+		return
+	}
+	e.body = t.withBody.PushBack(e)
+	t.bytes += len(e.answer.Body)
+	for t.bytes > MaxAnswerBytes {
+		oldest := t.withBody.Front().Value.(*entry)
+		t.dropBody(oldest)
+		oldest.answer = &hoist.Answer{Key: oldest.key, Outcome: hoist.Unknown, Reason: "the request ran, but its answer is no longer kept"}
+	}
+}
+
+// dropBody stops counting the body of an entry's answer.
+func (t *Table) dropBody(e *entry) {
+	if e.body == nil {
+		return
+	}
+	t.withBody.Remove(e.body)
+	e.body = nil
+	t.bytes -= len(e.answer.Body)
 }
 
-// Forget drops a running request that certainly did not run, so that a retry
-// may run it.
-func (t *Table) Forget(key hoist.RequestKey) {
-	if e, ok := t.entries[key]; ok && e.answer == nil {
+// NotRun records that a request certainly did not run. Another try of the same
+// issue may still be on its way; it is refused from now on, while the request
+// may be issued anew. A request whose only try is this one is forgotten.
+func (t *Table) NotRun(key hoist.RequestKey, reason string, now time.Time) {
+	e, ok := t.entries[key]
+	if !ok || e.answer != nil {
+		return
+	}
+	if e.isFirst {
 		delete(t.entries, key)
+		return
 	}
+	t.Finish(key, hoist.Answer{Key: key, Outcome: hoist.NotRun, Reason: reason}, now)
+}
+
+// remove drops an answered entry without moving the horizon.
+func (t *Table) remove(e *entry) {
+	t.answered.Remove(e.place)
+	t.dropBody(e)
+	delete(t.entries, e.key)
 }
 
 // evict drops answers that were kept long enough.
@@ -174,28 +271,49 @@
 	if front == nil {
 		return false
 	}
-	e := t.answered.Remove(front).(*entry)
-	delete(t.entries, e.key)
+	e := front.Value.(*entry)
+	t.remove(e)
 	if past := e.issuedAt.Add(1); past.After(t.horizon) {
 		t.horizon = past
 	}
 	return true
 }
 
-// Records returns all keys, for a handover.
+// Records returns all keys, for a handover: first the answered ones, oldest
+// first, then those without an answer.
 func (t *Table) Records() []hoist.KeyRecord {
 	out := make([]hoist.KeyRecord, 0, len(t.entries))
+	for el := t.answered.Front(); el != nil; el = el.Next() {
+		out = append(out, el.Value.(*entry).record())
+	}
 	for _, e := range t.entries {
-		out = append(out, hoist.KeyRecord{Key: e.key, IssuedAt: e.issuedAt, Answer: e.answer, AnsweredAt: e.at})
+		if e.answer == nil {
+			out = append(out, e.record())
+		}
 	}
 	return out
 }
 
+func (e *entry) record() hoist.KeyRecord {
+	return hoist.KeyRecord{Key: e.key, Content: e.content, IssuedAt: e.issuedAt, Answer: e.answer, AnsweredAt: e.at}
+}
+
+// Withdrawn returns the record to hand over for a request that certainly has
+// not run and may still run under its time of issue at the next owner.
+func Withdrawn(r hoist.KeyRecord) hoist.KeyRecord {
+	r.IssuedAt = r.IssuedAt.Add(-1)
+	r.Answer = &hoist.Answer{Key: r.Key, Outcome: hoist.NotRun, Reason: "the owner of the key changed"}
+	return r
+}
+
 // Restore adds a key that a handover brought.
 func (t *Table) Restore(r hoist.KeyRecord) {
-	e := &entry{key: r.Key, issuedAt: r.IssuedAt, answer: r.Answer, at: r.AnsweredAt, isElsewhere: r.Answer == nil}
+	e := &entry{
+		key: r.Key, content: r.Content, issuedAt: r.IssuedAt,
+		answer: r.Answer, at: r.AnsweredAt, isElsewhere: r.Answer == nil,
+	}
 	t.entries[r.Key] = e
 	if e.answer != nil {
-		t.answered.PushBack(e)
+		t.keep(e)
 	}
 }
--- a/internal/fake/execd/execd.go
+++ b/internal/fake/execd/execd.go
@@ -100,22 +100,22 @@
 func (e *Executor) adopt(term hoist.Term) (hoist.ExecutorReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.checkTerm(term); err != nil {
-		return hoist.ExecutorReport{}, err
+	if term < e.term {
+		return hoist.ExecutorReport{}, e.checkTerm(term)
 	}
 	e.term = term
 	return e.report(), nil
 }
 
 func (e *Executor) checkTerm(term hoist.Term) error {
-	if term < e.term {
+	if term != e.term {
 		return merry.Wrap(hoist.ErrStaleTerm, merry.PrependMessagef("executor %s is at term %d, message has term %d", e.ID, e.term, term))
 	}
 	return nil
 }
 
 func (e *Executor) report() hoist.ExecutorReport {
-	r := hoist.ExecutorReport{Executor: e.ID, Slots: e.Slots, Leaving: e.leaving}
+	r := hoist.ExecutorReport{Executor: e.ID, Term: e.term, Slots: e.Slots, Leaving: e.leaving}
 	for id := range e.running {
 		r.Running = append(r.Running, hoist.RunningAttempt{Key: id.key, Attempt: id.no})
 	}
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -47,6 +47,9 @@
 	maxBody = 1 << 20
 	// maxKey is the largest length of a request key.
 	maxKey = 200
+	// maxName is the largest length of a customer or service; longer ones are
+	// refused between hosts.
+	maxName = 100
 	// maxTimeout bounds how long a caller may wait.
 	maxTimeout = 12 * time.Hour
 	// defaultTimeout is used when the caller states none.
@@ -57,7 +60,9 @@
 
 // Requests answers requests.
 type Requests interface {
-	Submit(ctx context.Context, r hoist.Request) hoist.Answer
+	// Submit returns the answer, or hoist.ErrInvalid if the key belongs to
+	// another request.
+	Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error)
 }
 
 // Jobs accepts jobs.
@@ -128,7 +133,12 @@
 		rest.WriteError(w, err)
 		return
 	}
-	WriteAnswer(w, s.Requests.Submit(r.Context(), req))
+	answer, err := s.Requests.Submit(r.Context(), req)
+	if err != nil {
+		rest.WriteError(w, err)
+		return
+	}
+	WriteAnswer(w, answer)
 }
 
 func parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (hoist.Request, error) {
@@ -147,8 +157,11 @@
 	if req.Key == "" || len(req.Key) > maxKey {
 		return req, invalid(HeaderKey, "expected 1 to 200 bytes")
 	}
-	if req.Customer == "" {
-		return req, invalid(HeaderCustomer, "is missing")
+	if req.Customer == "" || len(req.Customer) > maxName {
+		return req, invalid(HeaderCustomer, "expected 1 to 100 bytes")
+	}
+	if len(req.Service) > maxName {
+		return req, invalid("service", "expected 1 to 100 bytes")
 	}
 	if !req.Class.IsValid() {
 		return req, invalid(HeaderClass, "expected quick, patient or watch")
@@ -161,8 +174,12 @@
 	if req.Idempotent, err = parseBool(h, HeaderIdempotent); err != nil {
 		return err
 	}
-	if req.FirstTry, err = parseBool(h, HeaderFirstTry); err != nil {
-		return err
+	// Without a time of issue, no earlier try is outstanding.
+	req.FirstTry = h.Get(HeaderIssuedAt) == ""
+	if h.Get(HeaderFirstTry) != "" {
+		if req.FirstTry, err = parseBool(h, HeaderFirstTry); err != nil {
+			return err
+		}
 	}
 	if v := h.Get(HeaderIssuedAt); v != "" {
 		if req.IssuedAt, err = time.Parse(time.RFC3339Nano, v); err != nil {
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -26,6 +26,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/sourcegraph/jsonrpc2"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -192,15 +193,16 @@
 
 // Submit implements hoist.Peer.
 func (c *Client) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
-	return c.answer(ctx, methodSubmit, codec.Request(r))
+	return c.answer(ctx, methodSubmit, codec.Request(r), r.Key)
 }
 
 // Dispatch implements hoist.Peer.
 func (c *Client) Dispatch(ctx context.Context, a hoist.Attempt) (hoist.Answer, error) {
-	return c.answer(ctx, methodDispatch, codec.Attempt(a))
+	return c.answer(ctx, methodDispatch, codec.Attempt(a), a.Request.Key)
 }
 
-func (c *Client) answer(ctx context.Context, m method, in any) (hoist.Answer, error) {
+// answer makes a call that returns an answer, which must be to key.
+func (c *Client) answer(ctx context.Context, m method, in any, key hoist.RequestKey) (hoist.Answer, error) {
 	out, err := call[wire.Answer](ctx, c, m, in)
 	if err != nil {
 		return hoist.Answer{}, err
@@ -209,6 +211,10 @@
 	if err != nil {
 		return hoist.Answer{}, hoist.Turn(hoist.ErrOutcomeUnknown, err)
 	}
+	if answer.Key != key {
+		return hoist.Answer{}, merry.Wrap(hoist.ErrOutcomeUnknown,
+			merry.PrependMessagef("host %s answered %q with the answer to %q", c.Addr, key, answer.Key))
+	}
 	return answer, nil
 }
 
--- a/internal/proto/codec/codec.go
+++ b/internal/proto/codec/codec.go
@@ -58,6 +58,15 @@
 	return s
 }
 
+// ToDigest parses a digest. Text that is not a digest gives 0.
+func ToDigest(s string) hoist.Digest {
+	d, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return hoist.Digest(d)
+}
+
 func micros(d time.Duration) int { return int(d.Microseconds()) }
 
 func duration(us int) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -99,7 +99,7 @@
 
 // KeyRecord converts r for the wire.
 func KeyRecord(r hoist.KeyRecord) wire.KeyRecord {
-	out := wire.KeyRecord{Key: string(r.Key), IssuedAt: r.IssuedAt, AnsweredAt: optional(r.AnsweredAt)}
+	out := wire.KeyRecord{Key: string(r.Key), Content: Digest(r.Content), IssuedAt: r.IssuedAt, AnsweredAt: optional(r.AnsweredAt)}
 	if r.Answer != nil {
 		answer := Answer(*r.Answer)
 		out.Answer = &answer
@@ -111,7 +111,9 @@
 // digest is dropped: the key then counts as running elsewhere, whose outcome
 // is unknown.
 func ToKeyRecord(r wire.KeyRecord) hoist.KeyRecord {
-	out := hoist.KeyRecord{Key: hoist.RequestKey(r.Key), IssuedAt: r.IssuedAt, AnsweredAt: value(r.AnsweredAt)}
+	out := hoist.KeyRecord{
+		Key: hoist.RequestKey(r.Key), Content: ToDigest(r.Content), IssuedAt: r.IssuedAt, AnsweredAt: value(r.AnsweredAt),
+	}
 	if r.Answer == nil {
 		return out
 	}
--- a/internal/proto/codec/request.go
+++ b/internal/proto/codec/request.go
@@ -98,6 +98,7 @@
 func ExecutorReport(r hoist.ExecutorReport) wire.ExecutorReport {
 	return wire.ExecutorReport{
 		Executor: string(r.Executor),
+		Term:     int(r.Term),
 		Slots:    r.Slots,
 		Leaving:  r.Leaving,
 		Running:  Map(r.Running, RunningAttempt),
@@ -108,6 +109,7 @@
 func ToExecutorReport(r wire.ExecutorReport) hoist.ExecutorReport {
 	return hoist.ExecutorReport{
 		Executor: hoist.ExecutorID(r.Executor),
+		Term:     hoist.Term(r.Term),
 		Slots:    r.Slots,
 		Leaving:  r.Leaving,
 		Running:  Map(r.Running, ToRunningAttempt),
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -281,6 +281,9 @@
 
 	// Slots corresponds to the JSON schema field "slots".
 	Slots int `json:"slots"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -301,6 +304,9 @@
 	if _, ok := raw["slots"]; raw != nil && !ok {
 		return fmt.Errorf("field slots in ExecutorReport: required")
 	}
+	if _, ok := raw["term"]; raw != nil && !ok {
+		return fmt.Errorf("field term in ExecutorReport: required")
+	}
 	type Plain ExecutorReport
 	var plain Plain
 	if err := json.Unmarshal(value, &plain); err != nil {
@@ -630,6 +636,9 @@
 	// AnsweredAt corresponds to the JSON schema field "answered-at".
 	AnsweredAt *time.Time `json:"answered-at,omitempty,omitzero"`
 
+	// Content corresponds to the JSON schema field "content".
+	Content string `json:"content"`
+
 	// IssuedAt corresponds to the JSON schema field "issued-at".
 	IssuedAt time.Time `json:"issued-at"`
 
@@ -643,6 +652,9 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["content"]; raw != nil && !ok {
+		return fmt.Errorf("field content in KeyRecord: required")
+	}
 	if _, ok := raw["issued-at"]; raw != nil && !ok {
 		return fmt.Errorf("field issued-at in KeyRecord: required")
 	}
--- a/peer.go
+++ b/peer.go
@@ -73,7 +73,9 @@
 
 // KeyRecord is what a coordinator knows about one request key.
 type KeyRecord struct {
-	Key      RequestKey
+	Key RequestKey
+	// Content tells the request from another one under the same key.
+	Content  Digest
 	IssuedAt time.Time
 	// Answer is nil while the request runs.
 	Answer *Answer
--- a/request.go
+++ b/request.go
@@ -1,6 +1,11 @@
 package hoist
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Class tells how long a request can wait.
 type Class string
@@ -38,6 +43,26 @@
 	Body     []byte
 }
 
+// Content returns the digest of all that makes up the request besides its key
+// and its times. Two requests with one key and different content are different
+// requests.
+func (r Request) Content() Digest {
+	head := make([]byte, 0, 128)
+	for _, field := range []string{string(r.Customer), string(r.Service), string(r.Class)} {
+		// The length keeps the fields apart.
+		head = strconv.AppendInt(head, int64(len(field)), 10)
+		head = append(head, '/')
+		head = append(head, field...)
+	}
+	head = strconv.AppendBool(head, r.Idempotent)
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a hash do not fail.
+	_, _ = d.Write(head)
+	_, _ = d.Write(r.Body)
+	return Digest(d.Sum64())
+}
+
 // Outcome tells a caller what became of a request.
 type Outcome string
 
@@ -85,7 +110,9 @@
 // ExecutorReport is an executor's own account of itself.
 type ExecutorReport struct {
 	Executor ExecutorID
-	Slots    int
-	Leaving  bool
-	Running  []RunningAttempt
+	// Term is the term that was set last; 0 in a process that has none.
+	Term    Term
+	Slots   int
+	Leaving bool
+	Running []RunningAttempt
 }
