Size the reserve by demand and learn speeds robustly

Cause: one slot in four was kept for quick work whatever its demand, one mean per executor mixed the classes so that a patient straggler made an executor look slow, an executor that seemed slow was never tried again, and a key that still held a slot could take the same entry twice. Change: the reserve is the smoothed number of quick attempts in flight plus headroom, grows at once and shrinks after a second below three quarters. Means are learned by class with samples bounded to three times the mean; each executor has one factor. Executors four times slower than the median, and those without an attempt for 500 ms, are probed. Watches hold at most half of the slots that are not reserved.

--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -312,6 +312,7 @@
 	if !ok {
 		return
 	}
+	r.pool.Advance(r.Clock.Now())
 	for _, class := range classes {
 		for {
 			c, ok := q.Peek(class)
@@ -329,6 +330,8 @@
 }
 
 func (r *Router) assignAll() {
+	// Attempts of other hosts change the demand here even if nothing waits.
+	r.pool.Advance(r.Clock.Now())
 	for service := range r.queues {
 		r.assign(service)
 	}
--- /dev/null
+++ b/internal/decide/slots/slots_test.go
@@ -0,0 +1,302 @@
+package slots_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/slots"
+)
+
+const service hoist.ServiceName = "matching"
+
+var (
+	start   = time.Unix(1_000_000_000, 0)
+	classes = []hoist.Class{hoist.Quick, hoist.Patient, hoist.Watch}
+)
+
+// model is what a pool must agree with: the attempts that hold slots.
+type model struct {
+	pool    *slots.Pool
+	rng     *rand.Rand
+	now     time.Time
+	sizes   map[hoist.ExecutorID]int
+	leaving map[hoist.ExecutorID]bool
+	held    map[hoist.RequestKey]attempt
+	picks   []hoist.ExecutorID
+}
+
+type attempt struct {
+	executor hoist.ExecutorID
+	class    hoist.Class
+	from     time.Time
+}
+
+func newModel() *model {
+	return &model{
+		pool: slots.New(slots.FastestFree{}), rng: rand.New(rand.NewPCG(1, 2)), now: start,
+		sizes: make(map[hoist.ExecutorID]int), leaving: make(map[hoist.ExecutorID]bool),
+		held: make(map[hoist.RequestKey]attempt),
+	}
+}
+
+// report lists what an executor runs, as it would itself.
+func (m *model) report(id hoist.ExecutorID) hoist.ExecutorReport {
+	r := hoist.ExecutorReport{Executor: id, Slots: m.sizes[id], Leaving: m.leaving[id]}
+	for key, a := range m.held {
+		if a.executor == id {
+			r.Running = append(r.Running, hoist.RunningAttempt{Key: key, Attempt: 1})
+		}
+	}
+	return r
+}
+
+func (m *model) adopt(id hoist.ExecutorID, size int) {
+	m.sizes[id] = size
+	m.pool.Adopt(m.report(id), service)
+}
+
+func (m *model) take(class hoist.Class, key hoist.RequestKey) bool {
+	id, ok := m.pool.Take(service, class, key, m.rng)
+	if ok {
+		m.held[key] = attempt{id, class, m.now}
+		m.picks = append(m.picks, id)
+	}
+	return ok
+}
+
+// give ends an attempt that ran since it was taken.
+func (m *model) give(key hoist.RequestKey) {
+	a := m.held[key]
+	m.pool.Give(a.executor, key, m.now.Sub(a.from))
+	delete(m.held, key)
+}
+
+func (m *model) pass(d time.Duration) {
+	m.now = m.now.Add(d)
+	m.pool.Advance(m.now)
+}
+
+// count returns the held slots of an executor, or of all if id is empty, over
+// the given classes.
+func (m *model) count(id hoist.ExecutorID, of ...hoist.Class) int {
+	n := 0
+	for _, a := range m.held {
+		if (id == "" || a.executor == id) && slices.Contains(of, a.class) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) open() int {
+	n := 0
+	for id, size := range m.sizes {
+		if !m.leaving[id] {
+			n += size
+		}
+	}
+	return n
+}
+
+// step draws and does one operation, then checks the account.
+func (m *model) step(t *rapid.T, i int) {
+	id := hoist.ExecutorID(fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(t, "executor")))
+	class := rapid.SampledFrom(classes).Draw(t, "class")
+	switch op := rapid.IntRange(0, 9).Draw(t, "op"); {
+	case op == 0 && m.sizes[id] == 0:
+		m.adopt(id, rapid.IntRange(1, 8).Draw(t, "slots"))
+	case op == 0:
+		m.leaving[id] = !m.leaving[id]
+		m.pool.SetLeaving(id, m.leaving[id])
+	case op == 1 && m.sizes[id] > 0:
+		m.adopt(id, m.sizes[id]) // a restarted executor is adopted again
+	case op == 2:
+		m.pool.Reconcile(m.report(id), func(hoist.RequestKey) bool { return false })
+	case op <= 4 && len(m.held) > 0:
+		keys := m.pool.Running()
+		slices.Sort(keys)
+		m.give(rapid.SampledFrom(keys).Draw(t, "key"))
+	case op == 5:
+		m.pass(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+	default:
+		m.checkTake(t, class, hoist.RequestKey(fmt.Sprintf("k%d", i)))
+	}
+	m.checkAccount(t)
+}
+
+func (m *model) checkTake(t *rapid.T, class hoist.Class, key hoist.RequestKey) {
+	if !m.take(class, key) {
+		return
+	}
+	reserved, _ := m.pool.Reserved(service)
+	if patient := m.count("", hoist.Patient, hoist.Watch); class != hoist.Quick && patient > m.open()-reserved {
+		t.Fatalf("%d slots hold patient work, %d of %d are reserved", patient, reserved, m.open())
+	}
+	if m.leaving[m.held[key].executor] {
+		t.Fatalf("executor %s is leaving", m.held[key].executor)
+	}
+}
+
+func (m *model) checkAccount(t *rapid.T) {
+	for id, size := range m.sizes {
+		if n := m.count(id, classes...); n > size {
+			t.Fatalf("executor %s holds %d of %d slots", id, n, size)
+		}
+	}
+	if n := len(m.pool.Running()); n != len(m.held) {
+		t.Fatalf("the account has %d attempts, %d run", n, len(m.held))
+	}
+}
+
+// TestPool guards against more attempts than slots, patient work in reserved
+// slots, and slots that are never given back.
+func TestPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			m.step(t, i)
+		}
+		for key := range m.held {
+			m.give(key)
+		}
+		m.pass(time.Hour)
+		if n := m.pool.Summary(); len(m.sizes) > 0 && m.open() > 0 && n[0].Quick == 0 {
+			t.Fatal("no slot is free after every attempt has ended")
+		}
+		m.checkAccount(t)
+	})
+}
+
+// TestSameDecisions guards against choices that depend on the order of a map.
+func TestSameDecisions(t *testing.T) {
+	is := is.New(t)
+	run := func() []hoist.ExecutorID {
+		m := newModel()
+		m.load(200, func(hoist.ExecutorID, int) time.Duration { return 5 * time.Millisecond })
+		return m.picks
+	}
+	is.Equal(run(), run())
+}
+
+// load runs six quick attempts in flight at ten executors, one end and one
+// start at each step of a millisecond.
+func (m *model) load(steps int, takes func(id hoist.ExecutorID, i int) time.Duration) {
+	for i := range 10 {
+		if id := hoist.ExecutorID(fmt.Sprintf("e%d", i)); m.sizes[id] == 0 {
+			m.adopt(id, 8)
+		}
+	}
+	first := len(m.picks)
+	for i := range steps {
+		m.pass(time.Millisecond)
+		keys := m.pool.Running()
+		slices.Sort(keys)
+		for _, key := range keys {
+			if a := m.held[key]; m.now.Sub(a.from) >= takes(a.executor, i) {
+				m.give(key)
+			}
+		}
+		m.take(hoist.Quick, hoist.RequestKey(fmt.Sprintf("q%d", first+i)))
+	}
+}
+
+func part(picks []hoist.ExecutorID, id hoist.ExecutorID) float64 {
+	n := 0
+	for _, p := range picks {
+		if p == id {
+			n++
+		}
+	}
+	return float64(n) / float64(len(picks))
+}
+
+// TestSlowExecutor guards against work for an executor that became ten times
+// slower, and against one that gets no work after it has recovered.
+func TestSlowExecutor(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	even := func(hoist.ExecutorID, int) time.Duration { return 20 * time.Millisecond }
+	m.load(2000, even)
+	m.load(2000, func(id hoist.ExecutorID, i int) time.Duration {
+		if id == "e0" {
+			return 10 * even(id, i)
+		}
+		return even(id, i)
+	})
+	after := len(m.picks)
+	m.load(2000, func(id hoist.ExecutorID, i int) time.Duration {
+		if id == "e0" {
+			return 10 * even(id, i)
+		}
+		return even(id, i)
+	})
+	is.True(part(m.picks[after:], "e0") > 0)    // it is probed
+	is.True(part(m.picks[after:], "e0") < 0.01) // and gets little else
+	m.load(4000, even)
+	is.True(part(m.picks[len(m.picks)-2000:], "e0") > 0.05) // it has recovered
+}
+
+// TestStragglers guards against a mean for quick work that follows outliers.
+func TestStragglers(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	m.load(5000, func(_ hoist.ExecutorID, i int) time.Duration {
+		if i%50 == 0 { // an attempt that is due then runs on
+			return time.Second
+		}
+		return 5 * time.Millisecond
+	})
+	mean := m.pool.ServiceTime(service, hoist.Quick)
+	is.True(mean >= 5*time.Millisecond && mean < 7*time.Millisecond)
+}
+
+// TestReserve guards against a reserve that follows demand too late or flaps.
+func TestReserve(t *testing.T) {
+	m := newModel()
+	for i := range 10 {
+		m.adopt(hoist.ExecutorID(fmt.Sprintf("e%d", i)), 8)
+	}
+	n := 0
+	hold := func(want int) {
+		for ; m.count("", hoist.Quick) < want; n++ {
+			m.take(hoist.Quick, hoist.RequestKey(fmt.Sprintf("q%04d", n)))
+		}
+		keys := m.pool.Running()
+		slices.Sort(keys)
+		for _, key := range keys[:len(keys)-want] {
+			m.give(key)
+		}
+	}
+	cases := []struct {
+		name          string
+		demand, wave  int
+		length        time.Duration
+		least, most   int
+		mostIncreases int
+	}{
+		{"little demand", 10, 0, 10 * time.Second, 11, 16, 10},
+		{"five times within a second", 50, 0, time.Second, 50, 70, 60},
+		{"steady with noise", 50, 4, 10 * time.Second, 50, 70, 5},
+		{"back within ten seconds", 10, 0, 10 * time.Second, 11, 18, 10},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, before := m.pool.Reserved(service)
+			for i := range int(c.length / (20 * time.Millisecond)) {
+				hold(c.demand + (i%3-1)*c.wave)
+				m.pass(20 * time.Millisecond)
+			}
+			size, after := m.pool.Reserved(service)
+			is.True(size >= c.least && size <= c.most)
+			is.True(after-before <= c.mostIncreases)
+		})
+	}
+}
--- a/internal/tool/load/sim.go
+++ b/internal/tool/load/sim.go
@@ -169,6 +169,7 @@
 
 // assign gives free slots to waiting requests, as the coordinator does.
 func (s *sim) assign() {
+	s.pool.Advance(epoch.Add(s.now))
 	for _, class := range classes {
 		for {
 			r, ok := s.queue.Peek(class)
@@ -215,8 +216,9 @@
 	s.assign()
 }
 
-// count finds the requests without an outcome and those that ran twice.
+// count notes the changes of the reserve and finds the requests without an outcome and those that ran twice.
 func (s *sim) count(requests []*request) {
+	_, s.result.Reserves = s.pool.Reserved(service)
 	for _, r := range requests {
 		if !r.ended {
 			s.result.Lost++
