Queue with flows per customer, total bounds and predicted waits

Cause: one heap over all requests charged customers for requests that were removed, kept finish times of idle customers, and had no bound over all customers; a request that had no chance waited until its deadline. Change: each customer has a list of its requests; heaps order customers by virtual start, by number waiting and, when idle, by finish. The cost is the learned service time of the class. A full class drops the newest request of the customer with the most. A quick request whose predicted wait, from the rate at which its customer is served, exceeds its deadline is refused at once with a hint. Removal is logarithmic in the number of customers.

--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -60,8 +60,13 @@
 type slot struct {
 	executor hoist.ExecutorID
 	host     hoist.HostID
+	// refused is set instead if the call had to leave a full queue.
+	refused error
 }
 
+// errDropped reports a call that gave way to a customer with fewer requests.
+var errDropped = merry.Prepend(hoist.ErrOverLimit, "the queue is full and this customer has the most requests in it")
+
 // errMoved reports a call whose shard went to another owner before it ran.
 var errMoved = merry.Prepend(hoist.ErrNotOwner, "the shard moved while the request waited")
 
@@ -217,6 +222,9 @@
 	if !ok {
 		return slot{}, errMoved
 	}
+	if s.refused != nil {
+		return slot{}, s.refused
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.terms[c.shard] != c.term {
@@ -242,11 +250,15 @@
 	if _, ok := r.keys[c.shard]; !ok {
 		return merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d is not active", c.shard))
 	}
-	ticket, err := r.queueOf(c).Push(c.request, 1, c)
+	cost := queue.VirtualTime(r.pool.ServiceTime(c.request.Service, c.request.Class).Seconds())
+	pushed, err := r.queueOf(c).Push(c.request, cost, c, r.Clock.Now())
 	if err != nil {
 		return err
 	}
-	c.ticket = ticket
+	c.ticket = pushed.Ticket
+	if pushed.HasDropped {
+		pushed.Dropped.slot <- slot{refused: errDropped}
+	}
 	r.assign(c.request.Service)
 	return nil
 }
@@ -312,7 +324,8 @@
 	if !ok {
 		return
 	}
-	r.pool.Advance(r.Clock.Now())
+	now := r.Clock.Now()
+	r.pool.Advance(now)
 	for _, class := range classes {
 		for {
 			c, ok := q.Peek(class)
@@ -323,7 +336,7 @@
 			if !ok {
 				break
 			}
-			q.Pop(class)
+			q.Pop(class, now)
 			c.slot <- s
 		}
 	}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -1,32 +1,58 @@
 // Package queue orders the requests that wait for a slot. Between customers it
-// is start-time fair queueing: each customer's requests carry virtual start
-// times that grow with the cost of its work, and the lowest is served first.
-// Queues are bounded for each customer and class.
+// is start-time fair queueing: each customer's next request carries a virtual
+// start time that grows with the cost of the customer's work, and the lowest is
+// served first. The requests of one customer are served in order of arrival.
 //
 // # Usage
 //
-//	q := queue.New[*waiter](queue.Limits{PerCustomer: 1000})
-//	err := q.Push(req, cost, w)
+//	q := queue.New[*waiter](queue.Limits{PerCustomer: 1000, Total: 4000})
+//	pushed, err := q.Push(req, cost, w, now)
+//	if err != nil {
+//		hint := queue.RetryAfter(err)
+//	}
 //	if w, ok := q.Peek(hoist.Quick); ok && hasSlot(w) {
-//		q.Pop(hoist.Quick)
+//		q.Pop(hoist.Quick, now)
 //	}
 //
+// # Limits
+//
+// The requests of each class are bounded for each customer and over all
+// customers. When a class is full, the newest request of the customer with the
+// most waiting requests gives way, which may be the one that arrives: a customer
+// with less than an equal share is never refused while another has more.
+//
+// A quick request that would wait beyond its deadline is refused at once, with
+// the time after which the backlog will be short enough as a hint. Other
+// classes wait.
+//
+// # Cost
+//
+// Push, Pop and Remove take time logarithmic in the number of customers that
+// wait. A customer is forgotten as soon as it is not behind the others.
+//
 // The type is not safe for concurrent use and reads no clock.
 package queue
 
 import (
-	"container/heap"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
 )
 
+// defaultTotal bounds a class if Limits does not: at some kilobytes for each
+// waiting request it stays well below 100 MB.
+const defaultTotal = 20_000
+
 // Limits bounds a queue.
 type Limits struct {
 	// PerCustomer is the largest number of requests of one class that wait
 	// for one customer.
 	PerCustomer int
+	// Total is the largest number of requests of one class that wait; 0 means
+	// 20,000.
+	Total int
 }
 
 // VirtualTime is the service, in units of cost, that a customer has received
@@ -40,61 +66,90 @@
 	classes map[hoist.Class]*lane[T]
 }
 
-// lane holds the waiting requests of one class.
-type lane[T any] struct {
-	items   itemHeap[T]
-	now     VirtualTime
-	finish  map[hoist.CustomerID]VirtualTime
-	waiting map[hoist.CustomerID]int
-	seq     uint64
-}
-
-// item is one waiting request.
-type item[T any] struct {
-	start    VirtualTime
-	seq      uint64
-	customer hoist.CustomerID
-	value    T
-	index    int
-}
-
 // New returns an empty queue.
 func New[T any](limits Limits) *Queue[T] {
+	if limits.Total == 0 {
+		limits.Total = defaultTotal
+	}
 	return &Queue[T]{limits: limits, classes: make(map[hoist.Class]*lane[T])}
 }
 
 // NewFIFO returns an empty queue that serves all classes and customers in the
-// order of arrival. It is a baseline.
+// order of arrival, bounded by Limits.Total only, and refuses nothing early. It
+// is a baseline.
 func NewFIFO[T any](limits Limits) *Queue[T] {
 	q := New[T](limits)
 	q.isFIFO = true
+	q.limits.PerCustomer = q.limits.Total
 	return q
 }
 
 // Ticket names a waiting request, so that it can be removed.
 type Ticket[T any] struct {
-	class hoist.Class
-	item  *item[T]
+	lane *lane[T]
+	item *item[T]
 }
 
-// Push adds a request of the given cost. It returns hoist.ErrOverLimit if too
-// many requests of its customer and class wait.
-func (q *Queue[T]) Push(r hoist.Request, cost VirtualTime, value T) (Ticket[T], error) {
-	l := q.lane(r.Class)
+// Pushed is what came of a Push.
+type Pushed[T any] struct {
+	Ticket Ticket[T]
+	// Dropped was waiting and had to give way, if HasDropped.
+	Dropped    T
+	HasDropped bool
+}
+
+// Push adds a request of the given cost. It returns hoist.ErrOverLimit if the
+// request is refused; RetryAfter of the error is a hint for the caller.
+func (q *Queue[T]) Push(r hoist.Request, cost VirtualTime, value T, now time.Time) (Pushed[T], error) {
+	customer := r.Customer
 	if q.isFIFO {
-		cost = 0
+		cost, customer = 0, ""
 	}
-	if l.waiting[r.Customer] >= q.limits.PerCustomer {
-		return Ticket[T]{}, merry.Wrap(hoist.ErrOverLimit,
-			merry.PrependMessagef("customer %q has %d %s requests waiting", r.Customer, l.waiting[r.Customer], r.Class))
+	l := q.lane(r.Class)
+	l.drain.advance(now, l.waiting > 0)
+	if err := q.admit(l, r, customer, now); err != nil {
+		return Pushed[T]{}, err
+	}
+	var pushed Pushed[T]
+	if l.waiting >= q.limits.Total {
+		pushed.Dropped, pushed.HasDropped = l.dropNewest(), true
 	}
-	start := max(l.now, l.finish[r.Customer])
-	l.finish[r.Customer] = start + cost
-	l.waiting[r.Customer]++
-	l.seq++
-	it := &item[T]{start: start, seq: l.seq, customer: r.Customer, value: value}
-	heap.Push(&l.items, it)
-	return Ticket[T]{r.Class, it}, nil
+	pushed.Ticket = Ticket[T]{l, l.push(customer, cost, value, now)}
+	return pushed, nil
+}
+
+// admit returns the error of a request that must not wait.
+func (q *Queue[T]) admit(l *lane[T], r hoist.Request, customer hoist.CustomerID, now time.Time) error {
+	own := l.count(customer)
+	wait := l.predict(customer, now)
+	if own >= q.limits.PerCustomer {
+		return refuse(wait/2, "customer %q has %d %s requests waiting", r.Customer, own, r.Class)
+	}
+	if l.waiting >= q.limits.Total && own >= l.most() {
+		return refuse(wait/2, "%d %s requests wait, %d of customer %q", l.waiting, r.Class, own, r.Customer)
+	}
+	if left := r.Deadline.Sub(now); r.Class == hoist.Quick && !q.isFIFO && wait > left {
+		return refuse(wait-left, "predicted wait %s exceeds the %s to the deadline", wait, left)
+	}
+	return nil
+}
+
+// minRetry is the least hint. A shorter one would bring the caller back before
+// anything has changed.
+const minRetry = 100 * time.Millisecond
+
+// hintKey is the key of the hint in an error.
+type hintKey struct{}
+
+func refuse(hint time.Duration, format string, args ...any) error {
+	return merry.Wrap(hoist.ErrOverLimit, merry.PrependMessagef(format, args...),
+		merry.WithValue(hintKey{}, max(hint, minRetry)))
+}
+
+// RetryAfter returns the hint of a refusal; 0 means that err has none.
+func RetryAfter(err error) time.Duration {
+	hint, _ := merry.Value(err, hintKey{}).(time.Duration)
+	return hint
 }
 
 func (q *Queue[T]) lane(class hoist.Class) *lane[T] {
@@ -103,7 +158,7 @@
 	}
 	l, ok := q.classes[class]
 	if !ok {
-		l = &lane[T]{finish: make(map[hoist.CustomerID]VirtualTime), waiting: make(map[hoist.CustomerID]int)}
+		l = newLane[T]()
 		q.classes[class] = l
 	}
 	return l
@@ -112,87 +167,39 @@
 // Peek returns the next request of the class without removing it.
 func (q *Queue[T]) Peek(class hoist.Class) (T, bool) {
 	l := q.lane(class)
-	if l.items.Len() == 0 {
+	if l.waiting == 0 {
 		var zero T
 		return zero, false
 	}
-	return l.items[0].value, true
+	return l.backlog.items[0].head.value, true
 }
 
 // Pop removes the next request of the class.
-func (q *Queue[T]) Pop(class hoist.Class) (T, bool) {
+func (q *Queue[T]) Pop(class hoist.Class, now time.Time) (T, bool) {
 	l := q.lane(class)
-	if l.items.Len() == 0 {
+	if l.waiting == 0 {
 		var zero T
 		return zero, false
 	}
-	it := heap.Pop(&l.items).(*item[T])
-	l.now = it.start
-	l.left(it.customer)
-	return it.value, true
-}
-
-// left updates the count of a customer whose request left the lane, and drops
-// what is kept on a customer that is not behind the others.
-func (l *lane[T]) left(customer hoist.CustomerID) {
-	l.waiting[customer]--
-	if l.waiting[customer] > 0 {
-		return
-	}
-	delete(l.waiting, customer)
-	if l.finish[customer] <= l.now {
-		delete(l.finish, customer)
-	}
+	return l.pop(now), true
 }
 
 // Remove takes a request out of the queue. It reports false if the request has
 // left it already.
 func (q *Queue[T]) Remove(t Ticket[T]) bool {
-	if t.item.index < 0 {
+	if t.item == nil || !t.item.isWaiting {
 		return false
 	}
-	l := q.lane(t.class)
-	heap.Remove(&l.items, t.item.index)
-	l.left(t.item.customer)
+	t.lane.remove(t.item)
 	return true
 }
 
 // Len returns how many requests of the class wait.
 func (q *Queue[T]) Len(class hoist.Class) int {
-	return q.lane(class).items.Len()
-}
-
-// itemHeap orders items by virtual start time, then by arrival.
-type itemHeap[T any] []*item[T]
-
-func (h itemHeap[T]) Len() int { return len(h) }
-
-func (h itemHeap[T]) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].seq < h[j].seq
-}
-
-func (h itemHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-// Push implements heap.Interface.
-func (h *itemHeap[T]) Push(x any) {
-	it := x.(*item[T])
-	it.index = len(*h)
-	*h = append(*h, it)
+	return q.lane(class).waiting
 }
 
-// Pop implements heap.Interface.
-func (h *itemHeap[T]) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	it.index = -1
-	*h = old[:len(old)-1]
-	return it
+// Customers returns how many customers the queue remembers for a class.
+func (q *Queue[T]) Customers(class hoist.Class) int {
+	return len(q.lane(class).flows)
 }
--- a/internal/tool/load/cell.go
+++ b/internal/tool/load/cell.go
@@ -194,7 +194,7 @@
 // judge compares what the callers heard with what the executors did.
 func (c *Cell) judge(answers []answered) *Result {
 	r := newResult(c.In, "daemons")
-	r.Unfair = notCounted
+	r.Unfair, r.Late = notCounted, notCounted
 	runs := make(map[hoist.RequestKey]int)
 	for i, e := range c.executors {
 		for key, n := range e.Runs() {
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -79,6 +79,8 @@
 	// package comment describes. Unfair is -1 in runs through daemons, whose
 	// queues are not in view.
 	Lost, Doubled, Crossed, Overfull, Unfair int
+	// Late counts refusals at the deadline, after the whole wait.
+	Late int
 	// Unknown counts requests whose outcome the caller was told is unknown.
 	Unknown int
 	// Executors holds the requests that each executor ran, in order of id.
@@ -201,8 +203,8 @@
 			fmt.Fprintln(out)
 		}
 	}
-	fmt.Fprintf(out, "  lost %d, doubled %d, crossed %d, over slots %d, unfair refusals %d, unknown %d, reserve changes %d, runs by executor %v\n",
-		r.Lost, r.Doubled, r.Crossed, r.Overfull, r.Unfair, r.Unknown, r.Reserves, r.Executors)
+	fmt.Fprintf(out, "  lost %d, doubled %d, crossed %d, over slots %d, unfair refusals %d, refused late %d, unknown %d, reserve changes %d, runs by executor %v\n",
+		r.Lost, r.Doubled, r.Crossed, r.Overfull, r.Unfair, r.Late, r.Unknown, r.Reserves, r.Executors)
 }
 
 func (r *Result) row(out io.Writer, class hoist.Class, customer string, f *Figures) {
--- a/internal/tool/load/sim.go
+++ b/internal/tool/load/sim.go
@@ -117,12 +117,17 @@
 }
 
 func (s *sim) arrive(r *request) {
-	ticket, err := s.queue.Push(r.request, 1, r)
+	cost := queue.VirtualTime(s.pool.ServiceTime(service, r.Class).Seconds())
+	pushed, err := s.queue.Push(r.request, cost, r, epoch.Add(s.now))
 	if err != nil {
 		s.refuse(r)
 		return
 	}
-	r.ticket = ticket
+	if pushed.HasDropped {
+		s.waiting[group{pushed.Dropped.Class, pushed.Dropped.Customer}]--
+		s.refuse(pushed.Dropped)
+	}
+	r.ticket = pushed.Ticket
 	s.waiting[group{r.Class, r.Customer}]++
 	s.at(r.At+r.Timeout, func() { s.expire(r) })
 	s.assign()
@@ -132,6 +137,7 @@
 func (s *sim) expire(r *request) {
 	if s.queue.Remove(r.ticket) {
 		s.waiting[group{r.Class, r.Customer}]--
+		s.result.Late++
 		s.refuse(r)
 	}
 }
@@ -180,7 +186,7 @@
 			if !ok {
 				break
 			}
-			s.queue.Pop(class)
+			s.queue.Pop(class, epoch.Add(s.now))
 			s.waiting[group{r.Class, r.Customer}]--
 			s.start(r, id)
 		}
