Add property tests for the promises on requests

Cause: the promises were not tested under failures.

Change: routers of three hosts run over fake hosts and executors in a bubble with fake time. Scenarios are drawn at random: tries at other hosts, lost and late messages, host death, lapsed leases, handovers, restarted, leaving and refusing executors, several at once. Shared functions check that a request runs once, that "not run" is true when said and stays true, that each answer is whole and belongs to its request, and that every slot is used once and free in the end. The stand-in of executors can be used without HTTP, and can restart as a new process.

Conclusion: the tests found that a withdrawn key was evicted at once by its next owner, for want of a time; fixed here.

--- /dev/null
+++ b/internal/core/route/cell_test.go
@@ -0,0 +1,352 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/dedup"
+	"fuchsiahoist.example/hoist/internal/fake/execd"
+)
+
+// clock is the clock of the bubble.
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// cell is a cell of routers over fakes. Faults of messages follow from a seed
+// and the message, so that a scenario does not depend on the order of goroutines.
+type cell struct {
+	seed  uint64
+	slow  int // messages out of 100 that are late or lost
+	mu    sync.Mutex
+	sent  map[string]int
+	term  [hoist.NumShards]hoist.Term
+	owner [hoist.NumShards]hoist.HostID
+	hosts []*host
+	execs []*execd.Executor
+}
+
+// host is one entry host; it is the hoist.Ownership of its router.
+type host struct {
+	cell     *cell
+	id       hoist.HostID
+	router   *Router
+	isDead   bool
+	isLapsed bool
+	seen     [hoist.NumShards]hoist.Term
+	active   [hoist.NumShards]hoist.Term
+	view     [hoist.NumShards]hoist.HostID
+	stop     context.CancelFunc
+}
+
+func newCell(ctx context.Context, seed uint64, slow int, service func(hoist.RequestKey) time.Duration) *cell {
+	c := &cell{seed: seed, slow: slow, sent: make(map[string]int)}
+	for i := range 3 {
+		c.execs = append(c.execs, &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 4, ServiceTime: service})
+	}
+	for i := range 3 {
+		h := &host{cell: c, id: hoist.HostID(fmt.Sprintf("h%d", i))}
+		h.router = &Router{Own: h, HostList: c, Clock: clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
+			for _, e := range c.execs {
+				if string(e.ID) == l.ID {
+					return &wire{Executor: e, cell: c, from: h}
+				}
+			}
+			return nil
+		}}
+		c.hosts = append(c.hosts, h)
+	}
+	for _, h := range c.hosts {
+		var run context.Context
+		run, h.stop = context.WithCancel(ctx)
+		go h.router.Run(run)
+		go h.beat(run)
+	}
+	for s := range hoist.NumShards {
+		c.move([]hoist.ShardID{hoist.ShardID(s)}, c.hosts[s%3], nil, time.Now())
+	}
+	return c
+}
+
+// List implements hoist.HostList.
+func (c *cell) List(context.Context) ([]hoist.Listed, error) {
+	var out []hoist.Listed
+	for _, e := range c.execs {
+		out = append(out, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Service: "s"})
+	}
+	return out, nil
+}
+
+// move makes to the owner of shards in the next term.
+func (c *cell) move(shards []hoist.ShardID, to *host, keys []hoist.KeyRecord, horizon time.Time) {
+	var terms []hoist.ShardTerm
+	c.mu.Lock()
+	for _, s := range shards {
+		c.term[s]++
+		c.owner[s] = to.id
+		to.active[s], to.seen[s] = c.term[s], c.term[s]
+		terms = append(terms, hoist.ShardTerm{Shard: s, Term: c.term[s]})
+		for i, h := range c.hosts {
+			// One host in four misses the announcement and reads the table later.
+			if h != to && int(s+hoist.ShardID(i))%4 == 0 {
+				time.AfterFunc(1300*time.Millisecond, func() { h.learn(s) })
+				continue
+			}
+			h.learnLocked(s)
+		}
+	}
+	c.mu.Unlock()
+	to.router.Acquire(terms, keys, horizon)
+}
+
+func (h *host) learn(s hoist.ShardID) {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	h.learnLocked(s)
+}
+
+func (h *host) learnLocked(s hoist.ShardID) {
+	h.view[s] = h.cell.owner[s]
+	h.seen[s] = max(h.seen[s], h.cell.term[s])
+}
+
+func (c *cell) ownedBy(h *host) []hoist.ShardID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []hoist.ShardID
+	for s, owner := range c.owner {
+		if owner == h.id {
+			out = append(out, hoist.ShardID(s))
+		}
+	}
+	return out
+}
+
+// takeOver moves the shards of a lapsed host to the others.
+func (c *cell) takeOver(from *host) {
+	for _, s := range c.ownedBy(from) {
+		for i := range c.hosts {
+			to := c.hosts[(int(s)+i)%len(c.hosts)]
+			c.mu.Lock()
+			isLive := to != from && !to.isDead && !to.isLapsed
+			c.mu.Unlock()
+			if isLive {
+				c.move([]hoist.ShardID{s}, to, nil, time.Now().Add(dedup.ClockSkew))
+				break
+			}
+		}
+	}
+}
+
+// handOver moves half of the shards of a host to another as planned.
+func (c *cell) handOver(from, to *host) {
+	var shards []hoist.ShardID
+	c.mu.Lock()
+	for s := range from.active {
+		if from.active[s] != 0 && from.active[s] == c.term[s] && s%2 == 0 && from != to && !to.isDead && !to.isLapsed {
+			shards = append(shards, hoist.ShardID(s))
+			from.active[s] = 0
+		}
+	}
+	c.mu.Unlock()
+	horizon := time.Now()
+	keys := from.router.Release(shards)
+	time.Sleep(30 * time.Millisecond)
+	c.move(shards, to, keys, horizon)
+}
+
+// lapse ends the lease of a host until it comes back without shards.
+func (c *cell) lapse(h *host, back time.Duration) {
+	c.mu.Lock()
+	wasLapsed := h.isLapsed
+	h.isLapsed = true
+	c.mu.Unlock()
+	if wasLapsed {
+		return
+	}
+	time.Sleep(4 * time.Second)
+	c.takeOver(h)
+	time.Sleep(back)
+	c.mu.Lock()
+	var lost []hoist.ShardID
+	for s := range h.active {
+		if h.active[s] != 0 {
+			lost = append(lost, hoist.ShardID(s))
+		}
+		h.active[s] = 0
+		h.learnLocked(hoist.ShardID(s))
+	}
+	c.mu.Unlock()
+	h.router.Release(lost)
+	c.mu.Lock()
+	h.isLapsed = false
+	c.mu.Unlock()
+}
+
+func (c *cell) kill(h *host) {
+	c.mu.Lock()
+	h.isDead = true
+	c.mu.Unlock()
+	h.stop()
+	time.Sleep(4 * time.Second)
+	c.takeOver(h)
+}
+
+// fate decides what becomes of a message: how long it takes, and whether it or
+// its answer is lost.
+func (c *cell) fate(from *host, kind string, key hoist.RequestKey) (delay time.Duration, isLost, isAnswerLost bool) {
+	c.mu.Lock()
+	id := fmt.Sprintf("%d/%s/%s/%s", c.seed, from.id, kind, key)
+	c.sent[id]++
+	id = fmt.Sprintf("%s/%d", id, c.sent[id])
+	c.mu.Unlock()
+	n := int(hoist.DigestOf([]byte(id)) % 1_000_000)
+	delay = time.Duration(1+n%10) * time.Millisecond
+	switch roll := n / 10 % 100; {
+	case roll < c.slow/4:
+		return delay, true, false
+	case roll < c.slow/2:
+		return delay, false, true
+	case roll < c.slow:
+		// Late enough for a takeover to happen meanwhile.
+		return delay + time.Duration(n%6000)*time.Millisecond, false, false
+	}
+	return delay, false, false
+}
+
+// carry takes a call over the network. Lost messages look like a half-open
+// connection: nothing comes back until the caller gives up or 3 s have passed.
+func carry(ctx context.Context, c *cell, from *host, kind string, key hoist.RequestKey, isUp func() bool,
+	call func(context.Context) (hoist.Answer, error),
+) (hoist.Answer, error) {
+	delay, isLost, isAnswerLost := c.fate(from, kind, key)
+	if !isUp() {
+		return hoist.Answer{}, hoist.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second+delay)
+	defer cancel()
+	out := make(chan result, 1)
+	go func() {
+		time.Sleep(delay)
+		if isLost || !isUp() {
+			return
+		}
+		answer, err := call(context.WithoutCancel(ctx))
+		if !isAnswerLost && isUp() {
+			out <- result{answer, err}
+		}
+	}()
+	select {
+	case o := <-out:
+		return o.answer, o.err
+	case <-ctx.Done():
+		return hoist.Answer{}, hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+// wire is the network between a host and an executor.
+type wire struct {
+	*execd.Executor
+	cell *cell
+	from *host
+}
+
+func (w *wire) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
+	// A connection ends with the process that accepted it.
+	process := w.Process()
+	isUp := func() bool { return w.from.isUp() && w.Process() == process }
+	return carry(ctx, w.cell, w.from, "run", a.Request.Key, isUp, func(ctx context.Context) (hoist.Answer, error) {
+		return w.Executor.Run(ctx, term, a)
+	})
+}
+
+func (w *wire) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
+	return carry(ctx, w.cell, w.from, "settle", key, w.from.isUp, func(ctx context.Context) (hoist.Answer, error) {
+		return w.Executor.Settle(ctx, term, key, no)
+	})
+}
+
+// link is the network between two hosts.
+type link struct {
+	hoist.Peer
+	from, to *host
+}
+
+func (l *link) isUp() bool { return l.from.isUp() && l.to.isUp() }
+
+func (l *link) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	return carry(ctx, l.from.cell, l.from, "submit", r.Key, l.isUp, func(ctx context.Context) (hoist.Answer, error) {
+		return l.to.router.Coordinate(ctx, r)
+	})
+}
+
+func (l *link) Dispatch(ctx context.Context, a hoist.Attempt) (hoist.Answer, error) {
+	return carry(ctx, l.from.cell, l.from, "dispatch", a.Request.Key, l.isUp, func(ctx context.Context) (hoist.Answer, error) {
+		return l.to.router.Dispatch(ctx, a)
+	})
+}
+
+func (h *host) isUp() bool {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	return !h.isDead
+}
+
+// beat tells the other hosts of free slots.
+func (h *host) beat(ctx context.Context) {
+	for pause(ctx, 500*time.Millisecond) {
+		for _, other := range h.cell.hosts {
+			if other != h && h.isUp() {
+				other.router.Heard(hoist.Heartbeat{Host: h.id, Slots: h.router.Slots()})
+			}
+		}
+	}
+}
+
+// Self implements hoist.Ownership.
+func (h *host) Self() hoist.HostID { return h.id }
+
+// Owns implements hoist.Ownership.
+func (h *host) Owns(s hoist.ShardID) (hoist.Term, bool) {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	return h.active[s], h.active[s] != 0 && h.active[s] >= h.seen[s] && !h.isDead && !h.isLapsed
+}
+
+// OwnerOf implements hoist.Ownership.
+func (h *host) OwnerOf(s hoist.ShardID) (hoist.HostID, bool) {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	return h.view[s], true
+}
+
+// Peer implements hoist.Ownership.
+func (h *host) Peer(id hoist.HostID) (hoist.Peer, bool) {
+	p, ok := h.Peers()[id]
+	return p, ok
+}
+
+// Peers implements hoist.Ownership.
+func (h *host) Peers() map[hoist.HostID]hoist.Peer {
+	out := make(map[hoist.HostID]hoist.Peer)
+	for _, other := range h.cell.hosts {
+		if other != h {
+			out[other.id] = &link{from: h, to: other}
+		}
+	}
+	return out
+}
+
+// Accepts implements hoist.Ownership.
+func (h *host) Accepts(s hoist.ShardID, term hoist.Term) bool {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	if term < h.seen[s] {
+		return false
+	}
+	h.seen[s] = term
+	return true
+}
--- /dev/null
+++ b/internal/core/route/promise_test.go
@@ -0,0 +1,316 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// fault is something that happens to a cell at a time.
+type fault struct {
+	At   time.Duration
+	Kind string
+	On   int
+}
+
+// job is what one caller does.
+type job struct {
+	At         time.Duration
+	Host       int
+	Idempotent bool
+	// Patience is how long the caller waits before it asks at another host.
+	Patience time.Duration
+	Timeout  time.Duration
+	Reissues bool
+}
+
+// scenario is one run of a cell.
+type scenario struct {
+	Seed   uint64
+	Slow   int
+	Faults []fault
+	Jobs   []job
+}
+
+func drawScenario(t *rapid.T) scenario {
+	ms := func(lo, hi int) *rapid.Generator[time.Duration] {
+		return rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(lo, hi).Draw(t, "ms")) * time.Millisecond
+		})
+	}
+	kinds := []string{"kill", "lapse", "handover", "handover", "restart", "leave", "back"}
+	faults := rapid.Custom(func(t *rapid.T) fault {
+		return fault{ms(0, 4000).Draw(t, "at"), rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 2).Draw(t, "on")}
+	})
+	jobs := rapid.Custom(func(t *rapid.T) job {
+		return job{
+			At: ms(0, 5000).Draw(t, "at"), Host: rapid.IntRange(0, 2).Draw(t, "host"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Patience: ms(100, 6000).Draw(t, "patience"), Timeout: ms(1, 8000).Draw(t, "timeout"), Reissues: rapid.Bool().Draw(t, "reissues"),
+		}
+	})
+	return scenario{
+		Seed: rapid.Uint64().Draw(t, "seed"), Slow: rapid.SampledFrom([]int{0, 4, 20}).Draw(t, "slow"),
+		Faults: rapid.SliceOfN(faults, 0, 3).Draw(t, "faults"), Jobs: rapid.SliceOfN(jobs, 1, 30).Draw(t, "jobs"),
+	}
+}
+
+// observed is what a run showed.
+type observed struct {
+	mu         sync.Mutex
+	violations []string
+	// notRun holds the keys whose caller was last told "not run" and left.
+	notRun map[hoist.RequestKey]bool
+	done   map[hoist.RequestKey]bool
+}
+
+func (o *observed) violate(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.violations = append(o.violations, fmt.Sprintf(format, args...))
+}
+
+// runs counts the starts of a key at all executors.
+func (c *cell) runs(key hoist.RequestKey) int {
+	n := 0
+	for _, e := range c.execs {
+		n += e.Runs()[key]
+	}
+	return n
+}
+
+// play runs a scenario in a bubble and returns what it broke.
+func (s scenario) play(c *cell, o *observed) {
+	var wg sync.WaitGroup
+	time.Sleep(2 * time.Second)
+	for i, j := range s.Jobs {
+		wg.Go(func() { time.Sleep(j.At); act(c, o, hoist.RequestKey(fmt.Sprintf("k%d", i)), j) })
+	}
+	for _, f := range s.Faults {
+		wg.Go(func() { time.Sleep(f.At); c.inject(f) })
+	}
+	wg.Wait()
+	time.Sleep(30 * time.Second)
+	assertPromises(c, o, len(s.Jobs))
+	assertSlotsFree(c, o)
+}
+
+func (c *cell) inject(f fault) {
+	h, e := c.hosts[f.On], c.execs[f.On]
+	switch f.Kind {
+	case "kill":
+		// Two hosts stay, as a cell without hosts answers nothing.
+		if f.On == 0 {
+			c.kill(h)
+		}
+	case "lapse":
+		if f.On == 1 {
+			c.lapse(h, 2*time.Second)
+		}
+	case "handover":
+		c.handOver(h, c.hosts[(f.On+1)%3])
+	case "restart":
+		e.Restart()
+	case "leave", "back":
+		e.SetLeaving(f.Kind == "leave")
+		time.Sleep(5 * time.Second)
+		e.SetLeaving(false)
+	}
+}
+
+// act is a caller that keeps the rules of docs/callers.md.
+func act(c *cell, o *observed, key hoist.RequestKey, j job) {
+	req := hoist.Request{
+		Key: key, Customer: "c", Service: "s", Class: hoist.Quick, Idempotent: j.Idempotent,
+		FirstTry: true, IssuedAt: time.Now(), Body: []byte(key),
+	}
+	for try := range 8 {
+		req.Deadline = time.Now().Add(j.Timeout)
+		ctx, cancel := context.WithTimeout(context.Background(), j.Patience)
+		h := c.hosts[(j.Host+try)%3]
+		answer := refuse(key, hoist.NotRun, "no connection")
+		if h.isUp() {
+			answer, _ = h.router.Submit(ctx, req)
+		} else if !req.FirstTry {
+			answer.Outcome = hoist.Unknown
+		}
+		cancel()
+		switch answer.Outcome {
+		case hoist.Done:
+			assertAnswer(c, o, answer, req)
+			return
+		case hoist.NotRun:
+			if n := c.runs(key); n != 0 {
+				o.violate("%s: told not run (%s) after %d runs", key, answer.Reason, n)
+			}
+			if !j.Reissues {
+				o.mu.Lock()
+				o.notRun[key] = true
+				o.mu.Unlock()
+				return
+			}
+			req.IssuedAt = time.Now()
+		default:
+			req.FirstTry = false
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// assertAnswer checks that a caller got the whole answer to its own request.
+func assertAnswer(c *cell, o *observed, a hoist.Answer, r hoist.Request) {
+	if want := "checked " + string(r.Key) + ": " + string(r.Body); a.Key != r.Key || string(a.Body) != want {
+		o.violate("%s: answer %q for %q", r.Key, a.Body, a.Key)
+	}
+	if n := c.runs(r.Key); n != 1 {
+		o.violate("%s: done after %d runs", r.Key, n)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.done[r.Key] = true
+}
+
+// assertPromises checks what must hold when all is quiet.
+func assertPromises(c *cell, o *observed, jobs int) {
+	for i := range jobs {
+		key := hoist.RequestKey(fmt.Sprintf("k%d", i))
+		n := c.runs(key)
+		if n > 1 {
+			o.violate("%s: ran %d times", key, n)
+		}
+		if o.notRun[key] && n != 0 {
+			o.violate("%s: ran after the caller was told not run", key)
+		}
+	}
+	for _, e := range c.execs {
+		if e.MaxInFlight() > e.Slots {
+			o.violate("%s: ran %d in %d slots", e.ID, e.MaxInFlight(), e.Slots)
+		}
+	}
+}
+
+// assertSlotsFree checks that every slot is free again when all is quiet.
+func assertSlotsFree(c *cell, o *observed) {
+	free, want := 0, 0
+	for _, e := range c.execs {
+		want += e.Slots
+	}
+	for _, h := range c.hosts {
+		if h.isUp() {
+			for _, s := range h.router.Slots() {
+				free += s.Quick
+			}
+		}
+	}
+	if free != want {
+		o.violate("%d of %d slots are free", free, want)
+	}
+}
+
+// runScenario plays a scenario in a bubble of its own.
+func runScenario(t *testing.T, s scenario) *observed {
+	o := &observed{notRun: make(map[hoist.RequestKey]bool), done: make(map[hoist.RequestKey]bool)}
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCell(ctx, s.Seed, s.Slow, func(key hoist.RequestKey) time.Duration {
+			return time.Duration(1+hoist.DigestOf([]byte(key))%1500) * time.Millisecond
+		})
+		s.play(c, o)
+		cancel()
+		time.Sleep(20 * time.Second)
+	})
+	return o
+}
+
+// TestPromises guards against a request that runs twice, an untrue "not run", a
+// crossed answer, and a slot that is lost or used twice, under random failures.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawScenario(rt)
+		for _, v := range runScenario(t, s).violations {
+			rt.Errorf("%s", v)
+		}
+	})
+}
+
+// TestQuiet guards against refusals without a cause: without faults, and while
+// shards are handed over, callers notice nothing.
+func TestQuiet(t *testing.T) {
+	jobs := make([]job, 30)
+	for i := range jobs {
+		jobs[i] = job{At: time.Duration(i*40) * time.Millisecond, Host: i % 3, Patience: 20 * time.Second, Timeout: 20 * time.Second}
+	}
+	for name, faults := range map[string][]fault{
+		"no fault":       nil,
+		"leaving":        {{At: 300 * time.Millisecond, Kind: "leave", On: 1}},
+		"refused moment": {{At: 300 * time.Millisecond, Kind: "handover", On: 1}, {At: 700 * time.Millisecond, Kind: "handover", On: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := runScenario(t, scenario{Faults: faults, Jobs: jobs})
+			for _, v := range o.violations {
+				t.Error(v)
+			}
+			if len(o.done) != len(jobs) && name != "refused moment" {
+				t.Errorf("%d of %d requests done", len(o.done), len(jobs))
+			}
+		})
+	}
+}
+
+// TestCallers guards against a caller that receives another request's answer,
+// waits beyond its own deadline, or has a late request run.
+func TestCallers(t *testing.T) {
+	later := func(d time.Duration) func(*hoist.Request) {
+		return func(r *hoist.Request) { r.Deadline = time.Now().Add(d) }
+	}
+	cases := map[string]struct {
+		change  func(*hoist.Request)
+		outcome hoist.Outcome
+		err     error
+		within  time.Duration
+		runs    int
+	}{
+		"joins":             {later(time.Minute), hoist.Done, nil, 6 * time.Second, 1},
+		"other body":        {func(r *hoist.Request) { r.Body = []byte("x") }, "", hoist.ErrInvalid, time.Second, 1},
+		"other customer":    {func(r *hoist.Request) { r.Customer = "x" }, "", hoist.ErrInvalid, time.Second, 1},
+		"shorter deadline":  {later(500 * time.Millisecond), hoist.Unknown, nil, 3 * time.Second, 1},
+		"past deadline":     {func(r *hoist.Request) { r.Key = "late"; later(-time.Second)(r) }, hoist.NotRun, nil, time.Second, 0},
+		"no such executors": {func(r *hoist.Request) { r.Key, r.Service = "none", "none"; later(time.Second)(r) }, hoist.NotRun, nil, 2 * time.Second, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				c := newCell(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 2500 * time.Millisecond })
+				time.Sleep(2 * time.Second)
+				req := hoist.Request{
+					Key: "k", Customer: "c", Service: "s", Class: hoist.Quick, IssuedAt: time.Now(),
+					Deadline: time.Now().Add(time.Minute), Body: []byte("k"),
+				}
+				go func(r hoist.Request) { _, _ = c.hosts[0].router.Submit(ctx, r) }(req)
+				time.Sleep(100 * time.Millisecond)
+				tc.change(&req)
+				begun := time.Now()
+				answer, err := c.hosts[1].router.Submit(ctx, req)
+				if answer.Outcome != tc.outcome || !errors.Is(err, tc.err) {
+					t.Errorf("outcome %q, error %v", answer.Outcome, err)
+				}
+				if took := time.Since(begun); took > tc.within {
+					t.Errorf("answered after %s", took)
+				}
+				if n := c.runs(req.Key); n != tc.runs {
+					t.Errorf("ran %d times", n)
+				}
+				cancel()
+				time.Sleep(70 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/decide/dedup/dedup.go
+++ b/internal/decide/dedup/dedup.go
@@ -300,7 +300,8 @@
 
 // Withdrawn returns the record to hand over for a request that certainly has
 // not run and may still run under its time of issue at the next owner.
-func Withdrawn(r hoist.KeyRecord) hoist.KeyRecord {
+func Withdrawn(r hoist.KeyRecord, now time.Time) hoist.KeyRecord {
+	r.AnsweredAt = now
 	r.IssuedAt = r.IssuedAt.Add(-1)
 	r.Answer = &hoist.Answer{Key: r.Key, Outcome: hoist.NotRun, Reason: "the owner of the key changed"}
 	return r
--- a/internal/fake/execd/execd.go
+++ b/internal/fake/execd/execd.go
@@ -10,10 +10,12 @@
 //	url, err := e.Start()
 //	defer e.Close()
 //
-// Runs and MaxInFlight tell what happened.
+// Runs and MaxInFlight tell what happened. Without Start, an Executor can be
+// used directly as a hoist.Executor.
 package execd
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -25,6 +27,9 @@
 	hoist "fuchsiahoist.example/hoist"
 )
 
+// keepAnswers is how long the contract has an executor keep its answers.
+const keepAnswers = 60 * time.Second
+
 // attemptID identifies one attempt at one request.
 type attemptID struct {
 	key hoist.RequestKey
@@ -41,21 +46,31 @@
 	mu       sync.Mutex
 	term     hoist.Term
 	leaving  bool
+	started  int
 	running  map[attemptID]struct{}
-	finished map[attemptID][]byte
-	refused  map[attemptID]struct{}
-	runs     map[hoist.RequestKey]int
-	max      int
-	server   *http.Server
+	finished map[attemptID]finished
+	// ends lists the finished attempts, oldest first.
+	ends    []attemptID
+	refused map[attemptID]struct{}
+	runs    map[hoist.RequestKey]int
+	max     int
+	server  *http.Server
+}
+
+// finished is an attempt that has ended.
+type finished struct {
+	body []byte
+	at   time.Time
 }
 
+var _ hoist.Executor = (*Executor)(nil)
+
 // Start serves the executor on a free loopback port and returns its URL.
 func (e *Executor) Start() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", merry.Prependf(err, "executor %s", e.ID)
 	}
-	e.init()
 	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
 	// Serve returns http.ErrServerClosed after Close.
 	go func() { _ = e.server.Serve(l) }()
@@ -69,11 +84,34 @@
 	}
 }
 
+// Restart makes the executor a new process: what it ran has stopped, and it
+// knows nothing of it and has no term.
+func (e *Executor) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.started++
+	e.term = 0
+	e.running, e.finished, e.refused, e.ends = nil, nil, nil, nil
+}
+
+// Process returns the number of the process, which Restart raises.
+func (e *Executor) Process() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started
+}
+
+// init makes the maps; the mutex is held.
 func (e *Executor) init() {
+	if e.running != nil {
+		return
+	}
 	e.running = make(map[attemptID]struct{})
-	e.finished = make(map[attemptID][]byte)
+	e.finished = make(map[attemptID]finished)
 	e.refused = make(map[attemptID]struct{})
-	e.runs = make(map[hoist.RequestKey]int)
+	if e.runs == nil {
+		e.runs = make(map[hoist.RequestKey]int)
+	}
 }
 
 // SetLeaving makes the executor refuse new attempts and say so.
@@ -97,9 +135,11 @@
 	return e.max
 }
 
-func (e *Executor) adopt(term hoist.Term) (hoist.ExecutorReport, error) {
+// Adopt implements hoist.Executor.
+func (e *Executor) Adopt(_ context.Context, term hoist.Term) (hoist.ExecutorReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.init()
 	if term < e.term {
 		return hoist.ExecutorReport{}, e.checkTerm(term)
 	}
@@ -122,58 +162,86 @@
 	return r
 }
 
-// run runs one attempt to its end. It goes on when the caller's connection
-// breaks, as a real executor would.
-func (e *Executor) run(term hoist.Term, id attemptID, body []byte) ([]byte, error) {
-	if err := e.begin(term, id); err != nil {
-		return nil, err
+// Run implements hoist.Executor. The attempt goes on when ctx ends, as a real
+// executor's would.
+func (e *Executor) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
+	id := attemptID{a.Request.Key, a.No}
+	process, err := e.begin(term, id)
+	if err != nil {
+		return hoist.Answer{}, err
 	}
+	var served time.Duration
 	if e.ServiceTime != nil {
-		time.Sleep(e.ServiceTime(id.key))
+		served = e.ServiceTime(id.key)
 	}
-	answer := append([]byte("checked "+string(id.key)+": "), body...)
-	e.end(id, answer)
-	return answer, nil
+	body := append([]byte("checked "+string(id.key)+": "), a.Request.Body...)
+	if served > 0 {
+		ended := make(chan struct{})
+		time.AfterFunc(served, func() { e.end(process, id, body); close(ended) })
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return hoist.Answer{}, hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
+		}
+	} else {
+		e.end(process, id, body)
+	}
+	return hoist.Answer{Key: id.key, Attempt: id.no, Outcome: hoist.Done, Executor: e.ID, Body: body}, nil
 }
 
-func (e *Executor) begin(term hoist.Term, id attemptID) error {
+// begin starts an attempt and returns the number of the process that runs it.
+func (e *Executor) begin(term hoist.Term, id attemptID) (int, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.init()
 	if err := e.checkTerm(term); err != nil {
-		return err
+		return 0, err
 	}
 	if _, ok := e.refused[id]; ok {
-		return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("attempt %d of %q was settled as not run", id.no, id.key))
+		return 0, merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("attempt %d of %q was settled as not run", id.no, id.key))
 	}
 	if e.leaving {
-		return merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("executor %s", e.ID))
+		return 0, merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("executor %s", e.ID))
 	}
 	if len(e.running) >= e.Slots {
-		return merry.Wrap(hoist.ErrNoSlot, merry.PrependMessagef("executor %s runs %d", e.ID, len(e.running)))
+		return 0, merry.Wrap(hoist.ErrNoSlot, merry.PrependMessagef("executor %s runs %d", e.ID, len(e.running)))
 	}
 	e.running[id] = struct{}{}
 	e.runs[id.key]++
 	e.max = max(e.max, len(e.running))
-	return nil
+	return e.started, nil
 }
 
-func (e *Executor) end(id attemptID, answer []byte) {
+func (e *Executor) end(process int, id attemptID, body []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if process != e.started {
+		return
+	}
+	now := time.Now()
 	delete(e.running, id)
-	e.finished[id] = answer
+	e.finished[id] = finished{body, now}
+	e.ends = append(e.ends, id)
+	for len(e.ends) > 0 && now.Sub(e.finished[e.ends[0]].at) >= keepAnswers {
+		delete(e.finished, e.ends[0])
+		e.ends = e.ends[1:]
+	}
 }
 
-func (e *Executor) settle(term hoist.Term, id attemptID) (hoist.Answer, error) {
+// Settle implements hoist.Executor.
+func (e *Executor) Settle(_ context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.init()
 	if err := e.checkTerm(term); err != nil {
 		return hoist.Answer{}, err
 	}
-	answer := hoist.Answer{Key: id.key, Attempt: id.no, Outcome: hoist.NotRun}
-	if body, ok := e.finished[id]; ok {
+	id := attemptID{key, no}
+	answer := hoist.Answer{Key: key, Attempt: no, Outcome: hoist.NotRun}
+	if f, ok := e.finished[id]; ok && time.Since(f.at) < keepAnswers {
 		answer.Outcome = hoist.Done
-		answer.Body = body
+		answer.Executor = e.ID
+		answer.Body = f.body
 		return answer, nil
 	}
 	if _, ok := e.running[id]; ok {
@@ -184,8 +252,9 @@
 	return answer, nil
 }
 
-func (e *Executor) current() hoist.ExecutorReport {
+// Report implements hoist.Executor.
+func (e *Executor) Report(context.Context) (hoist.ExecutorReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.report()
+	return e.report(), nil
 }
--- a/internal/fake/execd/http.go
+++ b/internal/fake/execd/http.go
@@ -22,18 +22,18 @@
 	return mux
 }
 
-func (e *Executor) serveAdopt(_ context.Context, in wire.TermChange) (wire.ExecutorReport, error) {
-	report, err := e.adopt(hoist.Term(in.Term))
+func (e *Executor) serveAdopt(ctx context.Context, in wire.TermChange) (wire.ExecutorReport, error) {
+	report, err := e.Adopt(ctx, hoist.Term(in.Term))
 	return codec.ExecutorReport(report), err
 }
 
-func (e *Executor) serveReport(context.Context, rest.Empty) (wire.ExecutorReport, error) {
-	return codec.ExecutorReport(e.current()), nil
+func (e *Executor) serveReport(ctx context.Context, _ rest.Empty) (wire.ExecutorReport, error) {
+	report, err := e.Report(ctx)
+	return codec.ExecutorReport(report), err
 }
 
-func (e *Executor) serveSettle(_ context.Context, in wire.Settle) (wire.Answer, error) {
-	id := attemptID{hoist.RequestKey(in.Key), hoist.AttemptNo(in.Attempt)}
-	answer, err := e.settle(hoist.Term(in.Term), id)
+func (e *Executor) serveSettle(ctx context.Context, in wire.Settle) (wire.Answer, error) {
+	answer, err := e.Settle(ctx, hoist.Term(in.Term), hoist.RequestKey(in.Key), hoist.AttemptNo(in.Attempt))
 	return codec.Answer(answer), err
 }
 
@@ -47,15 +47,18 @@
 			return
 		}
 	}
-	id := attemptID{hoist.RequestKey(r.Header.Get(exec.HeaderKey)), hoist.AttemptNo(no)}
-	answer, err := e.run(hoist.Term(term), id, body)
+	a := hoist.Attempt{No: hoist.AttemptNo(no)}
+	a.Request.Key = hoist.RequestKey(r.Header.Get(exec.HeaderKey))
+	a.Request.Body = body
+	// A real executor does not stop when the connection breaks.
+	answer, err := e.Run(context.WithoutCancel(r.Context()), hoist.Term(term), a)
 	if err != nil {
 		rest.WriteError(w, err)
 		return
 	}
-	w.Header().Set(exec.HeaderKey, string(id.key))
+	w.Header().Set(exec.HeaderKey, string(answer.Key))
 	w.Header().Set(exec.HeaderAttempt, strconv.FormatUint(no, 10))
-	w.Header().Set(exec.HeaderDigest, codec.Digest(hoist.DigestOf(answer)))
+	w.Header().Set(exec.HeaderDigest, codec.Digest(hoist.DigestOf(answer.Body)))
 	// The executor goes on without the caller if the connection is gone.
-	_, _ = w.Write(answer)
+	_, _ = w.Write(answer.Body)
 }
