Recover from half-open connections towards every peer

Cause: a connection that swallows bytes held what was in flight until its deadline. A write on a stalled one blocked the heartbeats that should have found it, and idle connections met later calls one after another.

Change: executors are asked (settle, report, term) over a connection of their own for each call; attempts share a pool for each executor, whose idle connections are closed after a failure, as for every other HTTP client. Connections between hosts give up a write after 3 s, and the server closes one that is silent for 10 s, answers what it has in progress before it stops, and bounds the requests in progress on each. internal/fake/relay forwards connections and makes open ones half-open on command, by discarding bytes or by taking none.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -152,7 +152,7 @@
 	d.router = &route.Router{
 		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log,
 		DialExecutor: func(l hoist.Listed) hoist.Executor {
-			return &exec.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.ExecutorID(l.ID)}
+			return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 		},
 	}
 	d.tasks = &tasks.Manager{
--- a/internal/core/route/execs.go
+++ b/internal/core/route/execs.go
@@ -34,6 +34,11 @@
 	isLeaving bool
 }
 
+// closer is implemented by executors that hold connections.
+type closer interface {
+	Close()
+}
+
 // Run keeps a goroutine for each executor that this host owns, until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	r.init()
@@ -80,6 +85,9 @@
 func (r *Router) drop(id hoist.ExecutorID) {
 	if h, ok := r.executors[id]; ok {
 		h.cancel()
+		if c, ok := h.executor.(closer); ok {
+			c.Close()
+		}
 		delete(r.executors, id)
 		r.pool.Remove(id)
 	}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -118,7 +118,7 @@
 			return hoist.Answer{}, err
 		case errors.Is(err, hoist.ErrOutcomeUnknown):
 			req.FirstTry = false
-		case !errors.Is(err, hoist.ErrNotOwner) && req.FirstTry:
+		case errors.Is(err, hoist.ErrOverLimit), !errors.Is(err, hoist.ErrNotOwner) && req.FirstTry:
 			return refusal(req, err.Error()), nil
 		}
 		reason = err.Error()
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -22,7 +22,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -62,6 +65,15 @@
 const (
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = time.Second
+	// writeTimeout bounds one write. A half-open connection takes no bytes once
+	// its buffers are full, and writes would block for good.
+	writeTimeout = 3 * time.Second
+	// silentTimeout is how long the server waits for a byte before it closes a
+	// connection. Hosts send a heartbeat twice a second.
+	silentTimeout = 10 * time.Second
+	// maxRequests bounds the submits and dispatches in progress on a
+	// connection; more would only wait in queues that are full.
+	maxRequests = 4096
 	// maxMissed is how many heartbeats in a row may fail before the connection
 	// counts as half-open and is replaced.
 	maxMissed = 3
@@ -111,12 +123,41 @@
 	if err != nil {
 		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
 	}
-	stream := jsonrpc2.NewPlainObjectStream(conn)
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuseCalls{})
+	stream := jsonrpc2.NewPlainObjectStream(&boundedConn{Conn: conn})
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuseCalls{}, jsonrpc2.SetLogger(quiet))
 	c.missed = 0
 	return c.conn, nil
 }
 
+// boundedConn is a connection whose writes, and reads if silent is set, give up
+// after a time.
+type boundedConn struct {
+	net.Conn
+	silent time.Duration
+}
+
+// Write implements net.Conn.
+func (c *boundedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(b []byte) (int, error) {
+	if c.silent > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.silent)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(b)
+}
+
+// quiet drops the notices of the protocol library: a reply that comes after its
+// caller gave up is no fault, and broken connections are reported by the calls.
+var quiet = log.New(io.Discard, "", 0)
+
 // refuseCalls is the handler of client connections, which receive no calls.
 type refuseCalls struct{}
 
@@ -134,6 +175,10 @@
 	if err == nil {
 		return out, nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The connection takes no more bytes and may hold half a message.
+		c.drop(conn)
+	}
 	var rpcErr *jsonrpc2.Error
 	if !errors.As(err, &rpcErr) {
 		return out, hoist.Turnf(hoist.ErrOutcomeUnknown, err, "%s at host %s", m, c.Addr)
@@ -141,6 +186,16 @@
 	return out, domainError(rpcErr)
 }
 
+// drop closes conn and forgets it if it is still the current connection.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	_ = conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+}
+
 func domainError(rpcErr *jsonrpc2.Error) error {
 	code := codec.CodeInternal
 	if rpcErr.Data != nil {
--- /dev/null
+++ b/internal/peer/entry/halfopen_test.go
@@ -0,0 +1,116 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/fake/relay"
+	"fuchsiahoist.example/hoist/internal/peer/entry"
+)
+
+// peer answers heartbeats, answers requests with short keys at once and holds
+// the others until hold is closed.
+type peer struct {
+	hoist.Peer
+	arrived chan struct{}
+	hold    chan struct{}
+}
+
+func (p *peer) Heartbeat(_ context.Context, h hoist.Heartbeat) (hoist.Heartbeat, error) {
+	return h, nil
+}
+
+func (p *peer) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	if r.Key == "held" {
+		p.arrived <- struct{}{}
+		select {
+		case <-p.hold:
+		case <-ctx.Done():
+		}
+	}
+	return hoist.Answer{Key: r.Key, Outcome: hoist.Done, Body: r.Body}, nil
+}
+
+// serve starts a server, with a relay in front of it, and returns a client.
+func serve(t *testing.T, p *peer) (*entry.Client, *relay.Relay, context.CancelFunc) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- (&entry.Server{Listener: l, Peer: p}).Run(ctx) }()
+	r := &relay.Relay{Target: l.Addr().String()}
+	addr, err := r.Start()
+	is.New(t).NoErr(err)
+	c := &entry.Client{Addr: addr}
+	t.Cleanup(func() { c.Close(); cancel(); r.Close(); is.New(t).NoErr(<-ended) })
+	return c, r, cancel
+}
+
+// assertSubmit checks that a request is answered in full.
+func assertSubmit(t *testing.T, c *entry.Client, body []byte) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	a, err := c.Submit(ctx, hoist.Request{Key: "k", Customer: "c", Service: "s", Body: body})
+	is.NoErr(err)
+	is.Equal(string(a.Body), string(body))
+}
+
+// TestHalfOpenHost guards against a connection to another host that swallows
+// bytes for good: its calls must end and a new one must take its place.
+func TestHalfOpenHost(t *testing.T) {
+	for name, fault := range map[string]relay.Fault{"discarding": relay.Discard, "stalled": relay.Stall} {
+		t.Run(name, func(t *testing.T) {
+			p := &peer{arrived: make(chan struct{}, 1), hold: make(chan struct{})}
+			c, r, _ := serve(t, p)
+			assertSubmit(t, c, []byte("before"))
+			failed := make(chan error, 1)
+			go func() {
+				_, err := c.Submit(context.Background(), hoist.Request{Key: "held", Customer: "c", Service: "s"})
+				failed <- err
+			}()
+			<-p.arrived
+			r.Swallow(fault)
+			// More than the buffers of a stalled connection hold.
+			go func() {
+				_, _ = c.Submit(context.Background(), hoist.Request{Key: "k", Customer: "c", Service: "s", Body: make([]byte, 16<<20)})
+			}()
+			for beats := 0; ; beats++ {
+				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				_, err := c.Heartbeat(ctx, hoist.Heartbeat{Host: "h"})
+				cancel()
+				if err == nil {
+					break
+				}
+				if beats > 10 {
+					t.Fatal("no heartbeat after 10 tries")
+				}
+			}
+			if err := <-failed; !errors.Is(err, hoist.ErrOutcomeUnknown) {
+				t.Errorf("held request: %v", err)
+			}
+			assertSubmit(t, c, []byte("after"))
+		})
+	}
+}
+
+// TestStop guards against a reply that is cut off when the server stops.
+func TestStop(t *testing.T) {
+	p := &peer{arrived: make(chan struct{}, 1), hold: make(chan struct{})}
+	c, _, stop := serve(t, p)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Submit(context.Background(), hoist.Request{Key: "held", Customer: "c", Service: "s", Body: make([]byte, 1<<20)})
+		answered <- err
+	}()
+	<-p.arrived
+	stop()
+	is.New(t).NoErr(<-answered)
+}
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -42,14 +42,19 @@
 	}
 }
 
-// serveConn serves one connection. Each call has a goroutine of its own, as a
-// request waits for its answer while others go on.
+// serveConn serves one connection until it breaks or ctx ends. Then the calls in
+// progress are told to end, and their replies are sent before it closes.
 func serveConn(ctx context.Context, conn net.Conn, handlers handlerMap) {
-	stream := jsonrpc2.NewPlainObjectStream(conn)
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handlers))
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	calls := &calls{ctx: callCtx, handlers: handlers, requests: make(chan struct{}, maxRequests)}
+	stream := jsonrpc2.NewPlainObjectStream(&boundedConn{Conn: conn, silent: silentTimeout})
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, calls, jsonrpc2.SetLogger(quiet))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
+		// A reply that cannot be sent gives up after writeTimeout.
+		calls.running.Wait()
 		_ = rpc.Close()
 	}
 }
@@ -60,15 +65,48 @@
 // handlerMap finds the handler of each method.
 type handlerMap map[method]handler
 
+// calls are the calls in progress on one connection. Each has a goroutine of its
+// own, as a request waits for its answer while others go on.
+type calls struct {
+	ctx      context.Context
+	handlers handlerMap
+	// requests holds an element for each submit and dispatch in progress.
+	requests chan struct{}
+	running  sync.WaitGroup
+}
+
 // Handle implements jsonrpc2.Handler.
-func (hm handlerMap) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	out, err := hm.call(ctx, req)
-	// A reply that cannot be sent leaves the caller with a broken connection.
+func (c *calls) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	isRequest := method(req.Method) == methodSubmit || method(req.Method) == methodDispatch
+	if isRequest {
+		select {
+		case c.requests <- struct{}{}:
+		default:
+			err := merry.Wrap(hoist.ErrOverLimit, merry.PrependMessagef("%d requests are in progress on the connection", maxRequests))
+			reply(conn, req, nil, err)
+			return
+		}
+	}
+	c.running.Go(func() {
+		out, err := c.handlers.call(c.ctx, req)
+		reply(conn, req, out, err)
+		if isRequest {
+			<-c.requests
+		}
+	})
+}
+
+// reply answers a call. A connection that takes no reply may hold half a
+// message, so it is closed.
+func reply(conn *jsonrpc2.Conn, req *jsonrpc2.Request, out any, err error) {
+	if err != nil {
+		err = conn.ReplyWithError(context.Background(), req.ID, rpcError(err))
+	} else {
+		err = conn.Reply(context.Background(), req.ID, out)
+	}
 	if err != nil {
-		_ = conn.ReplyWithError(ctx, req.ID, rpcError(err))
-		return
+		_ = conn.Close()
 	}
-	_ = conn.Reply(ctx, req.ID, out)
 }
 
 func (hm handlerMap) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
--- a/internal/peer/exec/exec.go
+++ b/internal/peer/exec/exec.go
@@ -3,21 +3,30 @@
 //
 // # Usage
 //
-//	e := &exec.Client{REST: &rest.Client{BaseURL: url, HTTP: httpClient}}
+//	e := exec.New(url, id)
+//	defer e.Close()
 //	report, err := e.Adopt(ctx, term)
 //	answer, err := e.Run(ctx, term, attempt)
 //
 // An attempt whose answer was lost is settled, never sent again on a guess:
 //
 //	answer, err = e.Settle(ctx, term, key, no)
+//
+// # Connections
+//
+// Attempts reuse connections. Every other call has a connection of its own, so
+// that it answers even when the established ones are half-open. When an attempt
+// fails, the idle connections are closed, as they may be half-open too.
 package exec
 
 import (
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -35,30 +44,63 @@
 	HeaderDigest  = "hoist-digest"
 )
 
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// idleTimeout closes connections that no attempt needs.
+	idleTimeout = 30 * time.Second
+	// maxConns bounds the connections for attempts, so that the owner and the
+	// owner before it together stay below the 60 that an executor takes.
+	maxConns = 24
+)
+
 // Client implements hoist.Executor. Its methods may be called concurrently.
 type Client struct {
-	REST *rest.Client
 	// ID is the executor's id, for answers and errors.
 	ID hoist.ExecutorID
+
+	attempts *rest.Client
+	asking   *rest.Client
+}
+
+var _ hoist.Executor = (*Client)(nil)
+
+// New returns a client of the executor at url. It does not connect.
+func New(url string, id hoist.ExecutorID) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	attempts := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxConns, MaxConnsPerHost: maxConns, IdleConnTimeout: idleTimeout,
+	}
+	asking := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &Client{
+		ID:       id,
+		attempts: &rest.Client{BaseURL: url, HTTP: &http.Client{Transport: attempts}},
+		asking:   &rest.Client{BaseURL: url, HTTP: &http.Client{Transport: asking}},
+	}
+}
+
+// Close closes the idle connections. Attempts that run keep theirs.
+func (c *Client) Close() {
+	c.attempts.HTTP.CloseIdleConnections()
 }
 
 // Adopt implements hoist.Executor.
 func (c *Client) Adopt(ctx context.Context, term hoist.Term) (hoist.ExecutorReport, error) {
 	in := wire.TermChange{Term: int(term)}
-	out, err := rest.Call[wire.ExecutorReport](ctx, c.REST, http.MethodPut, "/v1/term", in)
+	out, err := rest.Call[wire.ExecutorReport](ctx, c.asking, http.MethodPut, "/v1/term", in)
 	return codec.ToExecutorReport(out), c.wrap(err)
 }
 
 // Report implements hoist.Executor.
 func (c *Client) Report(ctx context.Context) (hoist.ExecutorReport, error) {
-	out, err := rest.Call[wire.ExecutorReport](ctx, c.REST, http.MethodGet, "/v1/report", rest.Empty{})
+	out, err := rest.Call[wire.ExecutorReport](ctx, c.asking, http.MethodGet, "/v1/report", rest.Empty{})
 	return codec.ToExecutorReport(out), c.wrap(err)
 }
 
 // Settle implements hoist.Executor.
 func (c *Client) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
 	in := wire.Settle{Term: int(term), Key: string(key), Attempt: int(no)}
-	out, err := rest.Call[wire.Answer](ctx, c.REST, http.MethodPost, "/v1/settle", in)
+	out, err := rest.Call[wire.Answer](ctx, c.asking, http.MethodPost, "/v1/settle", in)
 	if err != nil {
 		return hoist.Answer{}, c.wrap(err)
 	}
@@ -74,14 +116,14 @@
 // attempt, the length and the digest that the executor states; an answer that
 // is cut short or belongs to another attempt gives hoist.ErrOutcomeUnknown.
 func (c *Client) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.REST.BaseURL+"/v1/run", bytes.NewReader(a.Request.Body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.attempts.BaseURL+"/v1/run", bytes.NewReader(a.Request.Body))
 	if err != nil {
 		return hoist.Answer{}, hoist.Turn(hoist.ErrInvalid, err)
 	}
 	req.Header.Set(HeaderTerm, strconv.FormatUint(uint64(term), 10))
 	req.Header.Set(HeaderKey, string(a.Request.Key))
 	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(a.No), 10))
-	resp, err := c.REST.Do(req)
+	resp, err := c.attempts.Do(req)
 	if err != nil {
 		return hoist.Answer{}, c.wrap(err)
 	}
--- a/internal/proto/rest/rest.go
+++ b/internal/proto/rest/rest.go
@@ -17,7 +17,9 @@
 //
 // A domain error of the server arrives as the same domain error. A call that
 // failed before a byte of it was sent gives hoist.ErrUnavailable. Any other
-// failure gives hoist.ErrOutcomeUnknown, as the server may have acted.
+// failure gives hoist.ErrOutcomeUnknown, as the server may have acted. The idle
+// connections of the HTTP client are then closed, so that the next call makes a
+// new one: connections can be half-open while new ones work.
 package rest
 
 import (
@@ -92,6 +94,8 @@
 		return resp, nil
 	}
 	if sent.Load() {
+		// The connection may be half-open, and the idle ones with it.
+		c.client().CloseIdleConnections()
 		return nil, hoist.Turn(hoist.ErrOutcomeUnknown, err)
 	}
 	return nil, hoist.Turn(hoist.ErrUnavailable, err)
