--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -134,8 +134,8 @@
 	events.Stopping.Log(ctx, d.Log, "host", d.Params.Host)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.Params.DrainTime))
 	defer cancel()
-	if !d.router.Drain(ctx) {
-		events.DrainStuck.Log(ctx, d.Log, "host", d.Params.Host)
+	if stuck, isIdle := d.router.Drain(ctx); !isIdle {
+		d.router.Stuck(ctx, stuck)
 	}
 }
 
@@ -161,7 +161,7 @@
 	d.router = &route.Router{
 		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log,
 		DialExecutor: func(l hoist.Listed) hoist.Executor {
-			return &exec.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.ExecutorID(l.ID)}
+			return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 		},
 	}
 	d.tasks = &tasks.Manager{
--- a/internal/core/daemon/report.go
+++ b/internal/core/daemon/report.go
@@ -20,10 +20,12 @@
 }
 
 // Submit implements caller.Requests.
-func (o observedRouter) Submit(ctx context.Context, r hoist.Request) hoist.Answer {
-	a := o.Router.Submit(ctx, r)
-	o.daemon.observe(r.Class, a)
-	return a
+func (o observedRouter) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	a, err := o.Router.Submit(ctx, r)
+	if err == nil {
+		o.daemon.observe(r.Class, a)
+	}
+	return a, err
 }
 
 // observe records an answer for the reports and metrics.
