--- a/ids.go
+++ b/ids.go
@@ -35,8 +35,9 @@
 // RequestKey identifies a request over all its retries. The caller chooses it.
 type RequestKey string
 
-// AttemptNo numbers the attempts at one request or task, starting at 1.
-type AttemptNo uint32
+// AttemptNo numbers the attempts at one request, starting at 1, or at one task,
+// where it only grows over all owners of the job.
+type AttemptNo uint64
 
 // TxnID identifies one transaction on the table, so that its outcome can be
 // read back after a lost answer.
--- a/iface.go
+++ b/iface.go
@@ -115,8 +115,8 @@
 	// further effect.
 	Start(ctx context.Context, g Grant) error
 	// Renew extends the leases of all running tasks and acknowledges the end
-	// of the tasks in acked.
-	Renew(ctx context.Context, term Term, lease time.Duration, acked []TaskID) (WorkerReport, error)
+	// of the attempts in acked.
+	Renew(ctx context.Context, term Term, lease time.Duration, acked []TaskAttempt) (WorkerReport, error)
 	// Stop ends a task. Stopping a task that does not run is not an error.
 	Stop(ctx context.Context, term Term, task TaskID, mode StopMode) error
 }
@@ -128,6 +128,10 @@
 	Rack       RackID
 	Capacity   Resources
 	Free       Resources
+	// Leaving workers take no new work.
+	Leaving bool
+	// Lower is what tasks hold there, by priority, for urgent work.
+	Lower []PriorityUse
 	// Replicas is how many tasks of the job run in the worker's rack.
 	Replicas int
 }
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -168,6 +168,7 @@
 // Beat implements member.Beater.
 func (d *Daemon) Beat(h *hoist.Heartbeat) {
 	h.Workers = d.tasks.Workers()
+	h.Gang = d.tasks.Turn()
 	h.Slots = d.router.Slots()
 }
 
--- a/internal/core/daemon/peer.go
+++ b/internal/core/daemon/peer.go
@@ -53,29 +53,44 @@
 	return d.tasks.Accept(ctx, s)
 }
 
+// CancelJob implements hoist.Peer.
+func (d *Daemon) CancelJob(ctx context.Context, ref hoist.JobRef) error {
+	return d.tasks.CancelOwn(ctx, ref)
+}
+
+// ShowJobs implements hoist.Peer.
+func (d *Daemon) ShowJobs(_ context.Context, team hoist.TeamID) ([]hoist.JobState, error) {
+	return d.tasks.ShowOwn(team)
+}
+
 // Reserve implements hoist.Peer.
-func (d *Daemon) Reserve(_ context.Context, p hoist.Placement) error {
-	return d.tasks.Reserve(p)
+func (d *Daemon) Reserve(ctx context.Context, ps []hoist.Placement) []error {
+	return d.tasks.Reserve(ctx, ps)
 }
 
 // Start implements hoist.Peer.
-func (d *Daemon) Start(ctx context.Context, p hoist.Placement) error {
-	return d.tasks.Start(ctx, p)
+func (d *Daemon) Start(ctx context.Context, ps []hoist.Placement) []error {
+	return d.tasks.Start(ctx, ps)
+}
+
+// Stop implements hoist.Peer.
+func (d *Daemon) Stop(ctx context.Context, ps []hoist.Placement, mode hoist.StopMode) []error {
+	return d.tasks.Stop(ctx, ps, mode)
 }
 
 // Unreserve implements hoist.Peer.
-func (d *Daemon) Unreserve(_ context.Context, p hoist.Placement) error {
-	return d.tasks.Unreserve(p)
+func (d *Daemon) Unreserve(ctx context.Context, ps []hoist.Placement) error {
+	return d.tasks.Unreserve(ctx, ps)
 }
 
 // TaskEnded implements hoist.Peer.
-func (d *Daemon) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
-	return d.tasks.TaskEnded(ctx, t)
+func (d *Daemon) TaskEnded(ctx context.Context, ends []hoist.WorkerTask) []error {
+	return d.tasks.TaskEnded(ctx, ends)
 }
 
 // Survey implements hoist.Peer.
-func (d *Daemon) Survey(_ context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
-	return d.tasks.Survey(shards), nil
+func (d *Daemon) Survey(_ context.Context, shards []hoist.ShardTerm) (hoist.SurveyReply, error) {
+	return d.tasks.Survey(shards)
 }
 
 // Config implements hoist.Peer.
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -68,6 +68,17 @@
 	TaskFailed    = register(305, slog.LevelWarn, "task failed")
 	JobsRecovered = register(306, slog.LevelInfo, "recovered jobs from the table")
 	ProgressLate  = register(307, slog.LevelWarn, "progress of jobs could not be written")
+	JobLate       = register(308, slog.LevelWarn, "job misses its deadline, or will")
+	JobStuck      = register(309, slog.LevelWarn, "job can never run in this cell")
+	JobCancelled  = register(310, slog.LevelInfo, "cancelled a job")
+	GangHolds     = register(311, slog.LevelInfo, "all-at-once job holds capacity")
+	TaskYields    = register(312, slog.LevelInfo, "stopped a task for urgent work")
+	TaskSlow      = register(313, slog.LevelWarn, "task runs far longer than expected")
+	WorkerSilent  = register(314, slog.LevelWarn, "worker is lost; its tasks wait again")
+	StartUnknown  = register(315, slog.LevelWarn, "outcome of a start is unknown")
+	SurveyWaits   = register(316, slog.LevelWarn, "jobs wait for workers that nobody can look at")
+	TaskStray     = register(317, slog.LevelWarn, "stopped a task that no job expects")
+	TaskMissing   = register(318, slog.LevelWarn, "worker does not run a task that was placed on it")
 )
 
 // Events of the daemon: 400 to 499.
--- a/internal/core/tasks/tasks.go
+++ b/internal/core/tasks/tasks.go
@@ -10,22 +10,21 @@
 //
 // # Concurrency
 //
-// One goroutine places tasks, one writes progress to the table, and each owned
-// worker has one that adopts it, renews its leases and reports its ends. The
-// decisions (grant, jobs, place) are behind one mutex, which is never held
-// during a call to another process.
+// One goroutine places tasks, one writes jobs to the table, and each owned
+// worker has two: one that adopts it and renews its leases, and one that
+// reports its ends, so that a slow table never delays a renewal. A call with
+// placements to another host has a goroutine until it is answered. The
+// decisions (grant, jobs) are behind one mutex, which is not held during a call
+// to another process or while workers are chosen.
 package tasks
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/decide/place"
@@ -36,15 +35,29 @@
 	TaskLease = 10 * time.Second
 	// TaskLeaseDrift is 1% of TaskLease, the assumed bound on clock drift.
 	TaskLeaseDrift = TaskLease / 100
+	// lapseTime is the time after the last call that may have renewed a lease
+	// until the lease has certainly lapsed. The call itself may be on its way
+	// for callTimeout.
+	lapseTime = TaskLease + TaskLeaseDrift + callTimeout
 	// renewEvery is the period of renewing the leases on a worker.
 	renewEvery = time.Second
+	// freshTime is the largest age of a worker's report with which anything is
+	// started there, so that a worker that is leaving gets nothing after 2 s.
+	freshTime = 1900 * time.Millisecond
 	// passEvery is the longest time between two placement passes.
 	passEvery = 500 * time.Millisecond
+	// passGap is the shortest time between two placement passes; what happens
+	// in between is taken together.
+	passGap = 10 * time.Millisecond
 	// callTimeout bounds a call to a worker, the table or another host.
 	callTimeout = 2 * time.Second
-	// forwardTries bounds how often a job follows a moving shard.
+	// workerTimeout bounds a start or stop at a worker, so that the owner can
+	// stop tasks of lower priority and start one within a call of the job's
+	// owner.
+	workerTimeout = 900 * time.Millisecond
+	// forwardTries bounds how often a call follows a moving shard.
 	forwardTries = 20
-	// forwardPause is the wait before a job follows a moving shard.
+	// forwardPause is the wait before a call follows a moving shard.
 	forwardPause = 50 * time.Millisecond
 )
 
@@ -61,22 +74,28 @@
 	// Policy chooses workers; nil means place.FirstFit.
 	Policy hoist.PlacementPolicy
 
-	once     sync.Once
-	mu       sync.Mutex
-	rng      *rand.Rand
-	book     *jobs.Book
-	shards   map[hoist.ShardID]*teamShard
-	workers  map[hoist.WorkerID]*handle
-	listed   []hoist.Listed
-	remote   map[hoist.HostID][]hoist.Candidate
-	kick     chan struct{}
-	progress chan progress
+	once    sync.Once
+	mu      sync.Mutex
+	rng     *rand.Rand
+	book    *jobs.Book
+	shards  map[hoist.ShardID]*teamShard
+	workers map[hoist.WorkerID]*handle
+	listed  map[hoist.WorkerID]hoist.Listed
+	heard   map[hoist.HostID]heard
+	taken   map[hoist.WorkerID][]taken
+	refused map[hoist.WorkerID]time.Time
+	calls   *calls
+	gangs   map[hoist.JobID]*gangTry
+	ledger  *ledger
+	absent  map[hoist.WorkerID]absence
+	audit   audit
+	kick    chan struct{}
+	told    map[hoist.TaskID]bool
 }
 
 // teamShard is a shard whose jobs this host keeps.
 type teamShard struct {
-	term     hoist.Term
-	acquired time.Time
+	term hoist.Term
 	// isReady is set when the jobs and their running tasks are known.
 	isReady bool
 }
@@ -92,9 +111,17 @@
 		m.book = jobs.NewBook()
 		m.shards = make(map[hoist.ShardID]*teamShard)
 		m.workers = make(map[hoist.WorkerID]*handle)
-		m.remote = make(map[hoist.HostID][]hoist.Candidate)
+		m.listed = make(map[hoist.WorkerID]hoist.Listed)
+		m.heard = make(map[hoist.HostID]heard)
+		m.taken = make(map[hoist.WorkerID][]taken)
+		m.refused = make(map[hoist.WorkerID]time.Time)
+		m.calls = newCalls()
+		m.gangs = make(map[hoist.JobID]*gangTry)
+		m.ledger = newLedger()
+		m.absent = make(map[hoist.WorkerID]absence)
+		m.audit.owners = make(map[hoist.WorkerID]hoist.HostID)
 		m.kick = make(chan struct{}, 1)
-		m.progress = make(chan progress)
+		m.told = make(map[hoist.TaskID]bool)
 	})
 }
 
@@ -103,15 +130,22 @@
 	m.init()
 	var wg sync.WaitGroup
 	wg.Go(func() { m.listLoop(ctx) })
-	wg.Go(func() { m.progressLoop(ctx) })
+	wg.Go(func() { m.surveyLoop(ctx) })
+	wg.Go(func() { m.writeLoop(ctx) })
 	wg.Go(func() { m.placeLoop(ctx) })
 	wg.Wait()
+	m.calls.running.Wait()
 }
 
 // wake starts a placement pass soon.
 func (m *Manager) wake() {
+	signal(m.kick)
+}
+
+// signal sets a flag that a goroutine waits for.
+func signal(flag chan struct{}) {
 	select {
-	case m.kick <- struct{}{}:
+	case flag <- struct{}{}:
 	default:
 	}
 }
@@ -123,9 +157,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, s := range shards {
-		m.shards[s.Shard] = &teamShard{term: s.Term, acquired: m.Clock.Now()}
+		m.dropShard(s.Shard)
+		m.shards[s.Shard] = &teamShard{term: s.Term}
 	}
-	m.wake()
+	m.audit.ask()
 }
 
 // Release implements hoist.ShardHolder.
@@ -133,62 +168,47 @@
 	m.init()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	released := make(map[hoist.ShardID]bool, len(shards))
 	for _, shard := range shards {
-		released[shard] = true
-		delete(m.shards, shard)
+		m.dropShard(shard)
+	}
+	return nil
+}
+
+// dropShard forgets a shard and its jobs. The mutex is held.
+func (m *Manager) dropShard(shard hoist.ShardID) {
+	if _, ok := m.shards[shard]; !ok {
+		return
 	}
-	for _, j := range m.book.Jobs(m.Clock.Now()) {
-		if released[teamShardOf(j.Spec.Team)] {
+	delete(m.shards, shard)
+	for _, j := range m.book.All() {
+		if teamShardOf(j.Spec.Team) == shard {
+			m.ledger.drop(j.Spec.ID)
+			m.calls.settle(j.Spec.ID)
+			delete(m.gangs, j.Spec.ID)
 			m.book.Remove(j.Spec.ID)
 		}
 	}
-	return nil
 }
 
-func teamShardOf(team hoist.TeamID) hoist.ShardID {
-	return hoist.ShardOf(hoist.KindTeam, string(team))
+// shardOf returns the shard of a job's team if this host keeps its jobs and
+// they are known. The mutex is held.
+func (m *Manager) shardOf(team hoist.TeamID) (*teamShard, bool) {
+	s, ok := m.shards[teamShardOf(team)]
+	return s, ok && s.isReady
 }
 
-func workerShardOf(worker hoist.WorkerID) hoist.ShardID {
-	return hoist.ShardOf(hoist.KindWorker, string(worker))
+// owns reports whether this host may act for a shard in a term right now.
+func (m *Manager) owns(shard hoist.ShardID, term hoist.Term) bool {
+	current, ok := m.Own.Owns(shard)
+	return ok && current == term
 }
 
-// Submit takes a job to the owner of its team's shard. When it returns nil, the
-// job is recorded in the table. hoist.ErrOutcomeUnknown means that it may be;
-// submitting the same id again is safe.
-func (m *Manager) Submit(ctx context.Context, spec hoist.JobSpec) error {
-	m.init()
-	if err := jobs.CheckSpec(spec); err != nil {
-		return err
-	}
-	shard := teamShardOf(spec.Team)
-	var err error
-	for range forwardTries {
-		err = m.forward(ctx, shard, spec)
-		if !errors.Is(err, hoist.ErrNotOwner) {
-			return err
-		}
-		if !pause(ctx, forwardPause) {
-			break
-		}
-	}
-	return hoist.Turn(hoist.ErrUnavailable, err)
+func teamShardOf(team hoist.TeamID) hoist.ShardID {
+	return hoist.ShardOf(hoist.KindTeam, string(team))
 }
 
-func (m *Manager) forward(ctx context.Context, shard hoist.ShardID, spec hoist.JobSpec) error {
-	host, ok := m.Own.OwnerOf(shard)
-	if !ok {
-		return merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d has no owner", shard))
-	}
-	if host == m.Own.Self() {
-		return m.Accept(ctx, spec)
-	}
-	peer, ok := m.Own.Peer(host)
-	if !ok {
-		return merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("no connection to host %s", host))
-	}
-	return peer.SubmitJob(ctx, spec)
+func workerShardOf(worker hoist.WorkerID) hoist.ShardID {
+	return hoist.ShardOf(hoist.KindWorker, string(worker))
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
@@ -200,44 +220,16 @@
 	}
 }
 
-// Heard records the free capacity that another host reports.
-func (m *Manager) Heard(h hoist.Heartbeat) {
-	m.init()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.remote[h.Host] = h.Workers
-}
-
-// Workers returns the free capacity of the workers that this host owns.
-func (m *Manager) Workers() []hoist.Candidate {
-	m.init()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.localCandidates()
-}
-
-// JobState is what operators see of a job.
-type JobState struct {
-	Spec    hoist.JobSpec
-	Running int
-	Done    int
-	Reason  string
-}
-
-// Jobs returns the jobs that this host keeps.
-func (m *Manager) Jobs() []JobState {
-	m.init()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []JobState
-	for _, j := range m.book.Jobs(m.Clock.Now()) {
-		s := JobState{Spec: j.Spec, Done: j.Done, Reason: j.Reason}
-		for _, t := range j.Tasks {
-			if t.Worker != "" && !t.IsDone {
-				s.Running++
-			}
-		}
-		out = append(out, s)
+// pauseOr waits for d or for the flag. It reports false if ctx ended.
+func pauseOr(ctx context.Context, d time.Duration, flag <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-flag:
+		return true
+	case <-timer.C:
+		return true
 	}
-	return out
 }
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -6,138 +6,216 @@
 	"slices"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/grant"
 )
 
+const (
+	// refusedKeep is how long a worker's owner remembers attempts that ended or
+	// were stopped, so that a delayed start does not run them.
+	refusedKeep = time.Minute
+)
+
 // handle is one worker that this host owns.
 type handle struct {
 	worker hoist.Worker
 	listed hoist.Listed
-	term   hoist.Term
-	cancel context.CancelFunc
+	// isDelisted is set when the worker left the host list. The list never
+	// proves death, so its tasks are followed until their leases lapse.
+	isDelisted bool
+	term       hoist.Term
+	cancel     context.CancelFunc
 	// account is nil until the worker was adopted.
-	account  *grant.Account
-	report   hoist.WorkerReport
-	acked    []hoist.TaskID
+	account *grant.Account
+	report  hoist.WorkerReport
+	// asked is when the last answered report was asked for.
+	asked time.Time
+	// live are the attempts that were committed and not found to have ended.
+	live map[hoist.TaskID]hoist.AttemptNo
+	// reserved are the attempts that capacity is held for.
+	reserved map[hoist.TaskID]hoist.AttemptNo
+	// starting are the live tasks whose start is not answered.
+	starting map[hoist.TaskID]hoist.Grant
+	// closing are tasks that were stopped and whose end no report has listed.
+	closing map[hoist.TaskID]closing
+	// refused are attempts that must not start any more.
+	refused map[hoist.TaskID]closing
+	// ends are the ends that the owners of the jobs have not acknowledged.
+	ends map[hoist.TaskAttempt]*end
+	// acked are acknowledged ends that the worker may forget.
+	acked    map[hoist.TaskAttempt]bool
+	hold     hold
 	isSilent bool
+	wasLeft  bool
+	renewDue chan struct{}
+	endsDue  chan struct{}
+}
+
+// closing is an attempt and when it was stopped.
+type closing struct {
+	attempt hoist.AttemptNo
+	at      time.Time
+}
+
+// hold keeps what becomes free on a worker for one job.
+type hold struct {
+	job   hoist.JobID
+	until time.Time
+}
+
+func newHandle(w hoist.Worker, l hoist.Listed, term hoist.Term, cancel context.CancelFunc) *handle {
+	return &handle{
+		worker: w, listed: l, term: term, cancel: cancel,
+		live:     make(map[hoist.TaskID]hoist.AttemptNo),
+		reserved: make(map[hoist.TaskID]hoist.AttemptNo),
+		starting: make(map[hoist.TaskID]hoist.Grant),
+		closing:  make(map[hoist.TaskID]closing),
+		refused:  make(map[hoist.TaskID]closing),
+		ends:     make(map[hoist.TaskAttempt]*end),
+		acked:    make(map[hoist.TaskAttempt]bool),
+		renewDue: make(chan struct{}, 1),
+		endsDue:  make(chan struct{}, 1),
+	}
+}
+
+func (h *handle) isLeaving() bool {
+	return h.listed.Leaving || h.isDelisted || h.report.Leaving
 }
 
-// listLoop keeps a goroutine for each worker that this host owns.
+// listLoop keeps goroutines for each worker that this host owns.
 func (m *Manager) listLoop(ctx context.Context) {
 	for {
-		if listed, err := m.HostList.List(ctx); err == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		listed, err := m.HostList.List(callCtx)
+		cancel()
+		if err == nil {
 			m.sync(ctx, listed)
 		}
-		m.recover(ctx)
 		if !pause(ctx, renewEvery) {
 			return
 		}
 	}
 }
 
-func (m *Manager) sync(ctx context.Context, listed []hoist.Listed) {
+func (m *Manager) sync(ctx context.Context, all []hoist.Listed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = listed
-	owned := make(map[hoist.WorkerID]bool)
-	for _, l := range listed {
-		id := hoist.WorkerID(l.ID)
-		term, ok := m.Own.Owns(workerShardOf(id))
-		if l.Kind != hoist.ListedWorker || !ok {
-			continue
+	listed := make(map[hoist.WorkerID]hoist.Listed)
+	for _, l := range all {
+		if l.Kind == hoist.ListedWorker {
+			listed[hoist.WorkerID(l.ID)] = l
 		}
-		owned[id] = true
-		if h, ok := m.workers[id]; ok && h.term == term && h.listed.Addr == l.Addr {
-			h.listed = l
-			continue
-		}
-		m.drop(id)
-		ctx, cancel := context.WithCancel(ctx)
-		h := &handle{worker: m.DialWorker(l), listed: l, term: term, cancel: cancel}
-		m.workers[id] = h
-		go m.watch(ctx, id, h)
 	}
-	for id := range m.workers {
-		if !owned[id] {
-			m.drop(id)
+	m.listed = listed
+	for id, l := range listed {
+		m.syncWorker(ctx, id, l)
+	}
+	for id, h := range m.workers {
+		_, isListed := listed[id]
+		h.isDelisted = !isListed
+		isOver := h.isDelisted && (h.account == nil || h.isSilent || len(h.live)+len(h.ends) == 0)
+		if isOver || !m.owns(workerShardOf(id), h.term) {
+			h.cancel()
+			delete(m.workers, id)
 		}
 	}
 }
 
-func (m *Manager) drop(id hoist.WorkerID) {
+func (m *Manager) syncWorker(ctx context.Context, id hoist.WorkerID, l hoist.Listed) {
+	term, ok := m.Own.Owns(workerShardOf(id))
+	if !ok {
+		return
+	}
 	if h, ok := m.workers[id]; ok {
+		if h.term == term && h.listed.Addr == l.Addr {
+			h.listed = l
+			return
+		}
 		h.cancel()
-		delete(m.workers, id)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	h := newHandle(m.DialWorker(l), l, term, cancel)
+	m.workers[id] = h
+	m.calls.running.Go(func() { m.watch(ctx, id, h) })
+	m.calls.running.Go(func() { m.endLoop(ctx, id, h) })
 }
 
-// watch adopts one worker and then renews its leases.
+// watch adopts one worker and then renews its leases. After a renewal whose
+// answer was lost it asks without renewing until the worker answers, so that
+// the leases of a lost worker lapse.
 func (m *Manager) watch(ctx context.Context, id hoist.WorkerID, h *handle) {
-	for !m.adopt(ctx, id, h) {
+	for !m.ask(ctx, id, h, m.probe) {
 		if !pause(ctx, renewEvery) {
 			return
 		}
 	}
 	events.WorkerAdopted.Log(ctx, m.Log, "worker", id, "term", h.term)
-	answered := m.Clock.Now()
-	for pause(ctx, renewEvery) {
-		if m.renew(ctx, id, h) {
-			answered = m.Clock.Now()
-		} else if m.Clock.Now().Sub(answered) > TaskLease+TaskLeaseDrift {
+	call := m.renew
+	renewed := m.Clock.Now()
+	for pauseOr(ctx, renewEvery, h.renewDue) {
+		if !m.owns(workerShardOf(id), h.term) {
+			continue
+		}
+		if m.ask(ctx, id, h, call) {
+			call = m.renew
+			renewed = m.Clock.Now()
+			continue
+		}
+		if m.Clock.Now().Sub(renewed) > lapseTime {
 			m.lose(ctx, id, h)
 		}
+		call = m.probe
 	}
 }
 
-func (m *Manager) adopt(ctx context.Context, id hoist.WorkerID, h *handle) bool {
+// ask makes a call that returns a report, and applies it.
+func (m *Manager) ask(ctx context.Context, id hoist.WorkerID, h *handle, call func(context.Context, *handle) (hoist.WorkerReport, error)) bool {
+	asked := m.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	report, err := h.worker.Adopt(callCtx, h.term)
+	report, err := call(callCtx, h)
+	if ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
-		if ctx.Err() == nil {
-			events.WorkerLost.Log(ctx, m.Log, "worker", id, "error", err)
-		}
+		events.WorkerLost.Log(ctx, m.Log, "worker", id, "error", err)
 		return false
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	report.Leaving = report.Leaving || h.listed.Leaving
-	h.account = grant.NewAccount(report)
-	h.report = report
-	m.wake()
+	strays := m.reconcile(ctx, id, h, report, asked)
+	for _, task := range strays {
+		events.TaskStray.Log(ctx, m.Log, "worker", id, "task", task)
+		stopCtx, cancel := context.WithTimeout(ctx, workerTimeout)
+		// A stop that fails is repeated with the next report.
+		_ = h.worker.Stop(stopCtx, h.term, task, hoist.StopNow)
+		cancel()
+	}
 	return true
 }
 
-// renew extends the leases of one worker and reports the ends that it lists.
-func (m *Manager) renew(ctx context.Context, id hoist.WorkerID, h *handle) bool {
-	if _, ok := m.Own.Owns(workerShardOf(id)); !ok {
-		return false
+// probe sets the term at the worker and reads its report.
+func (m *Manager) probe(ctx context.Context, h *handle) (hoist.WorkerReport, error) {
+	return h.worker.Adopt(ctx, h.term)
+}
+
+// renew extends the leases on the worker and lets it forget acknowledged ends.
+func (m *Manager) renew(ctx context.Context, h *handle) (hoist.WorkerReport, error) {
+	m.mu.Lock()
+	acked := make([]hoist.TaskAttempt, 0, len(h.acked))
+	for a := range h.acked {
+		acked = append(acked, a)
 	}
-	asked := m.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	report, err := h.worker.Renew(callCtx, h.term, TaskLease, h.acked)
+	m.mu.Unlock()
+	report, err := h.worker.Renew(ctx, h.term, TaskLease, acked)
 	if err != nil {
-		if ctx.Err() == nil {
-			events.WorkerLost.Log(ctx, m.Log, "worker", id, "error", err)
-		}
-		return false
-	}
-	h.acked = nil
-	missing := m.reconcile(h, report, asked)
-	for _, status := range report.Ended {
-		if m.tellOwner(ctx, hoist.WorkerTask{Worker: id, Status: status}) {
-			h.acked = append(h.acked, status.Task)
-		}
+		return report, err
 	}
-	for _, g := range missing {
-		m.tellOwner(ctx, hoist.WorkerTask{Worker: id, Status: stoppedStatus(g, "the start did not arrive")})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range acked {
+		delete(h.acked, a)
 	}
-	return true
+	return report, nil
 }
 
 func stoppedStatus(g hoist.Grant, reason string) hoist.TaskStatus {
@@ -147,167 +225,176 @@
 	}
 }
 
-func (m *Manager) reconcile(h *handle, report hoist.WorkerReport, asked time.Time) []hoist.Grant {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	report.Leaving = report.Leaving || h.listed.Leaving
-	missing := h.account.Reconcile(report, asked)
-	h.report = report
-	h.isSilent = false
-	m.wake()
-	return missing
+func attemptOf(s hoist.TaskStatus) hoist.TaskAttempt {
+	return hoist.TaskAttempt{Task: s.Task, Attempt: s.Attempt}
 }
 
-// lose gives up on a worker whose leases have all lapsed: its tasks have
-// stopped and may start elsewhere.
-func (m *Manager) lose(ctx context.Context, id hoist.WorkerID, h *handle) {
+// reconcile brings the account up to date with a report. It returns the tasks
+// that run without having been granted.
+func (m *Manager) reconcile(ctx context.Context, id hoist.WorkerID, h *handle, report hoist.WorkerReport, asked time.Time) []hoist.TaskID {
 	m.mu.Lock()
-	isNew := !h.isSilent
-	h.isSilent = true
-	running := h.report.Running
-	h.report.Running = nil
-	h.account = grant.NewAccount(hoist.WorkerReport{Worker: id, Leaving: true})
-	m.mu.Unlock()
-	if !isNew {
-		return
+	defer m.mu.Unlock()
+	h.report.Leaving = report.Leaving
+	report.Leaving = h.isLeaving()
+	if h.account == nil || h.isSilent {
+		h.open(report)
+	} else {
+		for _, g := range h.account.Reconcile(report, asked) {
+			if _, ok := h.closing[g.Task]; !ok {
+				status := stoppedStatus(g, "the start did not arrive")
+				h.ends[attemptOf(status)] = &end{status: status}
+			}
+		}
 	}
-	events.WorkerLost.Log(ctx, m.Log, "worker", id, "tasks", len(running))
-	for _, status := range running {
-		status.State = hoist.TaskStopped
-		status.Reason = "the worker is lost"
-		m.tellOwner(ctx, hoist.WorkerTask{Worker: id, Status: status})
+	h.report = report
+	h.asked = asked
+	h.noteEnds(report)
+	h.prune(m.Clock.Now(), asked)
+	if report.Leaving && !h.wasLeft {
+		events.WorkerLeaving.Log(ctx, m.Log, "worker", id)
 	}
+	h.wasLeft = report.Leaving
+	if len(h.ends) > 0 {
+		signal(h.endsDue)
+	}
+	m.wake()
+	return h.strays()
 }
 
-// tellOwner reports the end of a task to the owner of its job.
-func (m *Manager) tellOwner(ctx context.Context, t hoist.WorkerTask) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	host, ok := m.Own.OwnerOf(teamShardOf(t.Status.Team))
-	if !ok {
-		return false
-	}
-	if host == m.Own.Self() {
-		return m.TaskEnded(ctx, t) == nil
+// open opens the account from what the worker runs.
+func (h *handle) open(report hoist.WorkerReport) {
+	h.account = grant.NewAccount(report)
+	h.isSilent = false
+	clear(h.live)
+	clear(h.reserved)
+	for _, s := range report.Running {
+		h.live[s.Task] = s.Attempt
 	}
-	peer, ok := m.Own.Peer(host)
-	return ok && peer.TaskEnded(ctx, t) == nil
 }
 
-// localCandidates returns the adopted workers. The mutex is held.
-func (m *Manager) localCandidates() []hoist.Candidate {
-	out := make([]hoist.Candidate, 0, len(m.workers))
-	for id, h := range m.workers {
-		if h.account == nil || h.listed.Leaving {
+func (h *handle) noteEnds(report hoist.WorkerReport) {
+	for _, s := range report.Ended {
+		a := attemptOf(s)
+		if h.acked[a] {
 			continue
 		}
-		out = append(out, hoist.Candidate{
-			Worker:     id,
-			DataCentre: h.report.DataCentre,
-			Rack:       h.report.Rack,
-			Capacity:   h.report.Capacity,
-			Free:       h.account.Free(),
-		})
+		h.ends[a] = &end{status: s, isListed: true, isTried: h.ends[a] != nil && h.ends[a].isTried}
 	}
-	slices.SortFunc(out, func(a, b hoist.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
-	return out
 }
 
-// owned returns the handle of a worker that this host owns now.
-func (m *Manager) owned(p hoist.Placement) (*handle, error) {
-	term, ok := m.Own.Owns(workerShardOf(p.Worker))
-	if !ok {
-		return nil, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("worker %s", p.Worker))
+// prune drops what the last report settles or what is too old to matter.
+func (h *handle) prune(now, asked time.Time) {
+	granted := make(map[hoist.TaskID]bool)
+	for _, g := range h.account.Grants() {
+		granted[g.Task] = true
 	}
-	if !m.Own.Accepts(p.TeamShard, p.TeamTerm) {
-		return nil, merry.Wrap(hoist.ErrStaleTerm, merry.PrependMessagef("team shard %d, term %d", p.TeamShard, p.TeamTerm))
+	for task, attempt := range h.live {
+		if !granted[task] {
+			delete(h.live, task)
+			h.refused[task] = closing{max(attempt, h.refused[task].attempt), now}
+		}
 	}
-	h, ok := m.workers[p.Worker]
-	if !ok || h.term != term || h.account == nil {
-		return nil, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("worker %s is not adopted in term %d", p.Worker, term))
+	for task, c := range h.closing {
+		if c.at.Before(asked) {
+			delete(h.closing, task)
+		}
+	}
+	for task, c := range h.refused {
+		if now.Sub(c.at) > refusedKeep {
+			delete(h.refused, task)
+		}
 	}
-	return h, nil
 }
 
-// Reserve holds capacity on an owned worker.
-func (m *Manager) Reserve(p hoist.Placement) error {
-	m.init()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h, err := m.owned(p)
-	if err != nil {
-		return err
+// strays returns the running tasks that the account does not have.
+func (h *handle) strays() []hoist.TaskID {
+	var out []hoist.TaskID
+	for _, s := range h.report.Running {
+		_, isClosing := h.closing[s.Task]
+		if attempt, ok := h.live[s.Task]; !isClosing && (!ok || attempt != s.Attempt) {
+			out = append(out, s.Task)
+		}
 	}
-	return h.account.Reserve(p.Grant, m.Clock.Now())
+	return out
 }
 
-// Unreserve gives a reservation back.
-func (m *Manager) Unreserve(p hoist.Placement) error {
-	m.init()
+// lose gives up on a worker whose leases have all lapsed: its tasks have
+// stopped and may start elsewhere.
+func (m *Manager) lose(ctx context.Context, id hoist.WorkerID, h *handle) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h, err := m.owned(p)
-	if err != nil {
-		return err
+	if h.isSilent {
+		return
 	}
-	h.account.Release(p.Grant.Task)
-	return nil
+	h.isSilent = true
+	for _, g := range h.account.Grants() {
+		if h.live[g.Task] == g.Attempt {
+			status := stoppedStatus(g, "the worker is lost")
+			h.ends[attemptOf(status)] = &end{status: status}
+		}
+	}
+	events.WorkerSilent.Log(ctx, m.Log, "worker", id, "tasks", len(h.live))
+	clear(h.live)
+	h.report.Running = nil
+	h.account = grant.NewAccount(hoist.WorkerReport{Worker: id, Leaving: true})
+	signal(h.endsDue)
 }
 
-// Start starts a reserved task on an owned worker. After
-// hoist.ErrOutcomeUnknown the worker's next report tells whether it runs; the
-// owner of the job hears of it if it does not.
-func (m *Manager) Start(ctx context.Context, p hoist.Placement) error {
+// Workers returns what this host tells the others about its workers.
+func (m *Manager) Workers() []hoist.Candidate {
 	m.init()
 	m.mu.Lock()
-	h, err := m.owned(p)
-	if err == nil {
-		err = h.account.Commit(p.Grant.Task, p.Grant.Attempt, m.Clock.Now())
-	}
-	m.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	g := p.Grant
-	g.Term = h.term
-	g.Lease = TaskLease
-	err = h.worker.Start(ctx, g)
-	m.mu.Lock()
 	defer m.mu.Unlock()
-	h.account.Answered(g.Task, m.Clock.Now())
-	if err != nil && !isUnknown(err) {
-		h.account.Release(g.Task)
-	}
-	return err
+	return m.localCandidates()
 }
 
-// Survey lists the tasks of team shards on the adopted workers.
-func (m *Manager) Survey(shards []hoist.ShardID) hoist.SurveyReply {
-	m.init()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var reply hoist.SurveyReply
+// localCandidates returns the adopted workers. The mutex is held.
+func (m *Manager) localCandidates() []hoist.Candidate {
+	now := m.Clock.Now()
+	out := make([]hoist.Candidate, 0, len(m.workers))
 	for id, h := range m.workers {
-		if h.account == nil {
+		if h.account == nil || h.isSilent {
 			continue
 		}
-		reply.Workers = append(reply.Workers, id)
-		for _, status := range slices.Concat(h.report.Running, h.report.Ended) {
-			if slices.Contains(shards, teamShardOf(status.Team)) {
-				reply.Tasks = append(reply.Tasks, hoist.WorkerTask{Worker: id, Status: status})
-			}
+		c := hoist.Candidate{
+			Worker:     id,
+			DataCentre: h.report.DataCentre,
+			Rack:       h.report.Rack,
+			Capacity:   h.report.Capacity,
+			Leaving:    h.isLeaving(),
 		}
-		for _, g := range h.account.Grants() {
-			if slices.Contains(shards, teamShardOf(g.Team)) {
-				reply.Tasks = append(reply.Tasks, hoist.WorkerTask{Worker: id, Status: runningStatus(g)})
+		if !c.Leaving && now.Sub(h.asked) <= freshTime {
+			c.Lower = h.lower()
+			if now.After(h.hold.until) {
+				c.Free = h.account.Free()
 			}
 		}
+		out = append(out, c)
 	}
-	return reply
+	slices.SortFunc(out, func(a, b hoist.Candidate) int { return cmp.Compare(a.Worker, b.Worker) })
+	return out
+}
+
+// lower sums up by priority what tasks that could be stopped hold.
+func (h *handle) lower() []hoist.PriorityUse {
+	var out []hoist.PriorityUse
+	for _, s := range h.report.Running {
+		if !h.mayYield(s) {
+			continue
+		}
+		i := slices.IndexFunc(out, func(u hoist.PriorityUse) bool { return u.Priority == s.Priority })
+		if i < 0 {
+			i = len(out)
+			out = append(out, hoist.PriorityUse{Priority: s.Priority})
+		}
+		out[i].Used = out[i].Used.Add(s.Need)
+	}
+	return out
 }
 
-func runningStatus(g hoist.Grant) hoist.TaskStatus {
-	status := stoppedStatus(g, "")
-	status.State = hoist.TaskRunning
-	return status
+// mayYield reports whether a task of the last report can be stopped for urgent
+// work.
+func (h *handle) mayYield(s hoist.TaskStatus) bool {
+	_, isClosing := h.closing[s.Task]
+	return !isClosing && h.live[s.Task] == s.Attempt
 }
--- a/internal/decide/jobs/jobs.go
+++ b/internal/decide/jobs/jobs.go
@@ -1,23 +1,38 @@
 // Package jobs keeps the state of the jobs of the teams that a host owns:
-// which tasks wait, which run where, and what is due next.
+// which tasks wait, which run where, what must be stopped, and what is due
+// next.
 //
 // # Usage
 //
 //	b := jobs.NewBook()
-//	err := b.Add(spec, now)
-//	for _, t := range b.Waiting(now) {
-//		// place t, then
-//		b.Started(t.Task, worker, attempt)
+//	b.Add(spec, term, now)
+//	for _, j := range b.Due(now) {
+//		for _, t := range b.Ready(j, now) {
+//			// choose a worker for t, then
+//			attempt := j.NewAttempt()
+//			b.Begin(t, worker, attempt, now)
+//			// send the start, then one of
+//			b.Confirm(t.ID, attempt, now)
+//			b.NotStarted(t.ID, attempt, now)
+//		}
 //	}
-//	b.Ended(end)
+//	b.Ended(end, now)
+//	b.Tick(now)
+//
+// # Phases of a task
+//
+// A task waits, starts (a start was sent, its outcome is open), runs, stops (a
+// stop is due and not confirmed) or is done. Only a waiting task may be placed,
+// so a task is in at most one place. A task that stops waits again when the end
+// of its attempt is certain.
 //
 // The type is not safe for concurrent use and reads no clock.
 package jobs
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -25,55 +40,136 @@
 	hoist "fuchsiahoist.example/hoist"
 )
 
+// Phase is the state of a task.
+type Phase uint8
+
+// The phases of a task.
+const (
+	Waiting Phase = iota
+	Starting
+	Running
+	Stopping
+	Done
+)
+
+// attemptBits is the part of an attempt number that counts within one term of
+// the job's owner. Attempts of a later term are thus always higher, and 16
+// million attempts of a job fit in one term.
+const attemptBits = 24
+
 // Task is one task of a job.
 type Task struct {
 	ID      hoist.TaskID
+	Job     *Job
+	No      int
+	Phase   Phase
 	Attempt hoist.AttemptNo
 	Worker  hoist.WorkerID
-	IsDone  bool
+	// Since is when the phase began.
+	Since time.Time
+	// NotBefore delays the next start after a failure.
+	NotBefore time.Time
+	// FailedOn is the worker of the last failed attempt.
+	FailedOn hoist.WorkerID
+	failures int
+	// isOpen is set while the outcome of a start is not known.
+	isOpen bool
+	// isRetired is set for a replica that is stopped for good.
+	isRetired bool
+}
+
+// IsPlaced reports whether the task occupies a worker, or may.
+func (t *Task) IsPlaced() bool {
+	return t.Phase == Starting || t.Phase == Running || t.Phase == Stopping
 }
 
 // Job is one accepted job.
 type Job struct {
 	Spec     hoist.JobSpec
 	Accepted time.Time
-	Tasks    []*Task
-	Done     int
+	// Version is the version of the job's row in the table, 0 before it is
+	// written. Nothing is placed before.
+	Version hoist.RowVersion
+	Tasks   []*Task
 	// Reason tells why the job waits, for operators.
 	Reason string
+	// IsCancelled lets no task start.
+	IsCancelled bool
+	// IsCancelWritten is set when the table records the cancellation. Until
+	// then running tasks are not stopped, as it may be taken back.
+	IsCancelWritten bool
+	// IsLate is set when the deadline was or will be missed.
+	IsLate bool
+	// Ended is when the job ended.
+	Ended time.Time
+
+	term        hoist.Term
+	lastAttempt hoist.AttemptNo
+	counts      [Done + 1]int
+	open        int
+	firstStart  time.Time
+	gangSince   time.Time
+}
+
+// Count returns the number of tasks in a phase.
+func (j *Job) Count(p Phase) int {
+	return j.counts[p]
 }
 
-// IsEnded reports whether all tasks of the job are done.
+// Open returns the number of starts whose outcome is not known.
+func (j *Job) Open() int {
+	return j.open
+}
+
+// IsEnded reports whether the job is over: all tasks are done, or it was
+// cancelled and nothing runs.
 func (j *Job) IsEnded() bool {
-	return j.Done == len(j.Tasks)
+	placed := j.counts[Starting] + j.counts[Running] + j.counts[Stopping]
+	if placed > 0 {
+		return false
+	}
+	return j.IsCancelled || j.counts[Done] == len(j.Tasks)
 }
 
-// waiting returns the tasks that neither run nor are done.
-func (j *Job) waiting() []*Task {
-	var out []*Task
-	for _, t := range j.Tasks {
-		if !t.IsDone && t.Worker == "" {
-			out = append(out, t)
-		}
+// PhaseName is the phase of the job as operators see it.
+func (j *Job) PhaseName() hoist.JobPhase {
+	switch {
+	case j.IsCancelled && j.IsEnded():
+		return hoist.JobCancelled
+	case j.IsCancelled:
+		return hoist.JobCancelling
+	case j.IsEnded():
+		return hoist.JobDone
+	case j.counts[Running] > 0:
+		return hoist.JobRunning
+	default:
+		return hoist.JobWaiting
 	}
-	return out
 }
 
 // Book holds the jobs of one host.
 type Book struct {
-	jobs  map[hoist.JobID]*Job
-	tasks map[hoist.TaskID]*taskRef
-}
+	// Estimate returns the learned run time of one task of a job; nil means
+	// the declared one.
+	Estimate func(hoist.JobSpec) time.Duration
 
-// taskRef finds a task and its job.
-type taskRef struct {
-	job  *Job
-	task *Task
+	jobs     map[hoist.JobID]*Job
+	tasks    map[hoist.TaskID]*Task
+	onWorker map[hoist.WorkerID]map[hoist.TaskID]*Task
+	stopping map[hoist.TaskID]*Task
+	// active are the jobs that are not ended.
+	active map[hoist.JobID]*Job
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[hoist.JobID]*Job), tasks: make(map[hoist.TaskID]*taskRef)}
+	return &Book{
+		jobs:     make(map[hoist.JobID]*Job),
+		tasks:    make(map[hoist.TaskID]*Task),
+		onWorker: make(map[hoist.WorkerID]map[hoist.TaskID]*Task),
+		stopping: make(map[hoist.TaskID]*Task),
+		active:   make(map[hoist.JobID]*Job),
+	}
 }
 
 // CheckSpec returns hoist.ErrInvalid with the reason if a job can never be
@@ -97,18 +193,27 @@
 	return merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("job %q %s", s.ID, reason))
 }
 
-// Add accepts a job. Adding a job of the same id again has no effect.
-func (b *Book) Add(s hoist.JobSpec, now time.Time) {
-	if _, ok := b.jobs[s.ID]; ok {
-		return
+// Add accepts a job in a term of its owner. Adding a job of the same id again
+// has no effect. It returns the job.
+func (b *Book) Add(s hoist.JobSpec, term hoist.Term, accepted time.Time) *Job {
+	if j, ok := b.jobs[s.ID]; ok {
+		return j
 	}
-	j := &Job{Spec: s, Accepted: now}
+	j := &Job{Spec: s, Accepted: accepted, term: term}
+	b.jobs[s.ID] = j
+	b.active[s.ID] = j
 	for i := range s.Tasks {
-		t := &Task{ID: hoist.TaskID(fmt.Sprintf("%s/%d", s.ID, i))}
-		j.Tasks = append(j.Tasks, t)
-		b.tasks[t.ID] = &taskRef{j, t}
+		b.addTask(j, i)
 	}
-	b.jobs[s.ID] = j
+	return j
+}
+
+func (b *Book) addTask(j *Job, no int) *Task {
+	t := &Task{ID: taskID(j, no), Job: j, No: no}
+	j.Tasks = append(j.Tasks, t)
+	j.counts[Waiting]++
+	b.tasks[t.ID] = t
+	return t
 }
 
 // Remove drops a job.
@@ -118,9 +223,16 @@
 		return
 	}
 	for _, t := range j.Tasks {
-		delete(b.tasks, t.ID)
+		b.forget(t)
 	}
 	delete(b.jobs, id)
+	delete(b.active, id)
+}
+
+func (b *Book) forget(t *Task) {
+	b.unplace(t)
+	delete(b.stopping, t.ID)
+	delete(b.tasks, t.ID)
 }
 
 // Get returns the job of the given id.
@@ -129,97 +241,99 @@
 	return j, ok
 }
 
-// Jobs returns all jobs, most urgent first: urgent ones, then by priority,
-// then by slack, then by time of acceptance.
-func (b *Book) Jobs(now time.Time) []*Job {
+// Task returns the task of the given id.
+func (b *Book) Task(id hoist.TaskID) (*Task, bool) {
+	t, ok := b.tasks[id]
+	return t, ok
+}
+
+// All returns all jobs in no order.
+func (b *Book) All() []*Job {
 	out := make([]*Job, 0, len(b.jobs))
 	for _, j := range b.jobs {
 		out = append(out, j)
 	}
-	slices.SortFunc(out, func(x, y *Job) int {
-		return cmp.Or(
-			-compareBool(x.Spec.Urgent, y.Spec.Urgent),
-			-cmp.Compare(x.Spec.Priority, y.Spec.Priority),
-			cmp.Compare(x.slack(now), y.slack(now)),
-			x.Accepted.Compare(y.Accepted),
-			cmp.Compare(x.Spec.ID, y.Spec.ID),
-		)
-	})
 	return out
 }
 
-func compareBool(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return 1
-	default:
-		return -1
+// OnWorker returns the tasks that are placed on a worker.
+func (b *Book) OnWorker(id hoist.WorkerID) []*Task {
+	out := make([]*Task, 0, len(b.onWorker[id]))
+	for _, t := range b.onWorker[id] {
+		out = append(out, t)
 	}
+	return out
 }
 
-// slack is the time by which the job can wait and still meet its deadline.
-func (j *Job) slack(now time.Time) time.Duration {
-	const none = 1000 * time.Hour
-	if j.Spec.Deadline.IsZero() {
-		return none
+// Workers returns the workers that tasks are placed on.
+func (b *Book) Workers() []hoist.WorkerID {
+	out := make([]hoist.WorkerID, 0, len(b.onWorker))
+	for id := range b.onWorker {
+		out = append(out, id)
 	}
-	return j.Spec.Deadline.Sub(now) - j.Spec.RunTime
+	return out
 }
 
-// Waiting returns the tasks of a job to place now. For a gang it is all tasks
-// or none.
-func (b *Book) Waiting(j *Job) []*Task {
-	waiting := j.waiting()
-	if j.Spec.Kind == hoist.GangJob && len(waiting) != len(j.Tasks) {
-		return nil
+// setPhase moves a task between phases and keeps the counts.
+func (b *Book) setPhase(t *Task, p Phase, now time.Time) {
+	j := t.Job
+	j.counts[t.Phase]--
+	j.counts[p]++
+	t.Phase = p
+	t.Since = now
+	if p == Stopping {
+		b.stopping[t.ID] = t
+	} else {
+		delete(b.stopping, t.ID)
+	}
+	if !t.IsPlaced() {
+		b.unplace(t)
 	}
-	return waiting
 }
 
-// MarkDone records the tasks, by number, that the table lists as done.
-func (b *Book) MarkDone(id hoist.JobID, done []int) {
-	j, ok := b.jobs[id]
-	if !ok {
+func (b *Book) setOpen(t *Task, isOpen bool) {
+	if t.isOpen == isOpen {
 		return
 	}
-	for _, i := range done {
-		if i >= 0 && i < len(j.Tasks) && !j.Tasks[i].IsDone {
-			j.Tasks[i].IsDone = true
-			j.Done++
-		}
+	t.isOpen = isOpen
+	if isOpen {
+		t.Job.open++
+	} else {
+		t.Job.open--
 	}
 }
 
-// Started records where a task runs.
-func (b *Book) Started(task hoist.TaskID, worker hoist.WorkerID, attempt hoist.AttemptNo) {
-	if ref, ok := b.tasks[task]; ok && !ref.task.IsDone {
-		ref.task.Worker = worker
-		ref.task.Attempt = max(ref.task.Attempt, attempt)
+func (b *Book) put(t *Task, worker hoist.WorkerID) {
+	b.unplace(t)
+	t.Worker = worker
+	if b.onWorker[worker] == nil {
+		b.onWorker[worker] = make(map[hoist.TaskID]*Task)
 	}
+	b.onWorker[worker][t.ID] = t
 }
 
-// Ended records the end of a task's attempt. It reports whether the job has
-// ended with it. A task that failed or was stopped waits again.
-func (b *Book) Ended(e hoist.WorkerTask) (*Job, bool) {
-	ref, ok := b.tasks[e.Status.Task]
-	if !ok || ref.task.IsDone || ref.task.Worker != e.Worker || ref.task.Attempt != e.Status.Attempt {
-		return nil, false
+func (b *Book) unplace(t *Task) {
+	if t.Worker == "" {
+		return
 	}
-	ref.task.Worker = ""
-	if e.Status.State == hoist.TaskSucceeded {
-		ref.task.IsDone = true
-		ref.job.Done++
+	delete(b.onWorker[t.Worker], t.ID)
+	if len(b.onWorker[t.Worker]) == 0 {
+		delete(b.onWorker, t.Worker)
 	}
-	return ref.job, ref.job.IsEnded()
+	t.Worker = ""
+	b.setOpen(t, false)
 }
 
-// Lost records that the worker of tasks is gone: what ran there waits again.
-func (b *Book) Lost(worker hoist.WorkerID) {
-	for _, ref := range b.tasks {
-		if ref.task.Worker == worker && !ref.task.IsDone {
-			ref.task.Worker = ""
-		}
+// taskNo returns the number in the id of a task of the job.
+func (j *Job) taskNo(id hoist.TaskID) (int, bool) {
+	text, ok := strings.CutPrefix(string(id), string(j.Spec.ID)+"/")
+	if !ok {
+		return 0, false
 	}
+	no, err := strconv.Atoi(text)
+	return no, err == nil && no >= 0
+}
+
+func taskID(j *Job, no int) hoist.TaskID {
+	return hoist.TaskID(fmt.Sprintf("%s/%d", j.Spec.ID, no))
 }
--- a/internal/fake/work/http.go
+++ b/internal/fake/work/http.go
@@ -31,7 +31,7 @@
 
 func (w *Worker) serveRenew(_ context.Context, in wire.Renewal) (wire.WorkerReport, error) {
 	lease := time.Duration(in.LeaseUs) * time.Microsecond
-	report, err := w.renew(hoist.Term(in.Term), lease, codec.IDs[hoist.TaskID](in.Acked))
+	report, err := w.renew(hoist.Term(in.Term), lease, codec.Map(in.Acked, codec.ToTaskAttempt))
 	return codec.WorkerReport(report), err
 }
 
--- a/internal/fake/work/work.go
+++ b/internal/fake/work/work.go
@@ -7,6 +7,9 @@
 //	w := &work.Worker{ID: "w1", DataCentre: "dc1", Rack: "r1", Capacity: capacity}
 //	url, err := w.Start()
 //	defer w.Close()
+//
+// Without Start, Direct returns a hoist.Worker that calls it in this process,
+// with the faults that SetFault sets.
 package work
 
 import (
@@ -37,8 +40,17 @@
 	Capacity   hoist.Resources
 	// FailAll makes every task fail as soon as it starts.
 	FailAll bool
+	// Slow multiplies the run time of every task; 0 means 1.
+	Slow int
+	// TakesWhileLeaving makes the worker accept tasks while it is leaving, so
+	// that a test sees what is sent to it.
+	TakesWhileLeaving bool
+	// History records the starts and ends of tasks; it may be shared.
+	History *History
 
+	once     sync.Once
 	mu       sync.Mutex
+	fault    Fault
 	term     hoist.Term
 	leaving  bool
 	running  map[hoist.TaskID]*task
@@ -56,15 +68,21 @@
 	if err != nil {
 		return "", merry.Prependf(err, "worker %s", w.ID)
 	}
-	w.running = make(map[hoist.TaskID]*task)
-	w.starts = make(map[hoist.TaskID]int)
-	w.succeed = make(map[hoist.JobID]int)
+	w.init()
 	w.server = &http.Server{Handler: w.handler(), ReadHeaderTimeout: 5 * time.Second}
 	// Serve returns http.ErrServerClosed after Close.
 	go func() { _ = w.server.Serve(l) }()
 	return "http://" + l.Addr().String(), nil
 }
 
+func (w *Worker) init() {
+	w.once.Do(func() {
+		w.running = make(map[hoist.TaskID]*task)
+		w.starts = make(map[hoist.TaskID]int)
+		w.succeed = make(map[hoist.JobID]int)
+	})
+}
+
 // Close stops serving and ends all tasks.
 func (w *Worker) Close() {
 	if w.server != nil {
@@ -82,6 +100,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leaving = leaving
+	w.History.record(Change{Worker: w.ID, Kind: Leaves, On: leaving})
 }
 
 // Overfull reports whether the worker was ever given more than it holds.
@@ -153,7 +172,10 @@
 	if t, ok := w.running[g.Task]; ok && t.status.Attempt == g.Attempt {
 		return nil
 	}
-	if w.leaving {
+	if w.hasEnded(g) {
+		return nil
+	}
+	if w.leaving && !w.TakesWhileLeaving {
 		return merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("worker %s", w.ID))
 	}
 	if !g.Need.Fits(w.Capacity.Sub(w.used)) {
@@ -163,12 +185,20 @@
 	w.used = w.used.Add(g.Need)
 	w.starts[g.Task]++
 	w.running[g.Task] = w.newTask(g)
+	w.History.record(Change{Worker: w.ID, Kind: Starts, Task: g.Task, Job: g.Job, Attempt: g.Attempt})
 	if w.FailAll {
 		w.finish(g.Task, hoist.TaskFailed, "worker fails every task")
 	}
 	return nil
 }
 
+// hasEnded reports whether the attempt ended here and was not acknowledged.
+func (w *Worker) hasEnded(g hoist.Grant) bool {
+	return slices.ContainsFunc(w.ended, func(s hoist.TaskStatus) bool {
+		return s.Task == g.Task && s.Attempt == g.Attempt
+	})
+}
+
 func (w *Worker) newTask(g hoist.Grant) *task {
 	t := &task{status: hoist.TaskStatus{
 		Task: g.Task, Job: g.Job, Team: g.Team, Attempt: g.Attempt,
@@ -176,7 +206,7 @@
 		Started: time.Now(),
 	}}
 	if g.RunTime > 0 {
-		t.end = time.AfterFunc(g.RunTime, func() { w.timeUp(t, hoist.TaskSucceeded, "") })
+		t.end = time.AfterFunc(g.RunTime*time.Duration(max(1, w.Slow)), func() { w.timeUp(t, hoist.TaskSucceeded, "") })
 	}
 	t.lapse = time.AfterFunc(g.Lease, func() { w.timeUp(t, hoist.TaskStopped, "lease lapsed") })
 	return t
@@ -201,18 +231,21 @@
 	t.status.State = state
 	t.status.Reason = reason
 	w.ended = append(w.ended, t.status)
+	w.History.record(Change{Worker: w.ID, Kind: Ends, Task: id, Job: t.status.Job, Attempt: t.status.Attempt, State: state})
 	if state == hoist.TaskSucceeded {
 		w.succeed[t.status.Job]++
 	}
 }
 
-func (w *Worker) renew(term hoist.Term, lease time.Duration, acked []hoist.TaskID) (hoist.WorkerReport, error) {
+func (w *Worker) renew(term hoist.Term, lease time.Duration, acked []hoist.TaskAttempt) (hoist.WorkerReport, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(term); err != nil {
 		return hoist.WorkerReport{}, err
 	}
-	w.ended = slices.DeleteFunc(w.ended, func(s hoist.TaskStatus) bool { return slices.Contains(acked, s.Task) })
+	w.ended = slices.DeleteFunc(w.ended, func(s hoist.TaskStatus) bool {
+		return slices.Contains(acked, hoist.TaskAttempt{Task: s.Task, Attempt: s.Attempt})
+	})
 	for _, t := range w.running {
 		t.lapse.Reset(lease)
 	}
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -63,6 +63,8 @@
 // Jobs accepts jobs.
 type Jobs interface {
 	Submit(ctx context.Context, s hoist.JobSpec) error
+	Cancel(ctx context.Context, ref hoist.JobRef) error
+	Show(ctx context.Context, team hoist.TeamID) ([]hoist.JobState, error)
 }
 
 // Server serves callers. Set the fields before Run.
@@ -110,6 +112,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests/{service}", s.serveRequest)
 	mux.HandleFunc("POST /v1/jobs", s.serveJob)
+	s.handleJobs(mux)
 	mux.HandleFunc("GET /v1/health", s.serveHealth)
 	return mux
 }
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -49,7 +49,10 @@
 	methodReserve   method = "reserve"
 	methodStart     method = "start"
 	methodUnreserve method = "unreserve"
+	methodStop      method = "stop"
 	methodTaskEnded method = "task-ended"
+	methodCancelJob method = "cancel-job"
+	methodShowJobs  method = "show-jobs"
 	methodSurvey    method = "survey"
 	methodConfig    method = "config"
 )
@@ -218,37 +221,6 @@
 	return err
 }
 
-// Reserve implements hoist.Peer.
-func (c *Client) Reserve(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodReserve, codec.Placement(p))
-	return err
-}
-
-// Start implements hoist.Peer.
-func (c *Client) Start(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodStart, codec.Placement(p))
-	return err
-}
-
-// Unreserve implements hoist.Peer.
-func (c *Client) Unreserve(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodUnreserve, codec.Placement(p))
-	return err
-}
-
-// TaskEnded implements hoist.Peer.
-func (c *Client) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
-	_, err := call[wire.Empty](ctx, c, methodTaskEnded, codec.WorkerTask(t))
-	return err
-}
-
-// Survey implements hoist.Peer.
-func (c *Client) Survey(ctx context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
-	in := wire.Survey{Shards: codec.Map(shards, func(s hoist.ShardID) int { return int(s) })}
-	out, err := call[wire.SurveyReply](ctx, c, methodSurvey, in)
-	return codec.ToSurveyReply(out), err
-}
-
 // Config implements hoist.Peer.
 func (c *Client) Config(ctx context.Context, version hoist.ConfigVersion) ([]byte, error) {
 	out, err := call[wire.ConfigDocument](ctx, c, methodConfig, wire.ConfigRequest{Version: int(version)})
--- a/internal/peer/entry/server.go
+++ b/internal/peer/entry/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 
@@ -128,30 +129,22 @@
 
 func (s *Server) handlers() handlerMap {
 	p := s.Peer
-	return handlerMap{
+	own := handlerMap{
 		methodHeartbeat: decode(func(ctx context.Context, in wire.Heartbeat) (wire.Heartbeat, error) {
 			out, err := p.Heartbeat(ctx, codec.ToHeartbeat(in))
 			return codec.Heartbeat(out), err
 		}),
-		methodPromise:   vote(p.Promise),
-		methodRelease:   vote(p.Release),
-		methodClaim:     effect(codec.ToClaim, p.Claim),
-		methodHandover:  effect(codec.ToHandover, p.Handover),
-		methodSubmit:    answer(codec.ToRequest, p.Submit),
-		methodDispatch:  answer(codec.ToAttempt, p.Dispatch),
-		methodSubmitJob: effect(codec.ToJobSpec, p.SubmitJob),
-		methodReserve:   effect(codec.ToPlacement, p.Reserve),
-		methodStart:     effect(codec.ToPlacement, p.Start),
-		methodUnreserve: effect(codec.ToPlacement, p.Unreserve),
-		methodTaskEnded: effect(codec.ToWorkerTask, p.TaskEnded),
-		methodSurvey: decode(func(ctx context.Context, in wire.Survey) (wire.SurveyReply, error) {
-			shards := codec.Map(in.Shards, func(s int) hoist.ShardID { return hoist.ShardID(s) })
-			out, err := p.Survey(ctx, shards)
-			return codec.SurveyReply(out), err
-		}),
+		methodPromise:  vote(p.Promise),
+		methodRelease:  vote(p.Release),
+		methodClaim:    effect(codec.ToClaim, p.Claim),
+		methodHandover: effect(codec.ToHandover, p.Handover),
+		methodSubmit:   answer(codec.ToRequest, p.Submit),
+		methodDispatch: answer(codec.ToAttempt, p.Dispatch),
 		methodConfig: decode(func(ctx context.Context, in wire.ConfigRequest) (wire.ConfigDocument, error) {
 			out, err := p.Config(ctx, hoist.ConfigVersion(in.Version))
 			return wire.ConfigDocument{Version: in.Version, Document: string(out)}, err
 		}),
 	}
+	maps.Copy(own, s.taskHandlers())
+	return own
 }
--- a/internal/peer/worker/worker.go
+++ b/internal/peer/worker/worker.go
@@ -42,8 +42,8 @@
 }
 
 // Renew implements hoist.Worker.
-func (c *Client) Renew(ctx context.Context, term hoist.Term, lease time.Duration, acked []hoist.TaskID) (hoist.WorkerReport, error) {
-	in := wire.Renewal{Term: int(term), LeaseUs: int(lease.Microseconds()), Acked: codec.Strings(acked)}
+func (c *Client) Renew(ctx context.Context, term hoist.Term, lease time.Duration, acked []hoist.TaskAttempt) (hoist.WorkerReport, error) {
+	in := wire.Renewal{Term: int(term), LeaseUs: int(lease.Microseconds()), Acked: codec.Map(acked, codec.TaskAttempt)}
 	out, err := rest.Call[wire.WorkerReport](ctx, c.REST, http.MethodPost, "/v1/renew", in)
 	return codec.ToWorkerReport(out), c.wrap(err)
 }
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -13,6 +13,10 @@
 		Rack:       string(c.Rack),
 		Capacity:   Resources(c.Capacity),
 		Free:       Resources(c.Free),
+		Leaving:    optional(c.Leaving),
+		Lower: Map(c.Lower, func(u hoist.PriorityUse) wire.PriorityUse {
+			return wire.PriorityUse{Priority: int(u.Priority), Used: Resources(u.Used)}
+		}),
 	}
 }
 
@@ -24,6 +28,10 @@
 		Rack:       hoist.RackID(c.Rack),
 		Capacity:   ToResources(c.Capacity),
 		Free:       ToResources(c.Free),
+		Leaving:    value(c.Leaving),
+		Lower: Map(c.Lower, func(u wire.PriorityUse) hoist.PriorityUse {
+			return hoist.PriorityUse{Priority: hoist.Priority(u.Priority), Used: ToResources(u.Used)}
+		}),
 	}
 }
 
@@ -47,6 +55,7 @@
 		TableAgeUs: optional(micros(h.TableAge)),
 		Workers:    Map(h.Workers, Candidate),
 		Slots:      Map(h.Slots, ServiceSlots),
+		Gang:       &wire.GangTurn{Job: string(h.Gang.Job), Since: h.Gang.Since},
 	}
 }
 
@@ -60,6 +69,7 @@
 		TableAge: duration(value(h.TableAgeUs)),
 		Workers:  Map(h.Workers, ToCandidate),
 		Slots:    Map(h.Slots, ToServiceSlots),
+		Gang:     hoist.GangTurn{Job: hoist.JobID(value(h.Gang).Job), Since: value(h.Gang).Since},
 	}
 }
 
--- a/internal/proto/codec/task.go
+++ b/internal/proto/codec/task.go
@@ -76,6 +76,8 @@
 		Grant:     Grant(p.Grant),
 		TeamShard: int(p.TeamShard),
 		TeamTerm:  int(p.TeamTerm),
+		Hold:      optional(p.Hold),
+		Preempt:   optional(p.Preempt),
 	}
 }
 
@@ -86,6 +88,8 @@
 		Grant:     ToGrant(p.Grant),
 		TeamShard: hoist.ShardID(p.TeamShard),
 		TeamTerm:  hoist.Term(p.TeamTerm),
+		Hold:      value(p.Hold),
+		Preempt:   value(p.Preempt),
 	}
 }
 
@@ -159,10 +163,91 @@
 
 // SurveyReply converts r for the wire.
 func SurveyReply(r hoist.SurveyReply) wire.SurveyReply {
-	return wire.SurveyReply{Workers: Strings(r.Workers), Tasks: Map(r.Tasks, WorkerTask)}
+	return wire.SurveyReply{
+		Workers:   Strings(r.Workers),
+		Unadopted: Strings(r.Unadopted),
+		Tasks:     Map(r.Tasks, WorkerTask),
+	}
 }
 
 // ToSurveyReply converts r from the wire.
 func ToSurveyReply(r wire.SurveyReply) hoist.SurveyReply {
-	return hoist.SurveyReply{Workers: IDs[hoist.WorkerID](r.Workers), Tasks: Map(r.Tasks, ToWorkerTask)}
+	return hoist.SurveyReply{
+		Workers:   IDs[hoist.WorkerID](r.Workers),
+		Unadopted: IDs[hoist.WorkerID](r.Unadopted),
+		Tasks:     Map(r.Tasks, ToWorkerTask),
+	}
+}
+
+// Results converts the results of the parts of a call for the wire.
+func Results(errs []error) wire.Results {
+	return wire.Results{Results: Map(errs, func(err error) wire.Result {
+		if err == nil {
+			return wire.Result{}
+		}
+		return wire.Result{Code: optional(string(ErrorCode(err))), Message: optional(err.Error())}
+	})}
+}
+
+// ToResults converts r from the wire. It gives n results; those that are
+// missing in r have an unknown outcome.
+func ToResults(r wire.Results, n int) []error {
+	out := make([]error, n)
+	for i := range out {
+		switch {
+		case i >= len(r.Results):
+			out[i] = hoist.ErrOutcomeUnknown
+		case value(r.Results[i].Code) != "":
+			out[i] = Error(Code(*r.Results[i].Code), value(r.Results[i].Message))
+		}
+	}
+	return out
+}
+
+// JobState converts s for the wire.
+func JobState(s hoist.JobState) wire.JobState {
+	return wire.JobState{
+		Spec:     JobSpec(s.Spec),
+		Accepted: s.Accepted,
+		Phase:    string(s.Phase),
+		Waiting:  s.Waiting,
+		Running:  s.Running,
+		Done:     s.Done,
+		Late:     optional(s.IsLate),
+		Reason:   optional(s.Reason),
+	}
+}
+
+// ToJobState converts s from the wire.
+func ToJobState(s wire.JobState) hoist.JobState {
+	return hoist.JobState{
+		Spec:     ToJobSpec(s.Spec),
+		Accepted: s.Accepted,
+		Phase:    hoist.JobPhase(s.Phase),
+		Waiting:  s.Waiting,
+		Running:  s.Running,
+		Done:     s.Done,
+		IsLate:   value(s.Late),
+		Reason:   value(s.Reason),
+	}
+}
+
+// JobRef converts r for the wire.
+func JobRef(r hoist.JobRef) wire.JobRef {
+	return wire.JobRef{Team: string(r.Team), Job: optional(string(r.Job))}
+}
+
+// ToJobRef converts r from the wire.
+func ToJobRef(r wire.JobRef) hoist.JobRef {
+	return hoist.JobRef{Team: hoist.TeamID(r.Team), Job: hoist.JobID(value(r.Job))}
+}
+
+// TaskAttempt converts a for the wire.
+func TaskAttempt(a hoist.TaskAttempt) wire.TaskAttempt {
+	return wire.TaskAttempt{Task: string(a.Task), Attempt: int(a.Attempt)}
+}
+
+// ToTaskAttempt converts a from the wire.
+func ToTaskAttempt(a wire.TaskAttempt) hoist.TaskAttempt {
+	return hoist.TaskAttempt{Task: hoist.TaskID(a.Task), Attempt: hoist.AttemptNo(a.Attempt)}
 }
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -114,6 +114,12 @@
 	// Free corresponds to the JSON schema field "free".
 	Free Resources `json:"free"`
 
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving *bool `json:"leaving,omitempty,omitzero"`
+
+	// Lower corresponds to the JSON schema field "lower".
+	Lower []PriorityUse `json:"lower,omitempty,omitzero"`
+
 	// Rack corresponds to the JSON schema field "rack".
 	Rack string `json:"rack"`
 
@@ -310,6 +316,36 @@
 	return nil
 }
 
+// An all-at-once job that waits.
+type GangTurn struct {
+	// Job corresponds to the JSON schema field "job".
+	Job string `json:"job"`
+
+	// Since corresponds to the JSON schema field "since".
+	Since time.Time `json:"since"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *GangTurn) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["job"]; raw != nil && !ok {
+		return fmt.Errorf("field job in GangTurn: required")
+	}
+	if _, ok := raw["since"]; raw != nil && !ok {
+		return fmt.Errorf("field since in GangTurn: required")
+	}
+	type Plain GangTurn
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = GangTurn(plain)
+	return nil
+}
+
 // Allows a worker to run one task under a lease.
 type Grant struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -432,6 +468,9 @@
 	// Epoch corresponds to the JSON schema field "epoch".
 	Epoch int `json:"epoch"`
 
+	// Gang corresponds to the JSON schema field "gang".
+	Gang *GangTurn `json:"gang,omitempty,omitzero"`
+
 	// Host corresponds to the JSON schema field "host".
 	Host string `json:"host"`
 
@@ -496,6 +535,33 @@
 	return nil
 }
 
+// Names one job of a team, or all of them.
+type JobRef struct {
+	// Job corresponds to the JSON schema field "job".
+	Job *string `json:"job,omitempty,omitzero"`
+
+	// Team corresponds to the JSON schema field "team".
+	Team string `json:"team"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobRef) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["team"]; raw != nil && !ok {
+		return fmt.Errorf("field team in JobRef: required")
+	}
+	type Plain JobRef
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobRef(plain)
+	return nil
+}
+
 // The table's row of a job. Done lists the numbers of the tasks that are done.
 type JobRow struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -507,6 +573,9 @@
 	// Done corresponds to the JSON schema field "done".
 	Done []int `json:"done"`
 
+	// Ended corresponds to the JSON schema field "ended".
+	Ended *time.Time `json:"ended,omitempty,omitzero"`
+
 	// Spec corresponds to the JSON schema field "spec".
 	Spec JobSpec `json:"spec"`
 }
@@ -622,6 +691,90 @@
 	return nil
 }
 
+// What operators see of a job.
+type JobState struct {
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted time.Time `json:"accepted"`
+
+	// Done corresponds to the JSON schema field "done".
+	Done int `json:"done"`
+
+	// Late corresponds to the JSON schema field "late".
+	Late *bool `json:"late,omitempty,omitzero"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase string `json:"phase"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason *string `json:"reason,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running"`
+
+	// Spec corresponds to the JSON schema field "spec".
+	Spec JobSpec `json:"spec"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobState) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["accepted"]; raw != nil && !ok {
+		return fmt.Errorf("field accepted in JobState: required")
+	}
+	if _, ok := raw["done"]; raw != nil && !ok {
+		return fmt.Errorf("field done in JobState: required")
+	}
+	if _, ok := raw["phase"]; raw != nil && !ok {
+		return fmt.Errorf("field phase in JobState: required")
+	}
+	if _, ok := raw["running"]; raw != nil && !ok {
+		return fmt.Errorf("field running in JobState: required")
+	}
+	if _, ok := raw["spec"]; raw != nil && !ok {
+		return fmt.Errorf("field spec in JobState: required")
+	}
+	if _, ok := raw["waiting"]; raw != nil && !ok {
+		return fmt.Errorf("field waiting in JobState: required")
+	}
+	type Plain JobState
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobState(plain)
+	return nil
+}
+
+// The jobs of a team.
+type JobStates struct {
+	// Jobs corresponds to the JSON schema field "jobs".
+	Jobs []JobState `json:"jobs"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobStates) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["jobs"]; raw != nil && !ok {
+		return fmt.Errorf("field jobs in JobStates: required")
+	}
+	type Plain JobStates
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobStates(plain)
+	return nil
+}
+
 // What a coordinator knows about one request key.
 type KeyRecord struct {
 	// Answer corresponds to the JSON schema field "answer".
@@ -819,6 +972,12 @@
 	// Grant corresponds to the JSON schema field "grant".
 	Grant Grant `json:"grant"`
 
+	// Hold corresponds to the JSON schema field "hold".
+	Hold *bool `json:"hold,omitempty,omitzero"`
+
+	// Preempt corresponds to the JSON schema field "preempt".
+	Preempt *bool `json:"preempt,omitempty,omitzero"`
+
 	// TeamShard corresponds to the JSON schema field "team-shard".
 	TeamShard int `json:"team-shard"`
 
@@ -856,6 +1015,63 @@
 	return nil
 }
 
+// Many placements for one owner of workers. Mode is for stops.
+type Placements struct {
+	// Mode corresponds to the JSON schema field "mode".
+	Mode *string `json:"mode,omitempty,omitzero"`
+
+	// Placements corresponds to the JSON schema field "placements".
+	Placements []Placement `json:"placements"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Placements) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["placements"]; raw != nil && !ok {
+		return fmt.Errorf("field placements in Placements: required")
+	}
+	type Plain Placements
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Placements(plain)
+	return nil
+}
+
+// What the tasks of one priority hold on a worker.
+type PriorityUse struct {
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority"`
+
+	// Used corresponds to the JSON schema field "used".
+	Used Resources `json:"used"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PriorityUse) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["priority"]; raw != nil && !ok {
+		return fmt.Errorf("field priority in PriorityUse: required")
+	}
+	if _, ok := raw["used"]; raw != nil && !ok {
+		return fmt.Errorf("field used in PriorityUse: required")
+	}
+	type Plain PriorityUse
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = PriorityUse(plain)
+	return nil
+}
+
 // Writes or deletes one row.
 type Put struct {
 	// Delete corresponds to the JSON schema field "delete".
@@ -895,7 +1111,7 @@
 // Extends the leases of the tasks on a worker.
 type Renewal struct {
 	// Acked corresponds to the JSON schema field "acked".
-	Acked []string `json:"acked"`
+	Acked []TaskAttempt `json:"acked"`
 
 	// LeaseUs corresponds to the JSON schema field "lease-us".
 	LeaseUs int `json:"lease-us"`
@@ -1051,6 +1267,39 @@
 	return nil
 }
 
+// The result of one part of a call; the code is empty for success.
+type Result struct {
+	// Code corresponds to the JSON schema field "code".
+	Code *string `json:"code,omitempty,omitzero"`
+
+	// Message corresponds to the JSON schema field "message".
+	Message *string `json:"message,omitempty,omitzero"`
+}
+
+// One result for each part of a call.
+type Results struct {
+	// Results corresponds to the JSON schema field "results".
+	Results []Result `json:"results"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Results) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["results"]; raw != nil && !ok {
+		return fmt.Errorf("field results in Results: required")
+	}
+	type Plain Results
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Results(plain)
+	return nil
+}
+
 // One row of the table.
 type Row struct {
 	// Key corresponds to the JSON schema field "key".
@@ -1348,7 +1597,7 @@
 // Asks for the tasks of team shards.
 type Survey struct {
 	// Shards corresponds to the JSON schema field "shards".
-	Shards []int `json:"shards"`
+	Shards []ShardTerm `json:"shards"`
 }
 
 // Lists the tasks of team shards on the workers of a host.
@@ -1356,6 +1605,9 @@
 	// Tasks corresponds to the JSON schema field "tasks".
 	Tasks []WorkerTask `json:"tasks"`
 
+	// Unadopted corresponds to the JSON schema field "unadopted".
+	Unadopted []string `json:"unadopted"`
+
 	// Workers corresponds to the JSON schema field "workers".
 	Workers []string `json:"workers"`
 }
@@ -1369,6 +1621,9 @@
 	if _, ok := raw["tasks"]; raw != nil && !ok {
 		return fmt.Errorf("field tasks in SurveyReply: required")
 	}
+	if _, ok := raw["unadopted"]; raw != nil && !ok {
+		return fmt.Errorf("field unadopted in SurveyReply: required")
+	}
 	if _, ok := raw["workers"]; raw != nil && !ok {
 		return fmt.Errorf("field workers in SurveyReply: required")
 	}
@@ -1399,6 +1654,36 @@
 	return nil
 }
 
+// Names one attempt at a task.
+type TaskAttempt struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TaskAttempt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["attempt"]; raw != nil && !ok {
+		return fmt.Errorf("field attempt in TaskAttempt: required")
+	}
+	if _, ok := raw["task"]; raw != nil && !ok {
+		return fmt.Errorf("field task in TaskAttempt: required")
+	}
+	type Plain TaskAttempt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TaskAttempt(plain)
+	return nil
+}
+
 // A worker's report on one task.
 type TaskStatus struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -1647,3 +1932,27 @@
 	*j = WorkerTask(plain)
 	return nil
 }
+
+// Tasks that ended.
+type WorkerTasks struct {
+	// Tasks corresponds to the JSON schema field "tasks".
+	Tasks []WorkerTask `json:"tasks"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *WorkerTasks) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["tasks"]; raw != nil && !ok {
+		return fmt.Errorf("field tasks in WorkerTasks: required")
+	}
+	type Plain WorkerTasks
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = WorkerTasks(plain)
+	return nil
+}
--- a/peer.go
+++ b/peer.go
@@ -54,6 +54,8 @@
 	TableAge time.Duration
 	Workers  []Candidate
 	Slots    []ServiceSlots
+	// Gang is the all-at-once job of the host that has waited longest.
+	Gang GangTurn
 }
 
 // ServiceSlots summarises the free slots of the executors of one service that
@@ -98,6 +100,22 @@
 	// TeamShard and TeamTerm let the owner refuse an outdated job owner.
 	TeamShard ShardID
 	TeamTerm  Term
+	// Hold keeps what becomes free on a full worker for the job.
+	Hold bool
+	// Preempt lets the owner stop tasks of lower priority to make room.
+	Preempt bool
+}
+
+// JobRef names one job of a team.
+type JobRef struct {
+	Team TeamID
+	Job  JobID
+}
+
+// GangTurn names an all-at-once job that waits, and since when.
+type GangTurn struct {
+	Job   JobID
+	Since time.Time
 }
 
 // WorkerTask is a task on its worker.
@@ -107,10 +125,14 @@
 }
 
 // SurveyReply lists what the adopted workers of a host run for a set of team
-// shards. A worker that is not in Workers was not looked at.
+// shards, and what ended there without being acknowledged.
 type SurveyReply struct {
+	// Workers are the adopted workers.
 	Workers []WorkerID
-	Tasks   []WorkerTask
+	// Unadopted are the workers that the host owns and cannot reach: it renews
+	// no lease there, and no earlier owner can.
+	Unadopted []WorkerID
+	Tasks     []WorkerTask
 }
 
 // Peer is another entry host.
@@ -129,16 +151,26 @@
 	// Dispatch hands an attempt to the owner of a free slot of the service.
 	Dispatch(ctx context.Context, a Attempt) (Answer, error)
 	SubmitJob(ctx context.Context, spec JobSpec) error
-	Reserve(ctx context.Context, p Placement) error
-	// Start starts a reserved task.
-	Start(ctx context.Context, p Placement) error
-	// Unreserve gives a reservation back.
-	Unreserve(ctx context.Context, p Placement) error
-	// TaskEnded tells a job's owner that a task ended. When it returns nil
-	// the end is recorded for good.
-	TaskEnded(ctx context.Context, t WorkerTask) error
-	// Survey lists the tasks of team shards on the workers of the peer.
-	Survey(ctx context.Context, shards []ShardID) (SurveyReply, error)
+	// CancelJob cancels a job. When it returns nil, the cancellation is
+	// recorded and no task of the job starts any more.
+	CancelJob(ctx context.Context, ref JobRef) error
+	// ShowJobs returns the jobs of a team.
+	ShowJobs(ctx context.Context, team TeamID) ([]JobState, error)
+	// Reserve, Start and Stop return one result for each placement. Reserve
+	// holds capacity, Start starts tasks and reserves for those without a
+	// reservation. After Stop returned nil, the attempt does not run and will
+	// not be started.
+	Reserve(ctx context.Context, ps []Placement) []error
+	Start(ctx context.Context, ps []Placement) []error
+	Stop(ctx context.Context, ps []Placement, mode StopMode) []error
+	// Unreserve gives reservations back.
+	Unreserve(ctx context.Context, ps []Placement) error
+	// TaskEnded tells a job's owner that tasks ended. It returns one result for
+	// each; nil means that the end is recorded for good.
+	TaskEnded(ctx context.Context, ends []WorkerTask) []error
+	// Survey lists the tasks of team shards on the workers of the peer. From
+	// then on the peer refuses placements of lower terms of these shards.
+	Survey(ctx context.Context, shards []ShardTerm) (SurveyReply, error)
 	Config(ctx context.Context, version ConfigVersion) ([]byte, error)
 }
 
--- a/task.go
+++ b/task.go
@@ -43,6 +43,38 @@
 	DataCentre DataCentreID
 }
 
+// JobPhase is the state of a job as operators see it.
+type JobPhase string
+
+// The phases of a job.
+const (
+	JobWaiting    JobPhase = "waiting"
+	JobRunning    JobPhase = "running"
+	JobCancelling JobPhase = "cancelling"
+	JobCancelled  JobPhase = "cancelled"
+	JobDone       JobPhase = "done"
+)
+
+// JobState is what operators see of a job.
+type JobState struct {
+	Spec     JobSpec
+	Accepted time.Time
+	Phase    JobPhase
+	Waiting  int
+	Running  int
+	Done     int
+	// IsLate tells that the deadline was or will be missed.
+	IsLate bool
+	// Reason tells why tasks wait.
+	Reason string
+}
+
+// PriorityUse is what the running tasks of one priority hold on a worker.
+type PriorityUse struct {
+	Priority Priority
+	Used     Resources
+}
+
 // Grant allows a worker to run one task under a lease.
 type Grant struct {
 	Task     TaskID
@@ -58,6 +90,12 @@
 	Lease time.Duration
 }
 
+// TaskAttempt names one attempt at a task.
+type TaskAttempt struct {
+	Task    TaskID
+	Attempt AttemptNo
+}
+
 // TaskState is the state of a task on its worker.
 type TaskState string
 
