--- a/internal/core/tasks/gangs.go
+++ b/internal/core/tasks/gangs.go
@@ -25,18 +25,24 @@
 type gangTry struct {
 	isBusy bool
 	// kept are the places that the job holds or waits for.
-	kept map[hoist.TaskID]hoist.Placement
+	kept map[hoist.TaskID]keptPlace
 	// since is when the turn began, chosen when workers were last chosen.
 	since, chosen time.Time
 	// resting is when the job may hold capacity again.
 	resting time.Time
 }
 
+// keptPlace is a place that a gang holds, or one that it waits for.
+type keptPlace struct {
+	hoist.Placement
+	isReserved bool
+}
+
 // tryOf returns the state of placing a gang. The mutex is held.
 func (m *Manager) tryOf(id hoist.JobID) *gangTry {
 	try, ok := m.gangs[id]
 	if !ok {
-		try = &gangTry{kept: make(map[hoist.TaskID]hoist.Placement)}
+		try = &gangTry{}
 		m.gangs[id] = try
 	}
 	return try
@@ -74,24 +80,31 @@
 	ps := make([]hoist.Placement, 0, len(w.tasks))
 	var chosen []jobs.Choice
 	var open []*jobs.Task
+	missing := 0
 	for _, t := range w.tasks {
-		if p, ok := w.kept[t.task.ID]; ok && w.isTurn {
-			ps = append(ps, p)
+		kept, isKept := w.kept[t.task.ID]
+		if isKept && kept.isReserved && w.isTurn {
+			ps = append(ps, kept.Placement)
 			continue
 		}
 		choice, ok := fleet.Choose(w.job.Spec, nil, t.failedOn)
 		if !ok {
-			open = append(open, t.task)
+			missing++
+			if isKept && w.isTurn {
+				ps = append(ps, kept.Placement)
+			} else {
+				open = append(open, t.task)
+			}
 			continue
 		}
 		chosen = append(chosen, choice)
 		ps = append(ps, m.newPlacement(t.task, choice, w.term))
 	}
 	reason := ""
-	if len(open) > 0 {
-		reason = fmt.Sprintf("%d of %d tasks have no place now; all must start together", len(open), len(w.tasks))
+	if missing > 0 {
+		reason = fmt.Sprintf("%d of %d tasks have no place now; all must start together", missing, len(w.tasks))
 	}
-	if len(open) > 0 && !w.isTurn {
+	if missing > 0 && !w.isTurn {
 		for _, c := range chosen {
 			fleet.Give(c, w.job.Spec)
 		}
@@ -194,7 +207,7 @@
 		try.since, try.chosen = now, now
 		events.GangHolds.Log(ctx, m.Log, "job", w.job.Spec.ID, "tasks", len(w.tasks))
 	}
-	try.kept = make(map[hoist.TaskID]hoist.Placement)
+	try.kept = make(map[hoist.TaskID]keptPlace)
 	if now.Sub(try.since) > turnTime || w.job.IsCancelled {
 		try.since = time.Time{}
 		try.resting = now.Add(turnTime)
@@ -208,7 +221,7 @@
 	for _, p := range ps {
 		err := results[p.Grant.Task]
 		if err == nil || (errors.Is(err, hoist.ErrNoCapacity) && !isOld) {
-			try.kept[p.Grant.Task] = p
+			try.kept[p.Grant.Task] = keptPlace{p, err == nil}
 		} else if isUnknown(err) {
 			back = append(back, p)
 		}
--- a/internal/core/tasks/pass.go
+++ b/internal/core/tasks/pass.go
@@ -124,7 +124,7 @@
 	placed []hoist.WorkerID
 	term   hoist.Term
 	// kept are places that an all-at-once job holds from earlier passes.
-	kept   map[hoist.TaskID]hoist.Placement
+	kept   map[hoist.TaskID]keptPlace
 	isTurn bool
 }
 
--- a/internal/core/tasks/survey.go
+++ b/internal/core/tasks/survey.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
@@ -246,21 +249,26 @@
 			prefixes = append(prefixes, shardPrefix(s.Shard))
 		}
 	}
+	scanned := make([][]hoist.Row, len(prefixes))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, prefix := range prefixes {
+		g.Go(func() (err error) {
+			scanned[i], err = m.Table.Scan(ctx, prefix)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
 	out := make(map[hoist.ShardID][]hoist.Row)
-	for _, prefix := range prefixes {
-		rows, err := m.Table.Scan(ctx, prefix)
+	for _, row := range slices.Concat(scanned...) {
+		w, err := codec.DecodeValue[wire.JobRow](row)
 		if err != nil {
-			return nil, err
-		}
-		for _, row := range rows {
-			w, err := codec.DecodeValue[wire.JobRow](row)
-			if err != nil {
-				events.RowUnreadable.Log(ctx, m.Log, "error", err)
-				continue
-			}
-			shard := teamShardOf(hoist.TeamID(w.Spec.Team))
-			out[shard] = append(out[shard], row)
+			events.RowUnreadable.Log(ctx, m.Log, "error", err)
+			continue
 		}
+		shard := teamShardOf(hoist.TeamID(w.Spec.Team))
+		out[shard] = append(out[shard], row)
 	}
 	return out, nil
 }
--- a/internal/fake/work/history.go
+++ b/internal/fake/work/history.go
@@ -39,7 +39,8 @@
 	changes []Change
 }
 
-func (h *History) record(c Change) {
+// Record adds a change at the time now.
+func (h *History) Record(c Change) {
 	if h == nil {
 		return
 	}
--- a/internal/fake/work/work.go
+++ b/internal/fake/work/work.go
@@ -100,7 +100,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.leaving = leaving
-	w.History.record(Change{Worker: w.ID, Kind: Leaves, On: leaving})
+	w.History.Record(Change{Worker: w.ID, Kind: Leaves, On: leaving})
 }
 
 // Overfull reports whether the worker was ever given more than it holds.
@@ -185,7 +185,7 @@
 	w.used = w.used.Add(g.Need)
 	w.starts[g.Task]++
 	w.running[g.Task] = w.newTask(g)
-	w.History.record(Change{Worker: w.ID, Kind: Starts, Task: g.Task, Job: g.Job, Attempt: g.Attempt})
+	w.History.Record(Change{Worker: w.ID, Kind: Starts, Task: g.Task, Job: g.Job, Attempt: g.Attempt})
 	if w.FailAll {
 		w.finish(g.Task, hoist.TaskFailed, "worker fails every task")
 	}
@@ -231,7 +231,7 @@
 	t.status.State = state
 	t.status.Reason = reason
 	w.ended = append(w.ended, t.status)
-	w.History.record(Change{Worker: w.ID, Kind: Ends, Task: id, Job: t.status.Job, Attempt: t.status.Attempt, State: state})
+	w.History.Record(Change{Worker: w.ID, Kind: Ends, Task: id, Job: t.status.Job, Attempt: t.status.Attempt, State: state})
 	if state == hoist.TaskSucceeded {
 		w.succeed[t.status.Job]++
 	}
@@ -263,3 +263,17 @@
 	}
 	return nil
 }
+
+// SetFailAll makes every further task fail as soon as it starts, or not.
+func (w *Worker) SetFailAll(failAll bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.FailAll = failAll
+}
+
+// SetSlow multiplies the run time of every further task.
+func (w *Worker) SetSlow(factor int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Slow = factor
+}
