Make the tests on failures notice each rule that is taken out

Cause: a trial in which rules were removed one at a time showed that tests passed without the holds of gangs, the refusal of ended attempts, the age limit of reports, the term check on late starts, and the wait for open starts.

Change: calls between hosts can arrive late; reports of workers can hang; the scenes for starvation, refused starts, cancellation and late starts are built so that the removed rule matters.

Conclusion: every one of these rules has a test that fails without it.

--- a/internal/core/tasks/cell_test.go
+++ b/internal/core/tasks/cell_test.go
@@ -16,6 +16,10 @@
 	"fuchsiahoist.example/hoist/internal/fake/work"
 )
 
+// lateTime is how late a delayed call arrives: after its caller has given up,
+// and after a takeover of the caller's shards and a survey.
+const lateTime = 8 * time.Second
+
 // takeoverTime is the time from a host's death to the claim of its shards.
 const takeoverTime = 5 * time.Second
 
@@ -35,7 +39,9 @@
 	cut map[[2]hoist.HostID]bool
 	// loseReplies counts the replies of each method that are still to be lost.
 	loseReplies map[string]int
-	log         *slog.Logger
+	// late counts the calls of each method that are still to arrive late.
+	late map[string]int
+	log  *slog.Logger
 }
 
 // isVerbose writes the log of the hosts to standard error.
@@ -63,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cell{
 			t: t, plat: &plat.Platform{}, history: &work.History{},
-			cut: make(map[[2]hoist.HostID]bool), loseReplies: make(map[string]int),
+			cut: make(map[[2]hoist.HostID]bool), loseReplies: make(map[string]int), late: make(map[string]int),
 		}
 		if isVerbose {
 			c.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -86,15 +92,18 @@
 		for shard := range hoist.NumShards {
 			c.give(hoist.ShardID(shard), c.hosts[shard%hosts])
 		}
+		defer func() {
+			for _, h := range c.hosts {
+				h.stop()
+			}
+			time.Sleep(lateTime)
+			synctest.Wait()
+			for _, w := range c.workers {
+				w.Close()
+			}
+		}()
 		time.Sleep(3 * time.Second)
 		fn(c)
-		for _, h := range c.hosts {
-			h.stop()
-		}
-		synctest.Wait()
-		for _, w := range c.workers {
-			w.Close()
-		}
 	})
 }
 
@@ -203,6 +212,12 @@
 	c.loseReplies[method] = n
 }
 
+func (c *cell) delay(method string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late[method] = n
+}
+
 // jobOwner returns the host that keeps the jobs of a team, workerOwner the one
 // that owns a worker.
 func (c *cell) jobOwner(team hoist.TeamID) *host {
@@ -331,6 +346,19 @@
 		return hoist.ErrOutcomeUnknown
 	}
 	time.Sleep(time.Millisecond)
+	c.mu.Lock()
+	isLate := c.late[method] > 0
+	if isLate {
+		c.late[method]--
+	}
+	c.mu.Unlock()
+	if isLate {
+		go func() {
+			time.Sleep(lateTime)
+			fn()
+		}()
+		return hoist.ErrOutcomeUnknown
+	}
 	fn()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -371,7 +399,9 @@
 }
 
 func (l link) Start(ctx context.Context, ps []hoist.Placement) []error {
-	return l.each(ctx, "start", len(ps), func() []error { return l.to.m.Start(ctx, ps) })
+	// A call goes on at its receiver when the caller gives up.
+	there := context.WithoutCancel(ctx)
+	return l.each(ctx, "start", len(ps), func() []error { return l.to.m.Start(there, ps) })
 }
 
 func (l link) Stop(ctx context.Context, ps []hoist.Placement, mode hoist.StopMode) []error {
--- a/internal/core/tasks/faults_test.go
+++ b/internal/core/tasks/faults_test.go
@@ -23,8 +23,8 @@
 	return s
 }
 
-func service(id hoist.JobID, tasks int) hoist.JobSpec {
-	s := batch(id, tasks, 0)
+func service(tasks int) hoist.JobSpec {
+	s := batch("svc", tasks, 0)
 	s.Kind = hoist.ServiceJob
 	return s
 }
@@ -102,6 +102,30 @@
 			c.workers[0].SetLeaving(true)
 			c.workers[1].SetLeaving(true)
 		}},
+		{name: "a worker leaves while its reports do not come", isRerun: true, faults: func(c *cell) {
+			time.Sleep(10 * time.Second)
+			for i := range 3 {
+				c.workers[i].SetFault(work.Fault{HangReports: true})
+				c.workers[i].SetLeaving(true)
+			}
+			time.Sleep(3 * time.Second)
+			c.submit(batch("more", 200, 2*time.Second))
+		}},
+		{name: "starts arrive late", faults: func(c *cell) {
+			c.delay("start", 6)
+			c.submit(batch("more", 40, 500*time.Millisecond))
+		}},
+		{name: "starts of a dead host arrive after the takeover", faults: func(c *cell) {
+			time.Sleep(10 * time.Second)
+			c.delay("start", 6)
+			more := batch("more", 30, 20*time.Second)
+			c.submit(more)
+			time.Sleep(15 * time.Millisecond)
+			// The first workers are full at the takeover, so that tasks are
+			// placed elsewhere, and free again when the late starts arrive.
+			c.submit(batch("filler", 20, 6500*time.Millisecond))
+			c.kill(c.jobOwner(more.Team))
+		}},
 		{name: "a worker leaves by the host list", faults: func(c *cell) {
 			w := c.workers[2]
 			c.history.Record(work.Change{Worker: w.ID, Kind: work.Leaves, On: true})
@@ -126,7 +150,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			runCell(t, 3, 9, func(c *cell) {
 				specs := []hoist.JobSpec{
-					service("svc", 6), batch("batch", 80, 2*time.Second), gang("gang", 6, 4*time.Second), gang("late", 10, 3*time.Second),
+					service(6), batch("batch", 80, 2*time.Second), gang("gang", 6, 25*time.Second), gang("late", 10, 3*time.Second),
 				}
 				for _, s := range specs {
 					c.submit(s)
--- a/internal/core/tasks/scenes_test.go
+++ b/internal/core/tasks/scenes_test.go
@@ -29,9 +29,9 @@
 		// done are the jobs that must have ended by then.
 		done []int
 	}{
-		{"replicas are spread and replaced before they are stopped", 3, 12, []hoist.JobSpec{service("svc", 6)}, replaceReplicas, nil},
+		{"replicas are spread and replaced before they are stopped", 3, 12, []hoist.JobSpec{service(6)}, replaceReplicas, nil},
 		{"urgent work starts in a full cell", 3, 3, []hoist.JobSpec{batch("low", 24, 30*time.Second)}, startUrgent, []int{0}},
-		{"small work does not starve a gang", 3, 4, []hoist.JobSpec{gang("gang", 8, time.Second)}, streamSmall, []int{0}},
+		{"small work does not starve a gang", 3, 4, nil, streamSmall, nil},
 		{"two gangs do not block each other", 3, 4, []hoist.JobSpec{gang("one", 6, 3*time.Second), gang("two", 6, 3*time.Second)}, sleep(40 * time.Second), []int{0, 1}},
 		{"a gang that cannot run does not block others", 2, 3, []hoist.JobSpec{gang("vast", 100, time.Second), gang("small", 4, time.Second)}, seeStuck, []int{1}},
 		{"the start of one task of a gang is refused", 2, 4, nil, refuseOne, nil},
@@ -40,11 +40,11 @@
 		{"cancellations while messages are lost", 3, 9, nil, cancelLossy, nil},
 		{"a cancellation that the table cannot record", 2, 3, []hoist.JobSpec{batch("batch", 4, 20*time.Second)}, cancelDown, []int{0}},
 		{"the new owner of jobs cannot reach the owner of workers", 3, 6, []hoist.JobSpec{batch("batch", 40, 50*time.Second)}, cutOwners, []int{0}},
-		{"the table is down for an hour", 3, 3, []hoist.JobSpec{batch("batch", 200, 4*time.Minute), service("svc", 3)}, tableHour, []int{0}},
+		{"the table is down for an hour", 3, 3, []hoist.JobSpec{batch("batch", 200, 4*time.Minute), service(3)}, tableHour, []int{0}},
 		{"a deadline that will be missed is reported early", 1, 1, []hoist.JobSpec{missing("late", 16, 30*time.Second, 50*time.Second)}, seeLate, nil},
 		{"a worker fails every task", 2, 3, []hoist.JobSpec{batch("batch", 60, time.Second)}, failAll, []int{0}},
 		{"a worker runs ten times slower than declared", 2, 3, []hoist.JobSpec{batch("batch", 60, time.Second), gang("gang", 4, time.Second)}, slowWorker, []int{0, 1}},
-		{"a new owner numbers attempts higher", 2, 2, []hoist.JobSpec{service("svc", 2)}, numberAttempts, nil},
+		{"a new owner numbers attempts higher", 2, 2, []hoist.JobSpec{service(2)}, numberAttempts, nil},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -129,15 +129,29 @@
 }
 
 func streamSmall(c *cell) {
-	for i := range 60 {
-		s := batch(hoist.JobID(fmt.Sprintf("small-%d", i)), 20, 3*time.Second)
-		c.submit(s)
-		time.Sleep(500 * time.Millisecond)
+	s := gang("gang", 8, time.Second)
+	var wg sync.WaitGroup
+	for i := range 600 {
+		// A minute of work in tasks that end one by one.
+		small := batch(hoist.JobID(fmt.Sprintf("small-%d", i)), 1, time.Duration(2000+i*37%2000)*time.Millisecond)
+		wg.Go(func() { c.submit(small) })
 	}
-	if c.state(gang("gang", 8, time.Second)).Phase != hoist.JobDone {
-		c.t.Error("the gang has not run during 30 s of small work")
+	wg.Wait()
+	c.submit(s)
+	time.Sleep(25 * time.Second)
+	c.check([]hoist.JobSpec{s})
+	c.checkDone(s)
+	small := 0
+	for _, w := range c.workers {
+		for job := range w.Succeeded() {
+			if job != s.ID {
+				small++
+			}
+		}
+	}
+	if small > 500 {
+		c.t.Errorf("%d of 600 small jobs have ended; the cell was not full", small)
 	}
-	time.Sleep(2 * time.Minute)
 }
 
 func seeStuck(c *cell) {
@@ -149,10 +163,10 @@
 }
 
 func refuseOne(c *cell) {
-	s := gang("gang", 6, 3*time.Second)
+	s := gang("gang", 6, time.Minute)
 	c.workers[0].SetFault(work.Fault{RefuseStarts: 1, LoseStops: 1})
 	c.submit(s)
-	time.Sleep(30 * time.Second)
+	time.Sleep(90 * time.Second)
 	c.check([]hoist.JobSpec{s})
 	c.checkDone(s)
 }
@@ -173,19 +187,20 @@
 
 // cancelMany submits and cancels jobs at once, and checks that none of them
 // starts anything after the cancellation was acknowledged.
-func cancelMany(c *cell, n int, before func()) {
+func cancelMany(c *cell, n int, pause time.Duration, faults func()) {
 	specs := make([]hoist.JobSpec, n)
 	acked := make([]time.Time, n)
 	var wg sync.WaitGroup
 	for i := range n {
 		specs[i] = batch(hoist.JobID(fmt.Sprintf("j%d", i)), 2, time.Minute)
 		specs[i].Team = hoist.TeamID(fmt.Sprintf("team%d", i%20))
-		wg.Go(func() { c.submit(specs[i]) })
+		specs[i].Need = hoist.Resources{CPU: 100}
 	}
-	wg.Wait()
-	before()
+	faults()
 	for i, s := range specs {
 		wg.Go(func() {
+			c.submit(s)
+			time.Sleep(pause + time.Duration(i%50)*time.Millisecond)
 			for range 30 {
 				if c.hosts[i%len(c.hosts)].m.Cancel(context.Background(), hoist.JobRef{Team: s.Team, Job: s.ID}) == nil {
 					acked[i] = time.Now()
@@ -217,16 +232,17 @@
 }
 
 func cancelWave(c *cell) {
-	cancelMany(c, 3000, func() {})
+	cancelMany(c, 3000, 3*time.Second, func() {})
 }
 
 func cancelLossy(c *cell) {
-	cancelMany(c, 300, func() {
+	cancelMany(c, 300, 0, func() {
 		for _, method := range []string{"start", "stop", "cancel", "ended"} {
 			c.lose(method, 10)
 		}
+		c.delay("start", 10)
 		for _, w := range c.workers {
-			w.SetFault(work.Fault{LoseStarts: 2, LoseStops: 2})
+			w.SetFault(work.Fault{LoseStarts: 2, LoseStops: 2, Delay: 100 * time.Millisecond})
 		}
 		c.plat.SetTableFault(plat.Fault{LoseAnswers: 5})
 	})
--- a/internal/fake/work/direct.go
+++ b/internal/fake/work/direct.go
@@ -13,6 +13,8 @@
 type Fault struct {
 	// Down makes every call hang until its context ends, with no effect.
 	Down bool
+	// HangReports makes calls that return a report hang.
+	HangReports bool
 	// LoseStarts, LoseStops and LoseRenews let this many calls take effect and
 	// then lose the answer.
 	LoseStarts, LoseStops, LoseRenews int
@@ -40,7 +42,7 @@
 type direct struct{ w *Worker }
 
 // enter applies the faults that precede the effect of a call.
-func (d direct) enter(ctx context.Context) error {
+func (d direct) enter(ctx context.Context, isReport bool) error {
 	d.w.mu.Lock()
 	f := d.w.fault
 	d.w.mu.Unlock()
@@ -50,7 +52,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if f.Down {
+	if f.Down || (f.HangReports && isReport) {
 		<-ctx.Done()
 	}
 	if ctx.Err() != nil {
@@ -80,7 +82,7 @@
 
 // Adopt implements hoist.Worker.
 func (d direct) Adopt(ctx context.Context, term hoist.Term) (hoist.WorkerReport, error) {
-	if err := d.enter(ctx); err != nil {
+	if err := d.enter(ctx, true); err != nil {
 		return hoist.WorkerReport{}, err
 	}
 	return d.w.adopt(term)
@@ -88,7 +90,7 @@
 
 // Start implements hoist.Worker.
 func (d direct) Start(ctx context.Context, g hoist.Grant) error {
-	if err := d.enter(ctx); err != nil {
+	if err := d.enter(ctx, false); err != nil {
 		return err
 	}
 	if d.take(func(f *Fault) *int { return &f.RefuseStarts }) {
@@ -102,7 +104,7 @@
 
 // Renew implements hoist.Worker.
 func (d direct) Renew(ctx context.Context, term hoist.Term, lease time.Duration, acked []hoist.TaskAttempt) (hoist.WorkerReport, error) {
-	if err := d.enter(ctx); err != nil {
+	if err := d.enter(ctx, true); err != nil {
 		return hoist.WorkerReport{}, err
 	}
 	report, err := d.w.renew(term, lease, acked)
@@ -111,7 +113,7 @@
 
 // Stop implements hoist.Worker.
 func (d direct) Stop(ctx context.Context, term hoist.Term, task hoist.TaskID, mode hoist.StopMode) error {
-	if err := d.enter(ctx); err != nil {
+	if err := d.enter(ctx, false); err != nil {
 		return err
 	}
 	return d.lose(d.w.stop(term, task, mode), func(f *Fault) *int { return &f.LoseStops })
