--- a/iface.go
+++ b/iface.go
@@ -115,8 +115,8 @@
 	// further effect.
 	Start(ctx context.Context, g Grant) error
 	// Renew extends the leases of all running tasks and acknowledges the end
-	// of the tasks in acked.
-	Renew(ctx context.Context, term Term, lease time.Duration, acked []TaskID) (WorkerReport, error)
+	// of the attempts in acked.
+	Renew(ctx context.Context, term Term, lease time.Duration, acked []TaskAttempt) (WorkerReport, error)
 	// Stop ends a task. Stopping a task that does not run is not an error.
 	Stop(ctx context.Context, term Term, task TaskID, mode StopMode) error
 }
@@ -144,6 +144,10 @@
 	// Usage is what the tasks on the worker take, as reported or learned. It
 	// is zero if unknown.
 	Usage Resources
+	// Leaving workers take no new work.
+	Leaving bool
+	// Lower is what tasks hold there, by priority, for urgent work.
+	Lower []PriorityUse
 	// Replicas is how many tasks of the job run in the worker's rack.
 	Replicas int
 	// WorkerReplicas and DataCentreReplicas are how many of them run on the
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -197,6 +197,7 @@
 func (d *Daemon) Beat(h *hoist.Heartbeat) {
 	h.Config = d.spread.Current().Version
 	h.Workers = d.tasks.Workers()
+	h.Gang = d.tasks.Turn()
 	h.Slots = d.router.Slots()
 }
 
--- a/internal/core/tasks/cell.go
+++ b/internal/core/tasks/cell.go
@@ -19,8 +19,8 @@
 	for _, c := range m.localCandidates() {
 		add(c.Capacity)
 	}
-	for _, workers := range m.remote {
-		for _, c := range workers {
+	for _, h := range m.heard {
+		for _, c := range h.workers {
 			add(c.Capacity)
 		}
 	}
