Ask callers for tokens, use TLS, and serve a cell of separate processes

Cause: anyone could submit for any customer or team, connections were in plain text, and the daemon had only run inside the demonstration.

--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -38,6 +38,8 @@
 	Input string `help:"JSON Lines file of requests and jobs." type:"path" placeholder:"FILE"`
 	Seed  uint64 `help:"Seed of the service times." default:"1"`
 	Log   bool   `help:"Write the daemons' log to standard error."`
+	Serve bool   `help:"Start the cell, print its addresses and serve until interrupted."`
+	Hosts int    `help:"With --serve: number of daemons; 0 starts the stand-ins only." default:"3"`
 }
 
 // errCheck reports a check that did not hold; the report names it.
@@ -56,6 +58,10 @@
 	if c.Log {
 		run.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
+	if c.Serve {
+		run.Hosts = c.Hosts
+		return run.Serve(ctx)
+	}
 	result, err := run.Do(ctx)
 	if err == nil && len(result.Violations) > 0 {
 		err = errCheck
--- a/cmd/hoistd/main.go
+++ b/cmd/hoistd/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"fuchsiahoist.example/hoist/internal/core/certs"
 	"fuchsiahoist.example/hoist/internal/core/daemon"
 	"fuchsiahoist.example/hoist/internal/core/params"
 	"fuchsiahoist.example/hoist/internal/peer/hosts"
@@ -57,7 +58,7 @@
 	}
 	if err := serve(p); err != nil {
 		fmt.Fprintln(os.Stderr, "hoistd:", err)
-		if errors.Is(err, params.ErrSettings) {
+		if errors.Is(err, certs.ErrFiles) {
 			return exitUsage
 		}
 		return exitFailed
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/certs"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/member"
 	"fuchsiahoist.example/hoist/internal/core/metric"
@@ -52,6 +54,8 @@
 	metrics  *metric.Set
 	cost     metric.Cost
 	entry    net.Listener
+	admin    net.Listener
+	certs    *certs.Files
 	caller   net.Listener
 	client   *http.Client
 	front    *caller.Server
@@ -70,17 +74,55 @@
 // Listen opens the host's addresses. The port 0 means any free port; EntryAddr
 // and CallerAddr tell which.
 func (d *Daemon) Listen() error {
-	var err error
+	if d.Clock == nil {
+		d.Clock = SystemClock{}
+	}
 	d.running = make(chan struct{})
-	d.entry, err = net.Listen("tcp", d.Params.EntryAddr)
-	if err != nil {
-		return merry.Prependf(err, "entry-addr %s", d.Params.EntryAddr)
+	if err := d.loadCerts(); err != nil {
+		return err
+	}
+	var err error
+	if d.entry, err = d.listen("entry-addr", d.Params.EntryAddr, true); err != nil {
+		return err
+	}
+	if d.caller, err = d.listen("caller-addr", d.Params.CallerAddr, false); err != nil {
+		return err
+	}
+	if d.Params.AdminAddr == "" {
+		return nil
+	}
+	d.admin, err = d.listen("admin-addr", d.Params.AdminAddr, false)
+	return err
+}
+
+func (d *Daemon) loadCerts() error {
+	if d.Params.PlainText {
+		return nil
 	}
-	d.caller, err = net.Listen("tcp", d.Params.CallerAddr)
+	t := d.Params.TLS
+	d.certs = &certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA, Clock: d.Clock}
+	return d.certs.Load()
+}
+
+// listen opens an address; with mutual, the other side needs a certificate.
+func (d *Daemon) listen(key, addr string, mutual bool) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return merry.Prependf(err, "caller-addr %s", d.Params.CallerAddr)
+		return nil, merry.Prependf(err, "%s %s", key, addr)
+	}
+	if d.certs != nil {
+		l = tls.NewListener(l, d.certs.Server(mutual))
+	}
+	return l, nil
+}
+
+// dialHost returns a client for another host.
+func (d *Daemon) dialHost(addr string) hoist.Peer {
+	c := &entry.Client{Addr: addr}
+	if d.certs != nil {
+		c.TLS = d.certs.Client
 	}
-	return nil
+	return c
 }
 
 // CallerAddr returns the address that callers connect to.
@@ -88,6 +130,15 @@
 	return d.caller.Addr().String()
 }
 
+// AdminAddr returns the address that operators connect to; it is empty if the
+// settings have none.
+func (d *Daemon) AdminAddr() string {
+	if d.admin == nil {
+		return ""
+	}
+	return d.admin.Addr().String()
+}
+
 // Run serves until ctx ends. It then leaves the balancer's health check, hands
 // over its shards, and returns when no request is in flight or the drain time
 // has passed.
@@ -140,9 +191,6 @@
 }
 
 func (d *Daemon) build() {
-	if d.Clock == nil {
-		d.Clock = SystemClock{}
-	}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	d.members = &member.Manager{
 		Member: hoist.Member{
@@ -152,7 +200,7 @@
 			Weight:     d.Params.Cores,
 		},
 		Table:  d.Table,
-		Dial:   func(addr string) hoist.Peer { return &entry.Client{Addr: addr} },
+		Dial:   d.dialHost,
 		Clock:  d.Clock,
 		Log:    d.Log,
 		Beat:   d,
@@ -170,7 +218,7 @@
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
 	}
-	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: d.tasks, IsReady: d.isReady}
+	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: d.tasks, IsReady: d.isReady, Access: d.Params.Access()}
 	d.spread = &spread.Keeper{
 		Own: d.members, Table: d.Table, Clock: d.Clock, Log: d.Log, Cell: d.tasks.Cell,
 	}
--- a/internal/core/params/params.go
+++ b/internal/core/params/params.go
@@ -19,6 +19,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/access"
 )
 
 // ErrSettings reports a settings file that cannot be used. The message names
@@ -37,12 +38,31 @@
 	EntryAddr string `toml:"entry-addr"`
 	// CallerAddr is where callers connect, by IP number.
 	CallerAddr string `toml:"caller-addr"`
+	// AdminAddr is where operators connect, by IP number; empty means that this
+	// host has no console.
+	AdminAddr string `toml:"admin-addr"`
 	// PlatformURL is where the platform's services are.
 	PlatformURL string `toml:"platform-url"`
 	// Settle is how long a new host waits before it claims shards.
 	Settle Duration `toml:"settle"`
 	// DrainTime bounds the wait for requests in flight at shutdown.
 	DrainTime Duration `toml:"drain-time"`
+	// OpenAccess lets everyone in as operator; without it there must be tokens.
+	OpenAccess bool `toml:"open-access"`
+	// PlainText allows connections without TLS; without it there must be
+	// certificate files.
+	PlainText bool `toml:"plain-text"`
+	// Tokens lists who may call.
+	Tokens []access.Entry `toml:"tokens"`
+	TLS    TLS            `toml:"tls"`
+}
+
+// TLS names the certificate files of the host.
+type TLS struct {
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
+	// CA signs the certificates of the other hosts.
+	CA string `toml:"ca"`
 }
 
 // Duration is a time.Duration that is written like "1.5s".
@@ -104,11 +124,40 @@
 	check(isAddr(p.EntryAddr), "key %q is %q, expected IP number and port", "entry-addr", p.EntryAddr)
 	check(isAddr(p.CallerAddr), "key %q is %q, expected IP number and port", "caller-addr", p.CallerAddr)
 	check(strings.HasPrefix(p.PlatformURL, "http"), "key %q is %q, expected a URL", "platform-url", p.PlatformURL)
+	check(p.AdminAddr == "" || isAddr(p.AdminAddr), "key %q is %q, expected IP number and port", "admin-addr", p.AdminAddr)
 	check(p.Settle >= 0, "key %q is negative", "settle")
 	check(p.DrainTime > 0, "key %q must be positive", "drain-time")
+	hasTLS := p.TLS != TLS{}
+	check(p.PlainText != hasTLS, "expected either table %q or %q", "tls", "plain-text = true")
+	check(!hasTLS || (p.TLS.Cert != "" && p.TLS.Key != "" && p.TLS.CA != ""), "table %q needs cert, key and ca", "tls")
+	check(p.OpenAccess != (len(p.Tokens) > 0), "expected either tables %q or %q", "tokens", "open-access = true")
+	return append(out, p.tokenProblems()...)
+}
+
+func (p Params) tokenProblems() []string {
+	var out []string
+	seen := make(map[access.Token]bool)
+	for i, t := range p.Tokens {
+		problems := t.Check()
+		if seen[t.Token] {
+			problems = append(problems, "has the token of another entry")
+		}
+		seen[t.Token] = true
+		for _, problem := range problems {
+			out = append(out, fmt.Sprintf("tokens[%d] %s", i, problem))
+		}
+	}
 	return out
 }
 
+// Access returns who may call this host.
+func (p Params) Access() *access.List {
+	if p.OpenAccess {
+		return access.Open()
+	}
+	return access.NewList(p.Tokens)
+}
+
 func isAddr(addr string) bool {
 	_, err := netip.ParseAddrPort(addr)
 	return err == nil
--- a/internal/core/params/params_test.go
+++ b/internal/core/params/params_test.go
@@ -16,6 +16,8 @@
 entry-addr = "127.0.0.1:7000"
 caller-addr = "127.0.0.1:8080"
 platform-url = "http://127.0.0.1:80"
+open-access = true
+plain-text = true
 `
 
 // TestParse guards against settings that are accepted but not meant.
@@ -34,6 +36,10 @@
 		{"host name for an address", strings.Replace(good, "127.0.0.1:7000", "localhost:7000", 1), `key "entry-addr" is "localhost:7000"`},
 		{"bad duration", good + `settle = "soon"`, "settle"},
 		{"bad size", good + "cores = 0\n", `key "cores" is 0`},
+		{"no TLS and no plain text", strings.Replace(good, "plain-text = true", "", 1), `either table "tls" or "plain-text = true"`},
+		{"TLS without CA", strings.Replace(good, "plain-text = true", "tls = {cert = \"c\", key = \"k\"}", 1), `table "tls" needs cert, key and ca`},
+		{"nobody may call", strings.Replace(good, "open-access = true", "", 1), `either tables "tokens" or "open-access = true"`},
+		{"short token", strings.Replace(good, "open-access = true", "", 1) + "[[tokens]]\nname = \"x\"\ntoken = \"short\"\nrole = \"caller\"\n", "tokens[0] has a token of fewer than 16 bytes; tokens[0] has role caller and no customer"},
 		{"several at once", "cores = -1\n", `key "cores" is -1, expected 1 to 1024; key "entry-addr"`},
 	}
 	for _, c := range bad {
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	s := &caller.Server{Listener: l, Requests: router, Jobs: tasks, IsReady: ready}
+//	s := &caller.Server{Listener: l, Requests: router, Jobs: tasks, IsReady: ready, Access: list}
 //	err := s.Run(ctx)
 package caller
 
@@ -22,6 +22,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/access"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 	"fuchsiahoist.example/hoist/internal/proto/wire"
@@ -77,6 +78,8 @@
 	Listener net.Listener
 	Requests Requests
 	Jobs     Jobs
+	// Access tells who may call.
+	Access *access.List
 	// IsReady tells the balancer whether to send callers here.
 	IsReady func() bool
 
@@ -119,7 +122,7 @@
 	mux.HandleFunc("POST /v1/jobs", s.serveJob)
 	s.handleJobs(mux)
 	mux.HandleFunc("GET /v1/health", s.serveHealth)
-	return mux
+	return s.identify(mux)
 }
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
@@ -248,6 +251,9 @@
 		rest.WriteError(w, invalid("job", err.Error()))
 		return
 	}
+	if !mayCharge(w, r, hoist.TeamID(in.Team)) {
+		return
+	}
 	if err := s.Jobs.Submit(r.Context(), codec.ToJobSpec(in)); err != nil {
 		rest.WriteError(w, err)
 		return
--- a/internal/peer/caller/jobs.go
+++ b/internal/peer/caller/jobs.go
@@ -14,10 +14,10 @@
 
 // handleJobs adds the paths of accepted jobs.
 func (s *Server) handleJobs(mux *http.ServeMux) {
-	mux.HandleFunc("GET /v1/teams/{team}/jobs", s.showJobs)
-	mux.HandleFunc("GET /v1/teams/{team}/jobs/{job}", s.showJob)
-	mux.HandleFunc("GET /v1/teams/{team}/jobs/{job}/why", s.whyJob)
-	mux.HandleFunc("DELETE /v1/teams/{team}/jobs/{job}", s.cancelJob)
+	mux.HandleFunc("GET /v1/teams/{team}/jobs", ofTeam(s.showJobs))
+	mux.HandleFunc("GET /v1/teams/{team}/jobs/{job}", ofTeam(s.showJob))
+	mux.HandleFunc("GET /v1/teams/{team}/jobs/{job}/why", ofTeam(s.whyJob))
+	mux.HandleFunc("DELETE /v1/teams/{team}/jobs/{job}", ofTeam(s.cancelJob))
 }
 
 func (s *Server) showJobs(w http.ResponseWriter, r *http.Request) {
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -87,6 +88,8 @@
 // failure. Its methods may be called concurrently.
 type Client struct {
 	Addr string
+	// TLS returns the settings of a new connection; nil means plain text.
+	TLS func() *tls.Config
 
 	mu     sync.Mutex
 	conn   *jsonrpc2.Conn
@@ -122,8 +125,7 @@
 			return c.conn, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
+	conn, err := c.dial(ctx)
 	if err != nil {
 		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
 	}
@@ -133,6 +135,18 @@
 	return c.conn, nil
 }
 
+// dial makes a connection, the TLS handshake included.
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	if c.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", c.Addr)
+	}
+	tlsDialer := tls.Dialer{NetDialer: &dialer, Config: c.TLS()}
+	return tlsDialer.DialContext(ctx, "tcp", c.Addr)
+}
+
 // boundedConn is a connection whose writes, and reads if silent is set, give up
 // after a time.
 type boundedConn struct {
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -57,15 +57,20 @@
 	Log *slog.Logger
 	// Seed fixes the service times.
 	Seed uint64
+	// Hosts is the number of daemons that Serve starts.
+	Hosts int
 
 	platform  *plat.Platform
 	executors []*execd.Executor
 	workers   []*work.Worker
 	daemons   []*daemon.Daemon
 	addrs     []string
-	client    *http.Client
-	running   sync.WaitGroup
-	stop      context.CancelFunc
+	consoles  []string
+	// platformURL is where the stand-in of the platform serves.
+	platformURL string
+	client      *http.Client
+	running     sync.WaitGroup
+	stop        context.CancelFunc
 }
 
 // Result is what came of a run.
@@ -74,11 +79,29 @@
 	Violations []string
 }
 
+// Serve starts the cell without input or failures and prints where it can be
+// reached, until ctx ends.
+func (r *Run) Serve(ctx context.Context) error {
+	serving, stop := context.WithCancel(ctx)
+	r.stop = stop
+	defer r.shutdown()
+	if err := r.start(serving); err != nil {
+		return err
+	}
+	fmt.Fprintf(r.Out, "platform  %s\n", r.platformURL)
+	for i, addr := range r.addrs {
+		fmt.Fprintf(r.Out, "host-%d    callers %s, console %s\n", i+1, addr, r.consoles[i])
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // Do starts the cell, feeds the input, injects the failures and checks the
 // outcome. Its error means that the cell could not be run at all.
 func (r *Run) Do(ctx context.Context) (Result, error) {
 	ctx, r.stop = context.WithCancel(ctx)
 	defer r.shutdown()
+	r.Hosts = numHosts
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
 	}
@@ -114,7 +137,8 @@
 func (r *Run) start(ctx context.Context) error {
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	r.platform = &plat.Platform{}
-	url, err := r.platform.Start()
+	var err error
+	r.platformURL, err = r.platform.Start()
 	if err != nil {
 		return err
 	}
@@ -124,8 +148,8 @@
 	if err := r.startWorkers(); err != nil {
 		return err
 	}
-	for i := range numHosts {
-		if err := r.startDaemon(ctx, i, url); err != nil {
+	for i := range r.Hosts {
+		if err := r.startDaemon(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -190,14 +214,17 @@
 	return nil
 }
 
-func (r *Run) startDaemon(ctx context.Context, i int, platformURL string) error {
+func (r *Run) startDaemon(ctx context.Context, i int) error {
 	p := params.Default()
 	p.Host = hoist.HostID(fmt.Sprintf("host-%d", i+1))
 	p.DataCentre = dataCentre(i)
 	p.Cores = 4 + 4*(i%2)
 	p.EntryAddr = "127.0.0.1:0"
 	p.CallerAddr = "127.0.0.1:0"
-	client := &rest.Client{BaseURL: platformURL, HTTP: r.client}
+	p.AdminAddr = "127.0.0.1:0"
+	p.OpenAccess = true
+	p.PlainText = true
+	client := &rest.Client{BaseURL: r.platformURL, HTTP: r.client}
 	d := &daemon.Daemon{
 		Params:   p,
 		Table:    &table.Client{REST: client},
@@ -209,6 +236,7 @@
 	}
 	r.daemons = append(r.daemons, d)
 	r.addrs = append(r.addrs, "http://"+d.CallerAddr())
+	r.consoles = append(r.consoles, "http://"+d.AdminAddr())
 	r.running.Go(func() {
 		if err := d.Run(ctx); err != nil {
 			fmt.Fprintf(r.Out, "%s: %v\n", p.Host, err)
