Add the operators' console, the client's commands and drains

Cause: operators could not look at or change anything but through the callers' interface, and nothing could be drained. Change: internal/peer/admin serves forms (iris, no scripts, session cookie, a key in each form, everything escaped) and the calls of the hoist client, both through hoist.OperatorService; the client has commands for configuration, jobs, workers, executors, hosts and reports. Drains are part of the configuration, so they survive the loss of any host. The packing report counted a drained worker as half full, because nothing is free there; it now leaves such workers out. Conclusion: each change that operators make becomes one validated document.

--- /dev/null
+++ b/cmd/hoist/cell.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
+)
+
+// hostCmd groups the commands on entry hosts.
+type hostCmd struct {
+	List  hostListCmd  `cmd:"" help:"List the entry hosts."`
+	Fence hostFenceCmd `cmd:"" help:"Take over from a host that is certainly dead, without a vote. See docs/operations/membership.md."`
+}
+
+type hostListCmd struct{ clientFlags }
+
+// Run implements the command.
+func (c *hostListCmd) Run(ctx context.Context) error {
+	return get(ctx, &c.clientFlags, "/hosts", func(h wire.HostStatuses) [][]string {
+		rows := [][]string{{"HOST", "DATA-CENTRE", "STATE", "CORES", "EPOCH", "CONFIG", "HEARD"}}
+		for _, host := range h.Hosts {
+			m := host.Member
+			rows = append(rows, []string{
+				m.Host, m.DataCentre, m.State, strconv.Itoa(m.Weight), strconv.Itoa(m.Epoch), strconv.Itoa(host.Config), heardText(host),
+			})
+		}
+		return rows
+	})
+}
+
+func heardText(h wire.HostStatus) string {
+	if h.Heard == nil {
+		return "never"
+	}
+	return h.Heard.Format(time.DateTime)
+}
+
+type hostFenceCmd struct {
+	clientFlags
+	Host string `arg:"" help:"Host to take over from."`
+}
+
+// Run implements the command.
+func (c *hostFenceCmd) Run(ctx context.Context) error {
+	return post(ctx, &c.clientFlags, "/hosts/fence", wire.HostRef{Host: c.Host}, done("host %s is fenced", c.Host))
+}
+
+// workerCmd groups the commands on workers.
+type workerCmd struct {
+	List    workerListCmd `cmd:"" help:"List the workers."`
+	Drain   workerDrain   `cmd:"" help:"Give a worker no new work and move its services."`
+	Undrain workerUndrain `cmd:"" help:"Give a worker work again."`
+}
+
+type workerListCmd struct{ clientFlags }
+
+// Run implements the command.
+func (c *workerListCmd) Run(ctx context.Context) error {
+	return get(ctx, &c.clientFlags, "/workers", func(w wire.Candidates) [][]string {
+		rows := [][]string{{"WORKER", "DATA-CENTRE", "RACK", "STATE", "CAPACITY", "FREE"}}
+		for _, candidate := range codec.Map(w.Workers, codec.ToCandidate) {
+			rows = append(rows, []string{
+				string(candidate.Worker), string(candidate.DataCentre), string(candidate.Rack), stateText(candidate),
+				candidate.Capacity.String(), candidate.Free.String(),
+			})
+		}
+		return rows
+	})
+}
+
+func stateText(c hoist.Candidate) string {
+	switch {
+	case c.State != hoist.WorkerReady:
+		return string(c.State)
+	case c.Leaving:
+		return string(hoist.WorkerLeaving)
+	default:
+		return "ready"
+	}
+}
+
+type workerDrain struct {
+	clientFlags
+	ID string `arg:"" help:"Worker."`
+}
+
+// Run implements the command.
+func (c *workerDrain) Run(ctx context.Context) error {
+	return setDrain(ctx, &c.clientFlags, hoist.ListedWorker, c.ID, true)
+}
+
+type workerUndrain struct {
+	clientFlags
+	ID string `arg:"" help:"Worker."`
+}
+
+// Run implements the command.
+func (c *workerUndrain) Run(ctx context.Context) error {
+	return setDrain(ctx, &c.clientFlags, hoist.ListedWorker, c.ID, false)
+}
+
+func setDrain(ctx context.Context, c *clientFlags, kind hoist.ListedKind, id string, isDrain bool) error {
+	text := "gets work again"
+	if isDrain {
+		text = "gets no new work"
+	}
+	in := wire.Drain{Kind: string(kind), Id: id, Drain: isDrain}
+	return post(ctx, c, "/drain", in, done("%s %s %s", kind, id, text))
+}
+
+// executorCmd groups the commands on executors.
+type executorCmd struct {
+	List    executorListCmd `cmd:"" help:"List the executors."`
+	Drain   executorDrain   `cmd:"" help:"Give an executor no new requests."`
+	Undrain executorUndrain `cmd:"" help:"Give an executor requests again."`
+}
+
+type executorListCmd struct{ clientFlags }
+
+// Run implements the command.
+func (c *executorListCmd) Run(ctx context.Context) error {
+	return get(ctx, &c.clientFlags, "/executors", func(l wire.HostList) [][]string {
+		rows := [][]string{{"EXECUTOR", "SERVICE", "DATA-CENTRE", "ADDRESS", "STATE"}}
+		for _, e := range codec.Map(l.Hosts, codec.ToListed) {
+			state := "ready"
+			if e.Leaving {
+				state = "leaving"
+			}
+			rows = append(rows, []string{e.ID, string(e.Service), string(e.DataCentre), e.Addr, state})
+		}
+		return rows
+	})
+}
+
+type executorDrain struct {
+	clientFlags
+	ID string `arg:"" help:"Executor."`
+}
+
+// Run implements the command.
+func (c *executorDrain) Run(ctx context.Context) error {
+	return setDrain(ctx, &c.clientFlags, hoist.ListedExecutor, c.ID, true)
+}
+
+type executorUndrain struct {
+	clientFlags
+	ID string `arg:"" help:"Executor."`
+}
+
+// Run implements the command.
+func (c *executorUndrain) Run(ctx context.Context) error {
+	return setDrain(ctx, &c.clientFlags, hoist.ListedExecutor, c.ID, false)
+}
+
+// reportCmd prints a report in its configured layout.
+type reportCmd struct {
+	clientFlags
+	Name string `arg:"" enum:"burn,waiting,packing,control" help:"Report: burn, waiting, packing or control."`
+	HTML bool   `help:"Print the report as HTML."`
+}
+
+// Run implements the command.
+func (c *reportCmd) Run(ctx context.Context) error {
+	in := wire.ReportRequest{Name: c.Name, Html: c.HTML}
+	return post(ctx, &c.clientFlags, "/report", in, func(r wire.ReportText) [][]string {
+		return [][]string{{strings.TrimSuffix(r.Text, "\n")}}
+	})
+}
+
+// jobCmd groups the commands on jobs.
+type jobCmd struct {
+	Submit jobSubmitCmd `cmd:"" help:"Submit a job. Submitting the same id again is safe."`
+	Show   jobShowCmd   `cmd:"" help:"Print the jobs of a team."`
+	Why    jobWhyCmd    `cmd:"" help:"Print why a job waits."`
+	Cancel jobCancelCmd `cmd:"" help:"Cancel a job: nothing of it starts any more, what runs is stopped."`
+}
+
+type jobSubmitCmd struct {
+	clientFlags
+	ID           string        `arg:"" help:"Job id."`
+	Team         string        `required:"" help:"Team that is charged."`
+	Kind         string        `enum:"service,batch,gang" default:"batch" help:"service, batch or gang (all at once)."`
+	Tasks        int           `default:"1" help:"Number of tasks."`
+	CPUMillis    int64         `name:"cpu-millis" required:"" help:"Need of a task in 1/1000 core."`
+	MemoryMiB    int64         `name:"memory-mib" required:"" help:"Need of a task in MiB."`
+	Accelerators int64         `help:"Need of a task in accelerators."`
+	Priority     int           `help:"Higher goes first."`
+	Urgent       bool          `help:"May stop tasks of lower priority."`
+	RunTime      time.Duration `help:"Expected run time of a task." placeholder:"90s"`
+	Deadline     time.Time     `help:"When the job must have ended." placeholder:"2026-12-04T18:00:00Z"`
+	Group        string        `help:"Jobs of one group have alike run times and sizes."`
+	DataCentre   string        `help:"Place the tasks in this data centre only."`
+}
+
+// Run implements the command.
+func (c *jobSubmitCmd) Run(ctx context.Context) error {
+	spec := hoist.JobSpec{
+		ID: hoist.JobID(c.ID), Team: hoist.TeamID(c.Team), Kind: hoist.JobKind(c.Kind), Tasks: c.Tasks,
+		Need: hoist.Resources{
+			CPU: hoist.MilliCPU(c.CPUMillis), Memory: hoist.MiB(c.MemoryMiB), Accel: hoist.Accelerators(c.Accelerators),
+		},
+		Priority: hoist.Priority(c.Priority), Urgent: c.Urgent, RunTime: c.RunTime, Deadline: c.Deadline,
+		Group: c.Group, DataCentre: hoist.DataCentreID(c.DataCentre),
+	}
+	return post(ctx, &c.clientFlags, "/jobs", codec.JobSpec(spec), done("job %s is accepted", c.ID))
+}
+
+type jobShowCmd struct {
+	clientFlags
+	Team string `arg:"" help:"Team."`
+}
+
+// Run implements the command.
+func (c *jobShowCmd) Run(ctx context.Context) error {
+	return post(ctx, &c.clientFlags, "/jobs/list", wire.JobRef{Team: c.Team}, func(s wire.JobStates) [][]string {
+		rows := [][]string{{"JOB", "KIND", "PHASE", "WAITING", "RUNNING", "DONE", "WHY"}}
+		for _, j := range codec.Map(s.Jobs, codec.ToJobState) {
+			rows = append(rows, []string{
+				string(j.Spec.ID), string(j.Spec.Kind), string(j.Phase),
+				strconv.Itoa(j.Waiting), strconv.Itoa(j.Running), strconv.Itoa(j.Done), j.Reason,
+			})
+		}
+		return rows
+	})
+}
+
+type jobWhyCmd struct {
+	clientFlags
+	Team string `arg:"" help:"Team."`
+	Job  string `arg:"" help:"Job."`
+}
+
+// Run implements the command.
+func (c *jobWhyCmd) Run(ctx context.Context) error {
+	return post(ctx, &c.clientFlags, "/jobs/list", wire.JobRef{Team: c.Team}, func(s wire.JobStates) [][]string {
+		for _, j := range codec.Map(s.Jobs, codec.ToJobState) {
+			if string(j.Spec.ID) == c.Job {
+				return [][]string{{whyText(j)}}
+			}
+		}
+		return [][]string{{fmt.Sprintf("team %s has no job %s", c.Team, c.Job)}}
+	})
+}
+
+func whyText(j hoist.JobState) string {
+	if j.Reason == "" {
+		return fmt.Sprintf("the job does not wait: it is %s", j.Phase)
+	}
+	return j.Reason
+}
+
+type jobCancelCmd struct {
+	clientFlags
+	Team string `arg:"" help:"Team."`
+	Job  string `arg:"" help:"Job."`
+}
+
+// Run implements the command.
+func (c *jobCancelCmd) Run(ctx context.Context) error {
+	in := codec.JobRef(hoist.JobRef{Team: hoist.TeamID(c.Team), Job: hoist.JobID(c.Job)})
+	return post(ctx, &c.clientFlags, "/jobs/cancel", in, done("job %s is cancelled", c.Job))
+}
--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -18,6 +18,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 
+	"fuchsiahoist.example/hoist/internal/decide/config"
 	"fuchsiahoist.example/hoist/internal/tool/demo"
 )
 
@@ -28,9 +29,15 @@
 )
 
 type cli struct {
-	Demo  demoCmd  `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
-	Bench benchCmd `cmd:"" help:"Measure decisions on seeded input."`
-	Load  loadCmd  `cmd:"" help:"Compare policies over seeded loads."`
+	Config   configCmd   `cmd:"" help:"Look at and change the configuration."`
+	Job      jobCmd      `cmd:"" help:"Submit, look at and cancel jobs."`
+	Worker   workerCmd   `cmd:"" help:"Look at and drain workers."`
+	Executor executorCmd `cmd:"" help:"Look at and drain executors."`
+	Host     hostCmd     `cmd:"" help:"Look at the entry hosts."`
+	Report   reportCmd   `cmd:"" help:"Print a report."`
+	Demo     demoCmd     `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
+	Bench    benchCmd    `cmd:"" help:"Measure decisions on seeded input."`
+	Load     loadCmd     `cmd:"" help:"Compare policies over seeded loads."`
 }
 
 // demoCmd runs the demonstration.
@@ -100,8 +107,10 @@
 }
 
 func exitCode(err error) int {
-	if errors.Is(err, demo.ErrInput) {
-		return exitUsage
+	for _, kind := range []error{demo.ErrInput, config.ErrDocument, hoist.ErrInvalid} {
+		if errors.Is(err, kind) {
+			return exitUsage
+		}
 	}
 	return exitFailed
 }
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"fuchsiahoist.example/hoist/internal/core/spread"
 	"fuchsiahoist.example/hoist/internal/core/tasks"
 	"fuchsiahoist.example/hoist/internal/decide/config"
+	"fuchsiahoist.example/hoist/internal/peer/admin"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 	"fuchsiahoist.example/hoist/internal/peer/entry"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
@@ -158,6 +159,9 @@
 	g.Go(func() error { d.router.Run(serving); return nil })
 	g.Go(func() error { d.tasks.Run(serving); return nil })
 	g.Go(func() error { d.spread.Run(serving); return nil })
+	if d.admin != nil {
+		g.Go(func() error { return d.console().Run(serving) })
+	}
 	g.Go(func() error {
 		err := d.members.Run(joined)
 		d.drain(serving)
@@ -206,14 +210,15 @@
 		Beat:   d,
 		Settle: time.Duration(d.Params.Settle),
 	}
+	list := drainedList{d.HostList, d.document}
 	d.router = &route.Router{
-		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log,
+		Own: d.members, HostList: list, Clock: d.Clock, Log: d.Log,
 		DialExecutor: func(l hoist.Listed) hoist.Executor {
 			return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 		},
 	}
 	d.tasks = &tasks.Manager{
-		Own: d.members, HostList: d.HostList, Table: d.Table, Clock: d.Clock, Log: d.Log,
+		Own: d.members, HostList: list, Table: d.Table, Clock: d.Clock, Log: d.Log,
 		DialWorker: func(l hoist.Listed) hoist.Worker {
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
@@ -226,6 +231,13 @@
 	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
 }
 
+// console returns the front for operators.
+func (d *Daemon) console() *admin.Server {
+	return &admin.Server{
+		Listener: d.admin, Service: operator{d}, Access: d.Params.Access(), Metrics: d.metrics.Handler(), Clock: d.Clock,
+	}
+}
+
 // document returns the configuration in force, or the defaults before there is
 // one.
 func (d *Daemon) document() config.Document {
--- a/internal/core/report/table.go
+++ b/internal/core/report/table.go
@@ -117,6 +117,10 @@
 	all := &sum{}
 	for _, s := range shares {
 		for _, w := range s.Workers {
+			if w.Leaving || w.State != hoist.WorkerReady {
+				// What is free there cannot be used, which is not packing.
+				continue
+			}
 			dc, ok := sums[w.DataCentre]
 			if !ok {
 				dc = &sum{}
--- a/internal/decide/config/check.go
+++ b/internal/decide/config/check.go
@@ -92,9 +92,25 @@
 	d.checkTeams(c)
 	d.checkServices(c)
 	d.checkReports(c)
+	d.checkDrains(c)
 	return c.problems
 }
 
+func (d Document) checkDrains(c *checker) {
+	seen := make(map[hoist.ListedKind]map[string]bool)
+	for i, drain := range d.Drains {
+		key := fmt.Sprintf("drains[%d]", i)
+		if drain.Kind != hoist.ListedWorker && drain.Kind != hoist.ListedExecutor {
+			c.add(key+".kind", "is %q, expected worker or executor", drain.Kind)
+			continue
+		}
+		if seen[drain.Kind] == nil {
+			seen[drain.Kind] = make(map[string]bool)
+		}
+		c.name(key+".name", drain.Name, seen[drain.Kind])
+	}
+}
+
 func (d Document) checkClasses(c *checker) {
 	seen := make(map[string]bool)
 	for i, class := range d.Classes {
--- a/internal/decide/config/config.go
+++ b/internal/decide/config/config.go
@@ -44,6 +44,14 @@
 	Services  []Service  `toml:"services"`
 	Teams     []Team     `toml:"teams"`
 	Reports   []Report   `toml:"reports"`
+	// Drains lists the workers and executors that take no new work.
+	Drains []Drain `toml:"drains"`
+}
+
+// Drain names a worker or executor that takes no new work.
+type Drain struct {
+	Kind hoist.ListedKind `toml:"kind"`
+	Name string           `toml:"name"`
 }
 
 // Limits bounds what the hosts accept.
--- a/internal/decide/config/config_test.go
+++ b/internal/decide/config/config_test.go
@@ -62,6 +62,8 @@
 		{"over quota", strings.Replace(cellDoc, "replicas = 4", "replicas = 40", 1), "services[0].replicas", "the quota of team"},
 		{"customer unknown", strings.Replace(cellDoc, `["sauce-packers"]`, `["x"]`, 1), "services[0].customers[0]", `customer "x"`},
 		{"negative need", strings.Replace(cellDoc, "cpu-millis = 4000", "cpu-millis = -1", 1), "services[0].need", "expected a positive amount"},
+		{"drain of a host", head + "[[drains]]\nkind = \"entry\"\nname = \"h1\"", "drains[0].kind", "expected worker or executor"},
+		{"drain twice", head + strings.Repeat("[[drains]]\nkind = \"worker\"\nname = \"w1\"\n", 2), "drains[1].name", "second time"},
 		{"report unknown", head + "[[reports]]\nname = \"weather\"", "reports[0].name", "expected one of"},
 		{"field unknown", head + "[[reports]]\nname = \"burn\"\ncolumns = [{field = \"x\"}]", "reports[0].columns[0].field", "has no field"},
 	}
--- /dev/null
+++ b/internal/peer/admin/admin_test.go
@@ -0,0 +1,174 @@
+package admin_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/access"
+	"fuchsiahoist.example/hoist/internal/peer/admin"
+)
+
+const secret = "0123456789abcdef"
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// service records what was changed.
+type service struct {
+	hoist.OperatorService
+	changes []string
+}
+
+func (s *service) Hosts() []hoist.HostStatus { return nil }
+
+func (s *service) ConfigText() (hoist.ConfigVersion, string) { return 1, "</textarea><script>" }
+
+func (s *service) Workers(context.Context) []hoist.Candidate {
+	return []hoist.Candidate{{Worker: "<script>"}}
+}
+
+func (s *service) Executors(context.Context) ([]hoist.Listed, error) { return nil, nil }
+
+func (s *service) Jobs(context.Context, hoist.TeamID) ([]hoist.JobState, error) { return nil, nil }
+
+func (s *service) SetDrain(_ context.Context, d hoist.Drain) error {
+	s.changes = append(s.changes, "drain "+d.ID)
+	return nil
+}
+
+func (s *service) SubmitJob(_ context.Context, j hoist.JobSpec) error {
+	s.changes = append(s.changes, "job "+string(j.ID))
+	return nil
+}
+
+// browser keeps the session cookie of one login.
+type browser struct {
+	handler http.Handler
+	cookie  *http.Cookie
+	formKey string
+}
+
+func newBrowser(t *testing.T, s *service, token string) *browser {
+	t.Helper()
+	server := &admin.Server{Service: s, Clock: clock{}, Access: access.NewList([]access.Entry{
+		{Name: "ops", Token: secret + "o", Role: access.RoleOperator},
+		{Name: "desk", Token: secret + "v", Role: access.RoleViewer},
+		{Name: "packer", Token: secret + "c", Role: access.RoleCaller, Customer: "c"},
+	})}
+	handler, err := server.Handler()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &browser{handler: handler}
+	login := b.post("/login", url.Values{"token": {token}})
+	for _, c := range login.Result().Cookies() {
+		b.cookie = c
+	}
+	key := regexp.MustCompile(`form-key" value="([^"]+)"`).FindStringSubmatch(b.get("/config").Body.String())
+	if key != nil {
+		b.formKey = key[1]
+	}
+	return b
+}
+
+func (b *browser) do(r *http.Request) *httptest.ResponseRecorder {
+	if b.cookie != nil {
+		r.AddCookie(b.cookie)
+	}
+	w := httptest.NewRecorder()
+	b.handler.ServeHTTP(w, r)
+	return w
+}
+
+func (b *browser) get(path string) *httptest.ResponseRecorder {
+	return b.do(httptest.NewRequest("GET", path, nil))
+}
+
+func (b *browser) post(path string, form url.Values) *httptest.ResponseRecorder {
+	r := httptest.NewRequest("POST", path, strings.NewReader(form.Encode()))
+	r.Header.Set("content-type", "application/x-www-form-urlencoded")
+	return b.do(r)
+}
+
+// TestConsole guards against strangers, viewers that change something, forms
+// that another site posts, and errors that are not shown at their field.
+func TestConsole(t *testing.T) {
+	job := url.Values{"id": {"j"}, "team": {"t"}, "kind": {"batch"}, "tasks": {"1"}, "cpu-millis": {"1"}}
+	bad := url.Values{"id": {"j"}, "team": {"t"}, "tasks": {"many"}}
+	cases := []struct {
+		name, token, path string
+		form              url.Values
+		ownKey            bool
+		status            int
+		shows, changes    string
+	}{
+		{"stranger", "x", "/drain", url.Values{"id": {"w"}}, false, 303, "", ""},
+		{"caller", secret + "c", "/drain", url.Values{"id": {"w"}}, false, 303, "", ""},
+		{"viewer", secret + "v", "/drain", url.Values{"id": {"w"}}, true, 403, "", ""},
+		{"other site", secret + "o", "/drain", url.Values{"id": {"w"}}, false, 403, "", ""},
+		{"operator drains", secret + "o", "/drain", url.Values{"id": {"w"}, "action": {"drain"}}, true, 200, "", "drain w"},
+		{"operator submits", secret + "o", "/jobs", job, true, 200, "Job j is accepted", "job j"},
+		{"bad field", secret + "o", "/jobs", bad, true, 422, "&#34;many&#34; is not a whole number</em>", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &service{}
+			b := newBrowser(t, s, c.token)
+			if c.ownKey {
+				c.form.Set("form-key", b.formKey)
+			}
+			w := b.post(c.path, c.form)
+			is.Equal(w.Code, c.status)
+			is.True(strings.Contains(w.Body.String(), c.shows))
+			is.Equal(strings.Join(s.changes, ","), c.changes)
+		})
+	}
+}
+
+// TestEscaping guards against names that bring markup into a page.
+func TestEscaping(t *testing.T) {
+	b := newBrowser(t, &service{}, secret+"o")
+	for _, path := range []string{"/workers", "/config", "/jobs?team=%3Cscript%3E"} {
+		w := b.get(path)
+		if w.Code != http.StatusOK || strings.Contains(w.Body.String(), "<script>") {
+			t.Errorf("%s: status %d, page %s", path, w.Code, w.Body.String())
+		}
+		if policy := w.Header().Get("content-security-policy"); !strings.Contains(policy, "default-src 'none'") {
+			t.Errorf("%s: content security policy %q", path, policy)
+		}
+	}
+}
+
+// TestCallsNeedTokens guards against the client's calls being open.
+func TestCallsNeedTokens(t *testing.T) {
+	cases := []struct {
+		token, method, path string
+		want                int
+	}{
+		{"", "GET", "/api/v1/hosts", 401},
+		{secret + "c", "GET", "/api/v1/hosts", 403},
+		{secret + "v", "GET", "/api/v1/hosts", 200},
+		{secret + "v", "POST", "/api/v1/drain", 403},
+		{secret + "o", "POST", "/api/v1/drain", 200},
+	}
+	for _, c := range cases {
+		t.Run(c.method+c.path+c.token, func(t *testing.T) {
+			is := is.New(t)
+			b := newBrowser(t, &service{}, "")
+			r := httptest.NewRequest(c.method, c.path, strings.NewReader(`{"kind":"worker","id":"w","drain":true}`))
+			r.Header.Set("authorization", "Bearer "+c.token)
+			is.Equal(b.do(r).Code, c.want)
+		})
+	}
+}
--- a/internal/proto/codec/report.go
+++ b/internal/proto/codec/report.go
@@ -44,3 +44,23 @@
 func toWindow(w wire.Window) hoist.Window {
 	return hoist.Window{Good: uint64(w.Good), Total: uint64(w.Total)}
 }
+
+// HostStatus converts s for the wire.
+func HostStatus(s hoist.HostStatus) wire.HostStatus {
+	return wire.HostStatus{Member: Member(s.Member), Config: int(s.Config), Heard: optional(s.Heard)}
+}
+
+// ToHostStatus converts s from the wire.
+func ToHostStatus(s wire.HostStatus) hoist.HostStatus {
+	return hoist.HostStatus{Member: ToMember(s.Member), Config: hoist.ConfigVersion(s.Config), Heard: value(s.Heard)}
+}
+
+// ConfigChange converts c for the wire.
+func ConfigChange(c hoist.ConfigChange) wire.ConfigChange {
+	return wire.ConfigChange{Version: int(c.Version), ChangeId: string(c.ChangeID)}
+}
+
+// ToDrain converts d from the wire.
+func ToDrain(d wire.Drain) hoist.Drain {
+	return hoist.Drain{Kind: hoist.ListedKind(d.Kind), ID: d.Id, IsDrain: d.Drain}
+}
--- a/internal/proto/rest/rest.go
+++ b/internal/proto/rest/rest.go
@@ -48,6 +48,8 @@
 	BaseURL string
 	// HTTP makes the calls; nil means http.DefaultClient.
 	HTTP *http.Client
+	// Token is sent as bearer token unless it is empty.
+	Token string
 }
 
 // Empty is a request or reply without content.
@@ -89,6 +91,9 @@
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	if c.Token != "" {
+		req.Header.Set("authorization", "Bearer "+c.Token)
+	}
 	resp, err := c.client().Do(req)
 	if err == nil {
 		return resp, nil
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -157,6 +157,30 @@
 	return nil
 }
 
+// The workers of the cell.
+type Candidates struct {
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []Candidate `json:"workers"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Candidates) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["workers"]; raw != nil && !ok {
+		return fmt.Errorf("field workers in Candidates: required")
+	}
+	type Plain Candidates
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Candidates(plain)
+	return nil
+}
+
 // Requires a row to be at a version.
 type Check struct {
 	// Key corresponds to the JSON schema field "key".
@@ -253,6 +277,36 @@
 	return nil
 }
 
+// One accepted change of the configuration.
+type ConfigChange struct {
+	// ChangeId corresponds to the JSON schema field "change-id".
+	ChangeId string `json:"change-id"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigChange) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["change-id"]; raw != nil && !ok {
+		return fmt.Errorf("field change-id in ConfigChange: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in ConfigChange: required")
+	}
+	type Plain ConfigChange
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigChange(plain)
+	return nil
+}
+
 // The table's row that names the accepted configuration.
 type ConfigCurrent struct {
 	// ChangeId corresponds to the JSON schema field "change-id".
@@ -289,6 +343,30 @@
 	return nil
 }
 
+// What a document would change, a line for each difference.
+type ConfigDiff struct {
+	// Lines corresponds to the JSON schema field "lines".
+	Lines []string `json:"lines"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigDiff) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["lines"]; raw != nil && !ok {
+		return fmt.Errorf("field lines in ConfigDiff: required")
+	}
+	type Plain ConfigDiff
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigDiff(plain)
+	return nil
+}
+
 // A configuration document.
 type ConfigDocument struct {
 	// Document corresponds to the JSON schema field "document".
@@ -319,6 +397,30 @@
 	return nil
 }
 
+// The accepted changes, oldest first.
+type ConfigHistory struct {
+	// Changes corresponds to the JSON schema field "changes".
+	Changes []ConfigChange `json:"changes"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigHistory) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["changes"]; raw != nil && !ok {
+		return fmt.Errorf("field changes in ConfigHistory: required")
+	}
+	type Plain ConfigHistory
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigHistory(plain)
+	return nil
+}
+
 // Asks for a configuration document.
 type ConfigRequest struct {
 	// Version corresponds to the JSON schema field "version".
@@ -343,6 +445,42 @@
 	return nil
 }
 
+// Changes whether a worker or executor takes new work.
+type Drain struct {
+	// Drain corresponds to the JSON schema field "drain".
+	Drain bool `json:"drain"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind string `json:"kind"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Drain) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["drain"]; raw != nil && !ok {
+		return fmt.Errorf("field drain in Drain: required")
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in Drain: required")
+	}
+	if _, ok := raw["kind"]; raw != nil && !ok {
+		return fmt.Errorf("field kind in Drain: required")
+	}
+	type Plain Drain
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Drain(plain)
+	return nil
+}
+
 // Has no content.
 type Empty map[string]interface{}
 
@@ -613,6 +751,30 @@
 	return nil
 }
 
+// Names one entry host.
+type HostRef struct {
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostRef) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["host"]; raw != nil && !ok {
+		return fmt.Errorf("field host in HostRef: required")
+	}
+	type Plain HostRef
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostRef(plain)
+	return nil
+}
+
 // What one host contributes to the reports of the cell.
 type HostReport struct {
 	// Classes corresponds to the JSON schema field "classes".
@@ -673,6 +835,63 @@
 	return nil
 }
 
+// What operators see of an entry host.
+type HostStatus struct {
+	// Config corresponds to the JSON schema field "config".
+	Config int `json:"config"`
+
+	// Heard corresponds to the JSON schema field "heard".
+	Heard *time.Time `json:"heard,omitempty,omitzero"`
+
+	// Member corresponds to the JSON schema field "member".
+	Member Member `json:"member"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostStatus) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["config"]; raw != nil && !ok {
+		return fmt.Errorf("field config in HostStatus: required")
+	}
+	if _, ok := raw["member"]; raw != nil && !ok {
+		return fmt.Errorf("field member in HostStatus: required")
+	}
+	type Plain HostStatus
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostStatus(plain)
+	return nil
+}
+
+// The entry hosts of the cell.
+type HostStatuses struct {
+	// Hosts corresponds to the JSON schema field "hosts".
+	Hosts []HostStatus `json:"hosts"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostStatuses) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["hosts"]; raw != nil && !ok {
+		return fmt.Errorf("field hosts in HostStatuses: required")
+	}
+	type Plain HostStatuses
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostStatuses(plain)
+	return nil
+}
+
 // Names one job of a team, or all of them.
 type JobRef struct {
 	// Job corresponds to the JSON schema field "job".
@@ -1288,6 +1507,60 @@
 	return nil
 }
 
+// Asks for a report.
+type ReportRequest struct {
+	// Html corresponds to the JSON schema field "html".
+	Html bool `json:"html"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ReportRequest) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["html"]; raw != nil && !ok {
+		return fmt.Errorf("field html in ReportRequest: required")
+	}
+	if _, ok := raw["name"]; raw != nil && !ok {
+		return fmt.Errorf("field name in ReportRequest: required")
+	}
+	type Plain ReportRequest
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ReportRequest(plain)
+	return nil
+}
+
+// A report in its configured layout.
+type ReportText struct {
+	// Text corresponds to the JSON schema field "text".
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ReportText) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["text"]; raw != nil && !ok {
+		return fmt.Errorf("field text in ReportText: required")
+	}
+	type Plain ReportText
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ReportText(plain)
+	return nil
+}
+
 // One request of a caller.
 type Request struct {
 	// Body corresponds to the JSON schema field "body".
