Choose workers by the evenness of what stays free

Cause: the scalar product of need and free resources prefers idle workers, so that workers run out of memory and strand processors at the end. Change: the default policy minimises the difference between the shares of processors and memory that the task leaves free.

--- a/internal/decide/place/score.go
+++ b/internal/decide/place/score.go
@@ -1,6 +1,10 @@
 package place
 
-import hoist "fuchsiahoist.example/hoist"
+import (
+	"math"
+
+	hoist "fuchsiahoist.example/hoist"
+)
 
 // same scores all candidates alike: the first one that fits is chosen.
 func same(hoist.Resources, *hoist.Candidate) float64 {
@@ -21,10 +25,10 @@
 	return share(left.CPU, c.Capacity.CPU) + share(left.Memory, c.Capacity.Memory) + share(left.Accel, c.Capacity.Accel)
 }
 
-// misalignment is the negative scalar product of need and free, as shares of
-// the worker.
-func misalignment(need hoist.Resources, c *hoist.Candidate) float64 {
-	return -(share(need.CPU, c.Capacity.CPU)*share(c.Free.CPU, c.Capacity.CPU) +
-		share(need.Memory, c.Capacity.Memory)*share(c.Free.Memory, c.Capacity.Memory) +
-		share(need.Accel, c.Capacity.Accel)*share(c.Free.Accel, c.Capacity.Accel))
+// imbalance is the difference between the shares of processors and memory that
+// stay free. A worker that keeps it small runs out of both at once and strands
+// neither.
+func imbalance(need hoist.Resources, c *hoist.Candidate) float64 {
+	left := c.Free.Sub(need)
+	return math.Abs(share(left.CPU, c.Capacity.CPU) - share(left.Memory, c.Capacity.Memory))
 }
