Prefer workers that a task fills up

Cause: evenness alone spreads work over all workers and leaves no room for large tasks. Change: the score of the default policy also has a tenth of what stays free, relative to the largest common worker.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -68,8 +68,8 @@
 	return p.Choose(hoist.Ask{Need: need}, candidates, rng)
 }
 
-// Aligned samples candidates that fit and picks the one that is left with the
-// most even shares of processors and memory.
+// Aligned samples candidates that fit and picks the one that wastes the
+// least: what stays free there is small, and even in processors and memory.
 type Aligned struct {
 	// Samples is how many candidates that fit are compared; at least one is.
 	Samples int
@@ -77,7 +77,7 @@
 
 // Choose implements hoist.PlacementPolicy.
 func (p Aligned) Choose(ask hoist.Ask, candidates []hoist.Candidate, rng *rand.Rand) int {
-	return choose(ask, candidates, randomWalk(len(candidates), rng), max(p.Samples, 1), imbalance)
+	return choose(ask, candidates, randomWalk(len(candidates), rng), max(p.Samples, 1), waste)
 }
 
 // Pick implements hoist.PlacementPolicy.
--- a/internal/decide/place/score.go
+++ b/internal/decide/place/score.go
@@ -25,10 +25,24 @@
 	return share(left.CPU, c.Capacity.CPU) + share(left.Memory, c.Capacity.Memory) + share(left.Accel, c.Capacity.Accel)
 }
 
-// imbalance is the difference between the shares of processors and memory that
-// stay free. A worker that keeps it small runs out of both at once and strands
-// neither.
-func imbalance(need hoist.Resources, c *hoist.Candidate) float64 {
+const (
+	// largeCPU and largeMemory are the largest common worker. They make the
+	// sizes of unlike workers comparable without a look at all of them.
+	largeCPU    hoist.MilliCPU = 64_000
+	largeMemory hoist.MiB      = 256 * 1024
+	// leftWeight weighs what stays free against its imbalance. At 0.02 large
+	// tasks found no room in half of the cell, at 0.5 small tasks stranded
+	// processors.
+	leftWeight = 0.1
+)
+
+// waste is the imbalance of the shares of processors and memory that stay free,
+// and a part for how much stays free. A worker that keeps the imbalance small
+// runs out of both at once and strands neither; the part prefers workers that
+// the task fills up, which keeps room for large tasks on the others.
+func waste(need hoist.Resources, c *hoist.Candidate) float64 {
 	left := c.Free.Sub(need)
-	return math.Abs(share(left.CPU, c.Capacity.CPU) - share(left.Memory, c.Capacity.Memory))
+	cpu, memory := share(left.CPU, c.Capacity.CPU), share(left.Memory, c.Capacity.Memory)
+	size := share(c.Capacity.CPU, largeCPU) + share(c.Capacity.Memory, largeMemory)
+	return math.Abs(cpu-memory) + leftWeight*size*(cpu+memory)
 }
