Use large idle workers last

Cause: at 1,300 workers the large mix is refused when no idle worker of the largest class is left, although small work would have fitted elsewhere. Change: the score of the default policy adds a tenth of the size of an idle worker.

--- a/internal/decide/place/score.go
+++ b/internal/decide/place/score.go
@@ -34,15 +34,22 @@
 	// tasks found no room in half of the cell, at 0.5 small tasks stranded
 	// processors.
 	leftWeight = 0.1
+	// idleWeight keeps idle workers for tasks that need a whole one.
+	idleWeight = 0.1
 )
 
 // waste is the imbalance of the shares of processors and memory that stay free,
 // and a part for how much stays free. A worker that keeps the imbalance small
 // runs out of both at once and strands neither; the part prefers workers that
-// the task fills up, which keeps room for large tasks on the others.
+// the task fills up, which keeps room for large tasks on the others. Large idle
+// workers are used last.
 func waste(need hoist.Resources, c *hoist.Candidate) float64 {
 	left := c.Free.Sub(need)
 	cpu, memory := share(left.CPU, c.Capacity.CPU), share(left.Memory, c.Capacity.Memory)
 	size := share(c.Capacity.CPU, largeCPU) + share(c.Capacity.Memory, largeMemory)
-	return math.Abs(cpu-memory) + leftWeight*size*(cpu+memory)
+	w := math.Abs(cpu-memory) + leftWeight*size*(cpu+memory)
+	if c.Free == c.Capacity {
+		w += idleWeight * size
+	}
+	return w
 }
