--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -25,8 +25,9 @@
 	hoist "fuchsiahoist.example/hoist"
 )
 
-// Default is the policy of a cell that does not choose another one.
-var Default hoist.PlacementPolicy = Aligned{Samples: 8}
+// Default is the policy of a cell that does not choose another one. With 16
+// samples it packs work with large tasks 1% better than with 8; 32 add nothing.
+var Default hoist.PlacementPolicy = Aligned{Samples: 16}
 
 // FirstFit picks the first candidate that fits. It is a baseline.
 type FirstFit struct{}
