Count replicas once for each job

Cause: the slowest decisions are those of services, which counted the replicas on all workers for each task. Change: AddReplica counts on after a placement; the measurement uses it.

--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -77,18 +77,26 @@
 }
 
 // TestCountReplicas guards against counting racks of one name in two data
-// centres as one.
+// centres as one, and against counting on that differs from counting anew.
 func TestCountReplicas(t *testing.T) {
 	var cell []hoist.Candidate
 	for _, dc := range []string{"dc1", "dc1", "dc2"} {
 		cell = append(cell, with(idle(fmt.Sprint("w", len(cell)), size), func(c *hoist.Candidate) { c.DataCentre = hoist.DataCentreID(dc) }))
 	}
-	place.CountReplicas(cell, map[hoist.WorkerID]int{"w0": 2, "gone": 1})
-	for i, want := range [][3]int{{2, 2, 2}, {0, 2, 2}, {0, 0, 0}} {
-		if got := [3]int{cell[i].WorkerReplicas, cell[i].Replicas, cell[i].DataCentreReplicas}; got != want {
-			t.Errorf("candidate %d has replicas %v, expected %v", i, got, want)
+	check := func(want [][3]int) {
+		t.Helper()
+		for i, c := range cell {
+			if got := [3]int{c.WorkerReplicas, c.Replicas, c.DataCentreReplicas}; got != want[i] {
+				t.Errorf("candidate %d has replicas %v, expected %v", i, got, want[i])
+			}
 		}
 	}
+	place.CountReplicas(cell, map[hoist.WorkerID]int{"w0": 2, "gone": 1})
+	check([][3]int{{2, 2, 2}, {0, 2, 2}, {0, 0, 0}})
+	place.AddReplica(cell, 1)
+	check([][3]int{{2, 3, 3}, {1, 3, 3}, {0, 0, 0}})
+	place.CountReplicas(cell, nil)
+	check([][3]int{{}, {}, {}})
 }
 
 // TestFindsFit guards against policies that miss the only workers that fit, or
@@ -174,3 +182,25 @@
 		})
 	}
 }
+
+// BenchmarkCountReplicas counts the replicas of a service on 1,300 workers in
+// racks of 8.
+func BenchmarkCountReplicas(b *testing.B) {
+	cell := make([]hoist.Candidate, 1300)
+	for i := range cell {
+		cell[i] = idle(fmt.Sprintf("w%05d", i), size)
+		cell[i].Rack = hoist.RackID(fmt.Sprintf("r%04d", i/8))
+		cell[i].DataCentre = hoist.DataCentreID(fmt.Sprintf("dc%d", i/8%3))
+	}
+	for _, replicas := range []int{0, 2, 100} {
+		b.Run(fmt.Sprint("replicas=", replicas), func(b *testing.B) {
+			running := make(map[hoist.WorkerID]int)
+			for i := range replicas {
+				running[cell[i*13].Worker]++
+			}
+			for b.Loop() {
+				place.CountReplicas(cell, running)
+			}
+		})
+	}
+}
--- a/internal/tool/bench/fill.go
+++ b/internal/tool/bench/fill.go
@@ -60,20 +60,21 @@
 
 // place places all tasks of a job. It reports whether all fitted.
 func (r *Result) place(policy hoist.PlacementPolicy, j job, cell []hoist.Candidate, rng *rand.Rand) bool {
-	running := make(map[hoist.WorkerID]int)
-	for range j.tasks {
+	for n := range j.tasks {
 		began := time.Now()
-		if j.ask.Spread {
-			place.CountReplicas(cell, running)
+		if j.ask.Spread && n == 0 {
+			place.CountReplicas(cell, nil)
 		}
 		i := policy.Choose(j.ask, cell, rng)
+		if j.ask.Spread && i >= 0 {
+			place.AddReplica(cell, i)
+		}
 		// RecordValue refuses only values above maxTime.
 		_ = r.Times.RecordValue(int64(time.Since(began)))
 		if i < 0 {
 			return false
 		}
 		cell[i].Free = cell[i].Free.Sub(j.ask.Need)
-		running[cell[i].Worker]++
 		r.Tasks++
 	}
 	return true
