Bound the retries of refused attempts at the coordinator

Cause: a refused attempt was sent again until the deadline, and a refused request always got the hint of one second. Change: runCall asks internal/decide/retry; a request whose retries are used up is answered as not run. The hint of the queue goes into the answer.

--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -20,13 +20,6 @@
 // which may be on its way.
 const answerGrace = time.Second
 
-const (
-	// refusedPause is the wait before a refused request asks for a slot again.
-	// It doubles up to maxRefusedPause, so that refusals cause no storm.
-	refusedPause    = 5 * time.Millisecond
-	maxRefusedPause = 500 * time.Millisecond
-)
-
 // phase tells what a call is doing.
 type phase int
 
@@ -146,11 +139,11 @@
 	defer r.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), c.request.Deadline.Sub(r.Clock.Now())+settleTime)
 	defer cancel()
-	wait := refusedPause
+	r.countRequest()
 	for no := hoist.AttemptNo(1); ; no++ {
 		s, err := r.waitForSlot(ctx, c)
 		if err != nil {
-			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), err)
+			r.finish(c, refuseFor(c.request.Key, err), err)
 			return
 		}
 		waited := r.Clock.Now().Sub(c.arrived)
@@ -164,13 +157,14 @@
 			events.AttemptUnsettled.Log(ctx, r.Log, "key", c.request.Key, "error", err)
 			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
 			return
-		case errors.Is(err, hoist.ErrInvalid):
+		}
+		wait, ok := r.mayRetry(c, no, err)
+		if !ok {
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
 		r.setPhase(c, phaseIdle)
 		pause(ctx, wait)
-		wait = min(2*wait, maxRefusedPause)
 	}
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -31,6 +31,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/dedup"
 	"fuchsiahoist.example/hoist/internal/decide/queue"
+	"fuchsiahoist.example/hoist/internal/decide/retry"
 	"fuchsiahoist.example/hoist/internal/decide/slots"
 )
 
@@ -69,6 +70,7 @@
 	executors map[hoist.ExecutorID]*handle
 	remote    map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots
 	sent      sentAttempts
+	retries   retry.Budget
 	inFlight  int
 	// idle is closed when nothing is in flight any more; nil unless Drain
 	// waits.
