--- a/cmd/hoist/load.go
+++ b/cmd/hoist/load.go
@@ -17,6 +17,7 @@
 	Policy   []string `help:"Policies to compare on virtual time; all if none is given." placeholder:"NAME"`
 	Seed     uint64   `help:"Seed of the arrivals, the work and the choices." default:"1"`
 	Daemons  bool     `help:"Run the workloads through daemons on loopback instead."`
+	Sizes    string   `help:"Sizes of the work on virtual time: virtual, or real as with --daemons." enum:"virtual,real" default:"virtual"`
 	Log      bool     `help:"With --daemons, write the daemons' log to standard error."`
 	List     bool     `help:"List the workloads and policies and exit."`
 }
@@ -41,13 +42,17 @@
 	if err != nil {
 		return err
 	}
+	scale := load.VirtualScale
+	if c.Sizes == "real" {
+		scale = load.RealScale
+	}
 	violations := 0
 	load.PrintHeader(os.Stdout)
 	for _, w := range workloads {
 		if w.KillHost {
 			continue
 		}
-		in := w.Input(load.VirtualScale, c.Seed)
+		in := w.Input(scale, c.Seed)
 		for _, p := range policies {
 			result := load.Simulate(in, p, c.Seed)
 			result.Print(os.Stdout)
--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -158,13 +158,10 @@
 			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
 			return
 		}
-		wait, ok := r.mayRetry(c, no, err)
-		if !ok {
+		if !r.mayRetry(ctx, c, no, err) {
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
-		r.setPhase(c, phaseIdle)
-		pause(ctx, wait)
 	}
 }
 
