--- a/internal/core/tasks/accept.go
+++ b/internal/core/tasks/accept.go
@@ -11,6 +11,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
+	"fuchsiahoist.example/hoist/internal/decide/learn"
 )
 
 // Submit takes a job to the owner of its team's shard. When it returns nil, the
@@ -233,6 +234,14 @@
 	return errs
 }
 
+// learn records how long a task ran that succeeded. The mutex is held.
+func (m *Manager) learn(s hoist.TaskStatus) {
+	t, ok := m.book.Task(s.Task)
+	if ok && s.State == hoist.TaskSucceeded && t.Phase == jobs.Running && t.Attempt == s.Attempt {
+		m.learned.Ended(learn.KeyOf(t.Job.Spec), m.Clock.Now().Sub(t.Since), s.Usage)
+	}
+}
+
 // taskEnded applies an end to the book. The book is ahead of the table until
 // the write succeeds, which is harmless: the worker's owner repeats an end that
 // was not acknowledged. The mutex is held.
@@ -244,6 +253,7 @@
 	if status.State == hoist.TaskFailed {
 		events.TaskFailed.Log(ctx, m.Log, "task", status.Task, "worker", e.Worker, "reason", status.Reason)
 	}
+	m.learn(status)
 	j := m.book.Ended(e, m.Clock.Now())
 	if known, ok := m.book.Get(status.Job); ok {
 		m.calls.checkOpen(known)
--- a/internal/core/tasks/owned.go
+++ b/internal/core/tasks/owned.go
@@ -157,7 +157,7 @@
 		return merry.Wrap(hoist.ErrNoCapacity, merry.PrependMessagef("worker %s is held for job %s", p.Worker, h.hold.job))
 	}
 	if attempt, ok := h.reserved[g.Task]; ok && attempt != g.Attempt {
-		h.account.Release(g.Task)
+		h.account.Unreserve(g.Task, attempt)
 		delete(h.reserved, g.Task)
 	}
 	err := h.account.Reserve(g, now)
@@ -190,7 +190,7 @@
 
 func (h *handle) unreserve(g hoist.Grant) {
 	if h.reserved[g.Task] == g.Attempt {
-		h.account.Release(g.Task)
+		h.account.Unreserve(g.Task, g.Attempt)
 		delete(h.reserved, g.Task)
 	}
 }
@@ -228,7 +228,7 @@
 			isStarted = true
 			return nil
 		}
-		return h.commit(p, m.Clock.Now())
+		return m.commit(h, p)
 	})
 	if err != nil || isStarted {
 		return err
@@ -241,11 +241,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	at.answered(g, err, m.Clock.Now())
+	if err != nil && !isUnknown(err) {
+		m.health.Stopped(runOf(p.Worker, stoppedStatus(g, "")))
+	}
 	return err
 }
 
-// commit reserves and grants a task. The mutex of the manager is held.
-func (h *handle) commit(p hoist.Placement, now time.Time) error {
+// commit reserves and grants a task. The mutex is held.
+func (m *Manager) commit(h *handle, p hoist.Placement) error {
+	now := m.Clock.Now()
+	if !m.health.Allows(p.Worker, now) {
+		return merry.Wrap(hoist.ErrNoCapacity, merry.PrependMessagef("tasks fail on worker %s", p.Worker))
+	}
 	if err := h.reserve(p, now); err != nil {
 		return err
 	}
@@ -256,6 +263,7 @@
 	}
 	h.live[g.Task] = g.Attempt
 	h.starting[g.Task] = g
+	m.health.Started(runOf(p.Worker, stoppedStatus(g, "")), now)
 	if h.hold.job == g.Job {
 		h.hold = hold{}
 	}
--- a/internal/core/tasks/scenes_test.go
+++ b/internal/core/tasks/scenes_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 	"fuchsiahoist.example/hoist/internal/fake/work"
 )
@@ -44,6 +44,7 @@
 		{"a deadline that will be missed is reported early", 1, 1, []hoist.JobSpec{missing("late", 16, 30*time.Second, 50*time.Second)}, seeLate, nil},
 		{"a worker fails every task", 2, 3, []hoist.JobSpec{batch("batch", 60, time.Second)}, failAll, []int{0}},
 		{"a worker runs ten times slower than declared", 2, 3, []hoist.JobSpec{batch("batch", 60, time.Second), gang("gang", 4, time.Second)}, slowWorker, []int{0, 1}},
+		{"a team keeps to its quota", 2, 3, nil, keepQuota, nil},
 		{"a new owner numbers attempts higher", 2, 2, []hoist.JobSpec{service(2)}, numberAttempts, nil},
 	}
 	for _, tc := range cases {
@@ -156,9 +157,10 @@
 
 func seeStuck(c *cell) {
 	time.Sleep(20 * time.Second)
-	want := "can never run: 100 tasks must start together; all workers, empty, have places for 6"
-	if got := c.state(gang("vast", 100, time.Second)).Reason; !strings.Contains(got, "can never run") || !strings.Contains(got, "100") {
-		c.t.Errorf("reason %q, want like %q", got, want)
+	want := "can never run on these 3 workers: 3 with room for some of the tasks, " +
+		"but not for all at once even when empty (282.000 cores, 6016 MiB more needed)"
+	if got := c.state(gang("vast", 100, time.Second)).Reason; got != want {
+		c.t.Errorf("reason %q, want %q", got, want)
 	}
 }
 
@@ -316,6 +318,33 @@
 func failAll(c *cell) {
 	c.workers[0].SetFailAll(true)
 	time.Sleep(4 * time.Minute)
+	failed := 0
+	for _, ch := range c.history.Changes() {
+		if ch.State == hoist.TaskFailed {
+			failed++
+		}
+	}
+	// The 8 cores may be filled once before the first report; then come probes.
+	if failed == 0 || failed > 16 {
+		c.t.Errorf("%d tasks failed on the worker", failed)
+	}
+}
+
+func keepQuota(c *cell) {
+	for _, h := range c.hosts {
+		h.m.SetQuotas(map[hoist.TeamID]hoist.Resources{"t-big": {CPU: 4000, Memory: 8192}}, quota.Unlimited)
+	}
+	big, other := batch("big", 20, 2*time.Second), batch("other", 8, 2*time.Second)
+	c.submit(big)
+	c.submit(other)
+	for range 40 {
+		time.Sleep(500 * time.Millisecond)
+		if n := len(c.running("big")); n > 4 {
+			c.t.Errorf("the team runs %d tasks of a core with a quota of 4", n)
+		}
+	}
+	c.checkDone(big)
+	c.checkDone(other)
 }
 
 func slowWorker(c *cell) {
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -9,6 +9,8 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/grant"
+	"fuchsiahoist.example/hoist/internal/decide/health"
+	"fuchsiahoist.example/hoist/internal/decide/learn"
 )
 
 const (
@@ -248,7 +250,9 @@
 	}
 	h.report = report
 	h.asked = asked
-	h.noteEnds(report)
+	for _, s := range h.noteEnds(report) {
+		m.noteHealth(id, s)
+	}
 	h.prune(m.Clock.Now(), asked)
 	if report.Leaving && !h.wasLeft {
 		events.WorkerLeaving.Log(ctx, m.Log, "worker", id)
@@ -272,13 +276,44 @@
 	}
 }
 
-func (h *handle) noteEnds(report hoist.WorkerReport) {
+// noteEnds takes over the ends of a report, and returns those that are new.
+func (h *handle) noteEnds(report hoist.WorkerReport) []hoist.TaskStatus {
+	var fresh []hoist.TaskStatus
 	for _, s := range report.Ended {
 		a := attemptOf(s)
 		if h.acked[a] {
 			continue
 		}
-		h.ends[a] = &end{status: s, isListed: true, isTried: h.ends[a] != nil && h.ends[a].isTried}
+		if before, ok := h.ends[a]; ok {
+			before.isListed = true
+			before.status = s
+			continue
+		}
+		h.ends[a] = &end{status: s, isListed: true}
+		fresh = append(fresh, s)
+	}
+	return fresh
+}
+
+// runOf names an attempt for the health record. The tasks of one job fail or
+// succeed alike.
+func runOf(id hoist.WorkerID, s hoist.TaskStatus) health.Run {
+	return health.Run{
+		Worker: id, Task: s.Task, Attempt: s.Attempt,
+		Group: learn.KeyOf(hoist.JobSpec{ID: s.Job, Team: s.Team}),
+	}
+}
+
+// noteHealth records what an end tells about a worker. The mutex is held.
+func (m *Manager) noteHealth(id hoist.WorkerID, s hoist.TaskStatus) {
+	run, now := runOf(id, s), m.Clock.Now()
+	switch s.State {
+	case hoist.TaskSucceeded:
+		m.health.Succeeded(run, now)
+	case hoist.TaskFailed:
+		m.health.Failed(run, now)
+	default:
+		m.health.Stopped(run)
 	}
 }
 
@@ -361,12 +396,15 @@
 			DataCentre: h.report.DataCentre,
 			Rack:       h.report.Rack,
 			Capacity:   h.report.Capacity,
-			Leaving:    h.isLeaving(),
+			State:      m.workerState(id, h),
+		}
+		for _, s := range h.report.Running {
+			c.Usage = c.Usage.Add(s.Usage)
 		}
-		if !c.Leaving && now.Sub(h.asked) <= freshTime {
+		if c.State == hoist.WorkerReady && now.Sub(h.asked) <= freshTime {
 			c.Lower = h.lower()
 			if now.After(h.hold.until) {
-				c.Free = h.account.Free()
+				c.Free = h.account.FreeAt(now)
 			}
 		}
 		out = append(out, c)
@@ -375,6 +413,18 @@
 	return out
 }
 
+// workerState tells whether a worker takes new tasks. The mutex is held.
+func (m *Manager) workerState(id hoist.WorkerID, h *handle) hoist.WorkerState {
+	switch {
+	case h.isLeaving():
+		return hoist.WorkerLeaving
+	case !m.health.Allows(id, m.Clock.Now()):
+		return hoist.WorkerFailing
+	default:
+		return hoist.WorkerReady
+	}
+}
+
 // lower sums up by priority what tasks that could be stopped hold.
 func (h *handle) lower() []hoist.PriorityUse {
 	var out []hoist.PriorityUse
--- a/internal/decide/jobs/due.go
+++ b/internal/decide/jobs/due.go
@@ -127,25 +127,18 @@
 	return late
 }
 
-// Stragglers returns the running tasks that have run for more than factor times
-// the estimate.
-func (b *Book) Stragglers(factor int, now time.Time) []*Task {
-	var out []*Task
+// Each calls fn for each running task that is not a replica of a service.
+func (b *Book) Each(fn func(*Task)) {
 	for _, j := range b.active {
 		if j.Spec.Kind == hoist.ServiceJob || j.counts[Running] == 0 {
 			continue
 		}
-		estimate := j.Spec.RunTime
-		if b.Estimate != nil {
-			estimate = b.Estimate(j.Spec)
-		}
 		for _, t := range j.Tasks {
-			if t.Phase == Running && estimate > 0 && now.Sub(t.Since) > time.Duration(factor)*estimate {
-				out = append(out, t)
+			if t.Phase == Running {
+				fn(t)
 			}
 		}
 	}
-	return out
 }
 
 // OldestGang returns the gang that has waited longest among those that ready
--- a/internal/decide/jobs/steps.go
+++ b/internal/decide/jobs/steps.go
@@ -151,7 +151,6 @@
 	if state != hoist.TaskStopped {
 		t.NotBefore = now.Add(min(failBackoff<<min(t.failures, 6), maxBackoff))
 		t.failures++
-		t.FailedOn = t.Worker
 	}
 	b.toWaiting(t, now)
 	b.settleGang(j, now)
