--- a/cmd/hoist/cell.go
+++ b/cmd/hoist/cell.go
@@ -75,14 +75,10 @@
 }
 
 func stateText(c hoist.Candidate) string {
-	switch {
-	case c.State != hoist.WorkerReady:
-		return string(c.State)
-	case c.Leaving:
-		return string(hoist.WorkerLeaving)
-	default:
+	if c.State == hoist.WorkerReady {
 		return "ready"
 	}
+	return string(c.State)
 }
 
 type workerDrain struct {
--- a/iface.go
+++ b/iface.go
@@ -144,8 +144,6 @@
 	// Usage is what the tasks on the worker take, as reported or learned. It
 	// is zero if unknown.
 	Usage Resources
-	// Leaving workers take no new work.
-	Leaving bool
 	// Lower is what tasks hold there, by priority, for urgent work.
 	Lower []PriorityUse
 	// Replicas is how many tasks of the job run in the worker's rack.
--- a/internal/core/tasks/gangs.go
+++ b/internal/core/tasks/gangs.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
 )
 
 const (
@@ -51,7 +53,7 @@
 // mayHold reports whether a gang takes part in the turns: it can run at all and
 // is not resting after a turn. The mutex is held.
 func (m *Manager) mayHold(j *jobs.Job) bool {
-	if _, ok := m.shardOf(j.Spec.Team); !ok || j.Version == 0 || isStuck(j.Reason) {
+	if _, ok := m.shardOf(j.Spec.Team); !ok || j.Version == 0 || isStuck(j.Reason) || strings.HasPrefix(j.Reason, quotaPrefix) {
 		return false
 	}
 	try, ok := m.gangs[j.Spec.ID]
@@ -82,23 +84,23 @@
 	var open []*jobs.Task
 	missing := 0
 	for _, t := range w.tasks {
-		kept, isKept := w.kept[t.task.ID]
+		kept, isKept := w.kept[t.ID]
 		if isKept && kept.isReserved && w.isTurn {
 			ps = append(ps, kept.Placement)
 			continue
 		}
-		choice, ok := fleet.Choose(w.job.Spec, nil, t.failedOn)
+		choice, ok := fleet.Choose(w.job.Spec, w.ask, nil)
 		if !ok {
 			missing++
 			if isKept && w.isTurn {
 				ps = append(ps, kept.Placement)
 			} else {
-				open = append(open, t.task)
+				open = append(open, t)
 			}
 			continue
 		}
 		chosen = append(chosen, choice)
-		ps = append(ps, m.newPlacement(t.task, choice, w.term))
+		ps = append(ps, m.newPlacement(t, choice, w.term))
 	}
 	reason := ""
 	if missing > 0 {
@@ -111,7 +113,7 @@
 		return reason
 	}
 	if w.isTurn {
-		for i, id := range fleet.ChooseHolds(w.job.Spec, len(open)) {
+		for i, id := range fleet.ChooseHolds(w.ask, len(open)) {
 			ps = append(ps, m.newPlacement(open[i], jobs.Choice{Worker: id}, w.term))
 		}
 	}
@@ -174,6 +176,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	tasks := make([]*jobs.Task, len(ps))
+	charges := make([]quota.Charge, len(ps))
 	for i, p := range ps {
 		t, ok := m.book.Task(p.Grant.Task)
 		s, isKept := m.shardOf(p.Grant.Team)
@@ -181,6 +184,11 @@
 			return false
 		}
 		tasks[i] = t
+		charges[i] = chargeOf(p)
+	}
+	if err := m.quotas.Admit(charges...); err != nil {
+		tasks[0].Job.Reason = quotaPrefix + err.Error()
+		return false
 	}
 	for i, p := range ps {
 		m.beginOne(tasks[i], p, m.Clock.Now())
--- a/internal/core/tasks/pass.go
+++ b/internal/core/tasks/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,9 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
+	"fuchsiahoist.example/hoist/internal/decide/learn"
+	"fuchsiahoist.example/hoist/internal/decide/place"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
 )
 
 const (
@@ -17,9 +21,6 @@
 	tasksPerPass = 4000
 	// tickEvery is the period of the checks of all jobs against the time.
 	tickEvery = time.Second
-	// stragglerFactor is how many times longer than expected a task runs
-	// before it is reported. Declared run times are off by up to 10 times.
-	stragglerFactor = 10
 	// refusedTime is how long a worker that refused a task is left alone. The
 	// next heartbeat of its owner comes within this time.
 	refusedTime = 500 * time.Millisecond
@@ -52,7 +53,7 @@
 	leaving := make(map[hoist.WorkerID]bool)
 	m.heard[h.Host] = heard{now, h.Workers, leaving, h.Gang}
 	for _, c := range h.Workers {
-		if c.Leaving {
+		if c.State == hoist.WorkerLeaving {
 			leaving[c.Worker] = true
 		}
 		recent := slices.DeleteFunc(m.taken[c.Worker], func(t taken) bool { return now.Sub(t.at) > beatDelay })
@@ -95,12 +96,12 @@
 	}
 	m.book.Replace(m.isLeaving, now)
 	m.sweep(now)
-	for _, t := range m.book.Stragglers(stragglerFactor, now) {
-		if !m.told[t.ID] {
+	m.book.Each(func(t *jobs.Task) {
+		if !m.told[t.ID] && m.learned.IsStraggler(learn.KeyOf(t.Job.Spec), now.Sub(t.Since)) {
 			m.told[t.ID] = true
 			events.TaskSlow.Log(ctx, m.Log, "task", t.ID, "worker", t.Worker, "since", t.Since)
 		}
-	}
+	})
 }
 
 // isLeaving reports whether a worker takes no new work, by the host list or by
@@ -120,19 +121,15 @@
 // not change, as it does not hold the mutex.
 type wanted struct {
 	job    *jobs.Job
-	tasks  []wantedTask
-	placed []hoist.WorkerID
+	ask    hoist.Ask
+	tasks  []*jobs.Task
+	placed map[hoist.WorkerID]int
 	term   hoist.Term
 	// kept are places that an all-at-once job holds from earlier passes.
 	kept   map[hoist.TaskID]keptPlace
 	isTurn bool
 }
 
-type wantedTask struct {
-	task     *jobs.Task
-	failedOn hoist.WorkerID
-}
-
 // chosen is a task with its worker.
 type chosen struct {
 	task   *jobs.Task
@@ -153,8 +150,8 @@
 	reasons := make(map[*jobs.Job]string)
 	var singles []chosen
 	for _, w := range wants {
-		if reason := fleet.Obstacle(w.job.Spec); reason != "" {
-			reasons[w.job] = stuckPrefix + reason
+		if v := fleet.Explain(w.ask, w.needed()); v.IsImpossible() {
+			reasons[w.job] = v.String()
 			continue
 		}
 		if w.job.Spec.Kind == hoist.GangJob {
@@ -181,7 +178,8 @@
 		if !ok || n >= tasksPerPass {
 			continue
 		}
-		w := wanted{job: j, term: s.term, isTurn: turn == j.Spec.ID}
+		size := m.learned.Size(learn.KeyOf(j.Spec), j.Spec.Need)
+		w := wanted{job: j, ask: jobs.AskOf(j.Spec, size), term: s.term, isTurn: turn == j.Spec.ID}
 		if try, ok := m.gangs[j.Spec.ID]; ok {
 			if try.isBusy {
 				continue
@@ -192,12 +190,12 @@
 			if j.Spec.Kind != hoist.GangJob && len(w.tasks) == tasksPerPass {
 				break
 			}
-			w.tasks = append(w.tasks, wantedTask{t, t.FailedOn})
+			w.tasks = append(w.tasks, t)
 		}
 		if j.Spec.Kind == hoist.ServiceJob {
 			w.placed = placedOn(j)
 		}
-		if len(w.tasks) > 0 {
+		if m.keepToQuota(&w); len(w.tasks) > 0 {
 			out = append(out, w)
 			n += len(w.tasks)
 		}
@@ -205,11 +203,38 @@
 	return out
 }
 
-func placedOn(j *jobs.Job) []hoist.WorkerID {
-	var out []hoist.WorkerID
+// needed is how many tasks of the job must fit at once.
+func (w wanted) needed() int {
+	if w.job.Spec.Kind == hoist.GangJob {
+		return len(w.tasks)
+	}
+	return 1
+}
+
+// keepToQuota leaves out the tasks for which the team has no quota left. The
+// mutex is held.
+func (m *Manager) keepToQuota(w *wanted) {
+	spec := w.job.Spec
+	u := m.quotas.Usage(spec.Team)
+	room := place.Copies(spec.Need, u.Limit.Sub(u.Used))
+	if room >= len(w.tasks) {
+		return
+	}
+	w.job.Reason = fmt.Sprintf("%s%s uses %v of %v", quotaPrefix, spec.Team, u.Used, u.Limit)
+	if spec.Kind == hoist.GangJob {
+		room = 0
+	}
+	w.tasks = w.tasks[:max(0, room)]
+}
+
+// quotaPrefix begins the reason of a job that waits for its team's quota.
+const quotaPrefix = "quota: team "
+
+func placedOn(j *jobs.Job) map[hoist.WorkerID]int {
+	out := make(map[hoist.WorkerID]int)
 	for _, t := range j.Tasks {
 		if t.IsPlaced() {
-			out = append(out, t.Worker)
+			out[t.Worker]++
 		}
 	}
 	return out
@@ -218,17 +243,13 @@
 // chooseEach chooses a worker for each task that fits, and tells why the others
 // wait.
 func chooseEach(fleet *jobs.Fleet, w wanted) ([]chosen, string) {
-	var spread *jobs.Spread
-	if w.job.Spec.Kind == hoist.ServiceJob {
-		spread = fleet.NewSpread(w.placed)
-	}
 	var out []chosen
 	for _, t := range w.tasks {
-		choice, ok := fleet.Choose(w.job.Spec, spread, t.failedOn)
+		choice, ok := fleet.Choose(w.job.Spec, w.ask, w.placed)
 		if !ok {
-			return out, fleet.Shortage(w.job.Spec)
+			return out, fleet.Explain(w.ask, 1).String()
 		}
-		out = append(out, chosen{t.task, choice, w.term})
+		out = append(out, chosen{t, choice, w.term})
 	}
 	return out, ""
 }
@@ -273,11 +294,10 @@
 	}
 }
 
-// stuckPrefix begins the reason of a job that does not fit into the cell.
-const stuckPrefix = "can never run: "
-
+// isStuck reports whether a reason tells that a job cannot run in the cell as it
+// is.
 func isStuck(reason string) bool {
-	return strings.HasPrefix(reason, stuckPrefix)
+	return strings.HasPrefix(reason, "can never run")
 }
 
 // explain records why jobs wait.
@@ -325,6 +345,10 @@
 			continue
 		}
 		p := placementOf(c.task, c.choice, c.task.Job.NewAttempt(), c.term)
+		if err := m.quotas.Admit(chargeOf(p)); err != nil {
+			c.task.Job.Reason = quotaPrefix + err.Error()
+			continue
+		}
 		m.beginOne(c.task, p, now)
 		ps = append(ps, p)
 	}
@@ -332,6 +356,11 @@
 	m.send(ctx, ps, callStart)
 }
 
+func chargeOf(p hoist.Placement) quota.Charge {
+	g := p.Grant
+	return quota.Charge{Team: g.Team, Task: g.Task, Attempt: g.Attempt, Need: g.Need}
+}
+
 // beginOne records that a start is being sent. The mutex is held.
 func (m *Manager) beginOne(t *jobs.Task, p hoist.Placement, now time.Time) {
 	m.book.Begin(t, p.Worker, p.Grant.Attempt, now)
--- a/internal/core/tasks/survey.go
+++ b/internal/core/tasks/survey.go
@@ -302,8 +302,15 @@
 			m.book.Adopt(t, now)
 		}
 	}
+	running := make(map[hoist.TeamID][]hoist.TaskStatus)
+	for _, t := range s.tasks {
+		if task, ok := m.book.Task(t.Status.Task); ok && task.IsPlaced() && task.Attempt == t.Status.Attempt {
+			running[t.Status.Team] = append(running[t.Status.Team], t.Status)
+		}
+	}
 	for _, j := range recovered {
 		m.book.Settle(j, now)
+		m.quotas.Rebuild(j.Spec.Team, running[j.Spec.Team])
 	}
 	m.shards[st.Shard].isReady = true
 	if len(rows) > 0 {
--- a/internal/core/tasks/tasks.go
+++ b/internal/core/tasks/tasks.go
@@ -26,8 +26,11 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/health"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
+	"fuchsiahoist.example/hoist/internal/decide/learn"
 	"fuchsiahoist.example/hoist/internal/decide/place"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
 )
 
 const (
@@ -71,13 +74,16 @@
 	DialWorker func(hoist.Listed) hoist.Worker
 	Clock      hoist.Clock
 	Log        *slog.Logger
-	// Policy chooses workers; nil means place.FirstFit.
+	// Policy chooses workers; nil means place.Default.
 	Policy hoist.PlacementPolicy
 
 	once    sync.Once
 	mu      sync.Mutex
 	rng     *rand.Rand
 	book    *jobs.Book
+	quotas  *quota.Book
+	learned *learn.Book
+	health  *health.Book
 	shards  map[hoist.ShardID]*teamShard
 	workers map[hoist.WorkerID]*handle
 	listed  map[hoist.WorkerID]hoist.Listed
@@ -105,10 +111,17 @@
 func (m *Manager) init() {
 	m.once.Do(func() {
 		if m.Policy == nil {
-			m.Policy = place.FirstFit{}
+			m.Policy = place.Default
 		}
 		m.rng = rand.New(rand.NewPCG(uint64(m.Clock.Now().UnixNano()), 1))
 		m.book = jobs.NewBook()
+		m.quotas = quota.NewBook()
+		m.learned = learn.NewBook()
+		m.health = health.NewBook()
+		m.book.Estimate = func(s hoist.JobSpec) time.Duration {
+			return m.learned.RunTime(learn.KeyOf(s), s.RunTime)
+		}
+		m.book.Freed = func(a hoist.TaskAttempt) { m.quotas.Release(a.Task, a.Attempt) }
 		m.shards = make(map[hoist.ShardID]*teamShard)
 		m.workers = make(map[hoist.WorkerID]*handle)
 		m.listed = make(map[hoist.WorkerID]hoist.Listed)
@@ -137,6 +150,16 @@
 	m.calls.running.Wait()
 }
 
+// SetQuotas replaces the quotas of the teams. Teams that limits does not name
+// get fallback.
+func (m *Manager) SetQuotas(limits map[hoist.TeamID]hoist.Resources, fallback hoist.Resources) {
+	m.init()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.quotas.SetLimits(limits, fallback)
+	m.wake()
+}
+
 // wake starts a placement pass soon.
 func (m *Manager) wake() {
 	signal(m.kick)
@@ -182,6 +205,7 @@
 	delete(m.shards, shard)
 	for _, j := range m.book.All() {
 		if teamShardOf(j.Spec.Team) == shard {
+			m.quotas.Drop(j.Spec.Team)
 			m.ledger.drop(j.Spec.ID)
 			m.calls.settle(j.Spec.ID)
 			delete(m.gangs, j.Spec.ID)
--- a/internal/decide/jobs/fleet.go
+++ b/internal/decide/jobs/fleet.go
@@ -1,11 +1,11 @@
 package jobs
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/place"
 )
 
 // Fleet is a view of the workers for one placement pass. What is chosen is
@@ -15,7 +15,6 @@
 	rng     *rand.Rand
 	workers []hoist.Candidate
 	index   map[hoist.WorkerID]int
-	avoid   map[hoist.WorkerID]bool
 }
 
 // NewFleet returns a view of the workers. It keeps and changes the slice.
@@ -27,37 +26,6 @@
 	return f
 }
 
-// Avoid makes the fleet not choose a worker.
-func (f *Fleet) Avoid(id hoist.WorkerID) {
-	if f.avoid == nil {
-		f.avoid = make(map[hoist.WorkerID]bool)
-	}
-	f.avoid[id] = true
-}
-
-// Spread counts the replicas of a service by place.
-type Spread struct {
-	centres map[hoist.DataCentreID]int
-	racks   map[hoist.RackID]int
-}
-
-// NewSpread counts replicas on the given workers, as far as the fleet knows
-// them.
-func (f *Fleet) NewSpread(on []hoist.WorkerID) *Spread {
-	s := &Spread{centres: make(map[hoist.DataCentreID]int), racks: make(map[hoist.RackID]int)}
-	for _, id := range on {
-		if i, ok := f.index[id]; ok {
-			s.add(f.workers[i])
-		}
-	}
-	return s
-}
-
-func (s *Spread) add(c hoist.Candidate) {
-	s.centres[c.DataCentre]++
-	s.racks[c.Rack]++
-}
-
 // Choice is a worker that was chosen for a task.
 type Choice struct {
 	Worker hoist.WorkerID
@@ -65,30 +33,38 @@
 	Preempt bool
 }
 
-// Choose picks a worker for a task of a job and takes its need from the view.
-// A nil spread means that the place does not matter.
-func (f *Fleet) Choose(spec hoist.JobSpec, spread *Spread, failedOn hoist.WorkerID) (Choice, bool) {
-	if i, ok := f.pick(spec, spread, failedOn); ok {
-		f.take(i, spec, spread)
-		return Choice{Worker: f.workers[i].Worker}, true
+// AskOf returns what a policy is told about the tasks of a job, with their
+// learned size.
+func AskOf(spec hoist.JobSpec, size hoist.Resources) hoist.Ask {
+	return hoist.Ask{
+		Need: spec.Need, Size: size, DataCentre: spec.DataCentre, Spread: spec.Kind == hoist.ServiceJob,
 	}
-	if !spec.Urgent {
+}
+
+// Choose picks a worker for a task of a job and takes its need from the view.
+// For a service, placed tells how many replicas each worker has; the choice is
+// counted in.
+func (f *Fleet) Choose(spec hoist.JobSpec, ask hoist.Ask, placed map[hoist.WorkerID]int) (Choice, bool) {
+	if ask.Spread {
+		place.CountReplicas(f.workers, placed)
+	}
+	isYielding := false
+	i := f.policy.Choose(ask, f.workers, f.rng)
+	if i < 0 && spec.Urgent {
+		i, isYielding = f.pickYielding(spec, ask), true
+	}
+	if i < 0 {
 		return Choice{}, false
 	}
-	i, ok := f.pickYielding(spec)
-	if !ok {
-		return Choice{}, false
+	if isYielding {
+		f.yield(i, spec)
 	}
-	f.yield(i, spec)
-	f.take(i, spec, spread)
-	return Choice{f.workers[i].Worker, true}, true
-}
-
-func (f *Fleet) take(i int, spec hoist.JobSpec, spread *Spread) {
-	f.workers[i].Free = f.workers[i].Free.Sub(spec.Need)
-	if spread != nil {
-		spread.add(f.workers[i])
+	c := &f.workers[i]
+	c.Free = c.Free.Sub(spec.Need)
+	if ask.Spread {
+		placed[c.Worker]++
 	}
+	return Choice{c.Worker, isYielding}, true
 }
 
 // Give returns what a choice took.
@@ -98,73 +74,22 @@
 	}
 }
 
-func (f *Fleet) mayUse(c hoist.Candidate, spec hoist.JobSpec) bool {
-	return !c.Leaving && (spec.DataCentre == "" || c.DataCentre == spec.DataCentre) && !f.avoid[c.Worker]
-}
-
-// pick lets the policy choose among the workers of the least used data centre
-// and rack that fit.
-func (f *Fleet) pick(spec hoist.JobSpec, spread *Spread, failedOn hoist.WorkerID) (int, bool) {
-	if spec.DataCentre == "" && spread == nil && failedOn == "" && len(f.avoid) == 0 {
-		i := f.policy.Pick(spec.Need, f.workers, f.rng)
-		return i, i >= 0
-	}
-	var fits []int
-	for i, c := range f.workers {
-		if f.mayUse(c, spec) && spec.Need.Fits(c.Free) {
-			fits = append(fits, i)
-		}
-	}
-	if elsewhere := slices.DeleteFunc(slices.Clone(fits), func(i int) bool { return f.workers[i].Worker == failedOn }); len(elsewhere) > 0 {
-		fits = elsewhere
-	}
-	if spread != nil {
-		fits = least(fits, func(i int) int { return spread.centres[f.workers[i].DataCentre] })
-		fits = least(fits, func(i int) int { return spread.racks[f.workers[i].Rack] })
-	}
-	view := make([]hoist.Candidate, len(fits))
-	for n, i := range fits {
-		view[n] = f.workers[i]
-		if spread != nil {
-			view[n].Replicas = spread.racks[view[n].Rack]
-		}
-	}
-	n := f.policy.Pick(spec.Need, view, f.rng)
-	if n < 0 {
-		return 0, false
-	}
-	return fits[n], true
-}
-
-// least keeps the elements with the smallest count.
-func least(in []int, count func(int) int) []int {
-	var out []int
-	smallest := 0
-	for _, i := range in {
-		n := count(i)
-		if len(out) == 0 || n < smallest {
-			out, smallest = out[:0], n
-		}
-		if n == smallest {
-			out = append(out, i)
-		}
-	}
-	return out
+// Explain tells whether tasks of a job fit into the view, and why not.
+func (f *Fleet) Explain(ask hoist.Ask, tasks int) place.Verdict {
+	return place.Explain(ask, tasks, f.workers)
 }
 
 // pickYielding picks the worker on which tasks of lower priority hold enough
-// and the least processor is short.
-func (f *Fleet) pickYielding(spec hoist.JobSpec) (int, bool) {
-	best, isFound := 0, false
+// and the least processor is short. It returns -1 if there is none.
+func (f *Fleet) pickYielding(spec hoist.JobSpec, ask hoist.Ask) int {
+	best := -1
 	for i, c := range f.workers {
-		if !f.mayUse(c, spec) || !spec.Need.Fits(c.Free.Add(lower(c, spec.Priority))) {
-			continue
-		}
-		if !isFound || c.Free.CPU > f.workers[best].Free.CPU {
-			best, isFound = i, true
+		c.Free = c.Free.Add(lower(c, spec.Priority))
+		if place.Fits(ask, &c) && (best < 0 || f.workers[i].Free.CPU > f.workers[best].Free.CPU) {
+			best = i
 		}
 	}
-	return best, isFound
+	return best
 }
 
 // lower is what tasks of a lower priority hold on a worker.
@@ -190,71 +115,14 @@
 	}
 }
 
-// Obstacle tells why a job can never run even on empty workers, or returns "".
-func (f *Fleet) Obstacle(spec hoist.JobSpec) string {
-	places, inCentre := 0, 0
-	var largest hoist.Resources
-	for _, c := range f.workers {
-		if c.Leaving || (spec.DataCentre != "" && c.DataCentre != spec.DataCentre) {
-			continue
-		}
-		inCentre++
-		largest = hoist.Resources{
-			CPU:    max(largest.CPU, c.Capacity.CPU),
-			Memory: max(largest.Memory, c.Capacity.Memory),
-			Accel:  max(largest.Accel, c.Capacity.Accel),
-		}
-		places += fitting(spec.Need, c.Capacity)
-	}
-	switch {
-	case len(f.workers) == 0:
-		return ""
-	case inCentre == 0:
-		return fmt.Sprintf("there is no worker in data centre %q", spec.DataCentre)
-	case places == 0:
-		return fmt.Sprintf("a task needs %v; no empty worker holds that (the largest amounts are %v)", spec.Need, largest)
-	case spec.Kind == hoist.GangJob && places < spec.Tasks:
-		return fmt.Sprintf("%d tasks must start together; all workers, empty, have places for %d", spec.Tasks, places)
-	}
-	return ""
-}
-
-// Shortage tells why a job has to wait now.
-func (f *Fleet) Shortage(spec hoist.JobSpec) string {
-	free := 0
-	var largest hoist.MilliCPU
-	for _, c := range f.workers {
-		if f.mayUse(c, spec) && !c.Leaving {
-			free++
-			largest = max(largest, c.Free.CPU)
-		}
-	}
-	return fmt.Sprintf("a task needs %v; none of %d workers has that free (at most %.1f cores)",
-		spec.Need, free, float64(largest)/1000)
-}
-
-// fitting returns how often need fits into capacity.
-func fitting(need, capacity hoist.Resources) int {
-	n := 1 << 30
-	if need.CPU > 0 {
-		n = min(n, int(capacity.CPU/need.CPU))
-	}
-	if need.Memory > 0 {
-		n = min(n, int(capacity.Memory/need.Memory))
-	}
-	if need.Accel > 0 {
-		n = min(n, int(capacity.Accel/need.Accel))
-	}
-	return n
-}
-
 // ChooseHolds picks workers for n tasks of a gang, whether they have room now
 // or not: those with the most free processor first. The places are not taken
 // from the view.
-func (f *Fleet) ChooseHolds(spec hoist.JobSpec, n int) []hoist.WorkerID {
+func (f *Fleet) ChooseHolds(ask hoist.Ask, n int) []hoist.WorkerID {
 	order := make([]int, 0, len(f.workers))
 	for i, c := range f.workers {
-		if f.mayUse(c, spec) && spec.Need.Fits(c.Capacity) {
+		c.Free = c.Capacity
+		if place.Fits(ask, &c) {
 			order = append(order, i)
 		}
 	}
@@ -262,7 +130,7 @@
 	slices.SortStableFunc(order, func(a, b int) int { return int(f.workers[b].Free.CPU - f.workers[a].Free.CPU) })
 	var out []hoist.WorkerID
 	for _, i := range order {
-		for range fitting(spec.Need, f.workers[i].Capacity) {
+		for range place.Copies(ask.Need, f.workers[i].Capacity) {
 			if len(out) == n {
 				return out
 			}
--- a/internal/decide/jobs/jobs.go
+++ b/internal/decide/jobs/jobs.go
@@ -69,9 +69,7 @@
 	Since time.Time
 	// NotBefore delays the next start after a failure.
 	NotBefore time.Time
-	// FailedOn is the worker of the last failed attempt.
-	FailedOn hoist.WorkerID
-	failures int
+	failures  int
 	// isOpen is set while the outcome of a start is not known.
 	isOpen bool
 	// isRetired is set for a replica that is stopped for good.
@@ -152,6 +150,8 @@
 	// Estimate returns the learned run time of one task of a job; nil means
 	// the declared one.
 	Estimate func(hoist.JobSpec) time.Duration
+	// Freed is called when an attempt is over; nil calls nothing.
+	Freed func(hoist.TaskAttempt)
 
 	jobs     map[hoist.JobID]*Job
 	tasks    map[hoist.TaskID]*Task
@@ -322,6 +322,9 @@
 	}
 	t.Worker = ""
 	b.setOpen(t, false)
+	if b.Freed != nil {
+		b.Freed(hoist.TaskAttempt{Task: t.ID, Attempt: t.Attempt})
+	}
 }
 
 // taskNo returns the number in the id of a task of the job.
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -13,7 +13,8 @@
 		Rack:       string(c.Rack),
 		Capacity:   Resources(c.Capacity),
 		Free:       Resources(c.Free),
-		Leaving:    optional(c.Leaving),
+		State:      optional(string(c.State)),
+		Usage:      optional(Resources(c.Usage)),
 		Lower: Map(c.Lower, func(u hoist.PriorityUse) wire.PriorityUse {
 			return wire.PriorityUse{Priority: int(u.Priority), Used: Resources(u.Used)}
 		}),
@@ -28,7 +29,8 @@
 		Rack:       hoist.RackID(c.Rack),
 		Capacity:   ToResources(c.Capacity),
 		Free:       ToResources(c.Free),
-		Leaving:    value(c.Leaving),
+		State:      hoist.WorkerState(value(c.State)),
+		Usage:      ToResources(value(c.Usage)),
 		Lower: Map(c.Lower, func(u wire.PriorityUse) hoist.PriorityUse {
 			return hoist.PriorityUse{Priority: hoist.Priority(u.Priority), Used: ToResources(u.Used)}
 		}),
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -114,15 +114,18 @@
 	// Free corresponds to the JSON schema field "free".
 	Free Resources `json:"free"`
 
-	// Leaving corresponds to the JSON schema field "leaving".
-	Leaving *bool `json:"leaving,omitempty,omitzero"`
-
 	// Lower corresponds to the JSON schema field "lower".
 	Lower []PriorityUse `json:"lower,omitempty,omitzero"`
 
 	// Rack corresponds to the JSON schema field "rack".
 	Rack string `json:"rack"`
 
+	// State corresponds to the JSON schema field "state".
+	State *string `json:"state,omitempty,omitzero"`
+
+	// Usage corresponds to the JSON schema field "usage".
+	Usage *Resources `json:"usage,omitempty,omitzero"`
+
 	// Worker corresponds to the JSON schema field "worker".
 	Worker string `json:"worker"`
 }
