Run the services of the configuration and hold teams to it

Cause: the configuration named services, quotas and customers, and nothing acted on them. Change: internal/decide/deploy decides which jobs the configured services need; a changed service becomes a new job, and the old one is cancelled when all replicas of the new one run. Quotas reach the placement, jobs of unknown teams, too high priorities and urgent jobs that are not allowed are refused, and so are requests of customers that may not use a service. The key services.slots is gone: an executor reports its slots itself. Conclusion: the id of a service's job needs a number, because a service that returns to an earlier form would otherwise meet its cancelled job.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -159,6 +159,7 @@
 	g.Go(func() error { d.router.Run(serving); return nil })
 	g.Go(func() error { d.tasks.Run(serving); return nil })
 	g.Go(func() error { d.spread.Run(serving); return nil })
+	g.Go(func() error { d.deployLoop(serving); return nil })
 	if d.admin != nil {
 		g.Go(func() error { return d.console().Run(serving) })
 	}
@@ -223,9 +224,10 @@
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
 	}
-	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: d.tasks, IsReady: d.isReady, Access: d.Params.Access()}
+	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: checkedTasks{d.tasks, d.document}, IsReady: d.isReady, Access: d.Params.Access()}
 	d.spread = &spread.Keeper{
 		Own: d.members, Table: d.Table, Clock: d.Clock, Log: d.Log, Cell: d.tasks.Cell,
+		OnChange: d.applyConfig,
 	}
 	d.buildReports()
 	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
--- a/internal/core/daemon/operate.go
+++ b/internal/core/daemon/operate.go
@@ -113,7 +113,7 @@
 
 // SubmitJob implements hoist.OperatorService.
 func (o operator) SubmitJob(ctx context.Context, s hoist.JobSpec) error {
-	return o.tasks.Submit(ctx, s)
+	return checkedTasks{o.tasks, o.document}.Submit(ctx, s)
 }
 
 // CancelJob implements hoist.OperatorService.
--- a/internal/core/daemon/report.go
+++ b/internal/core/daemon/report.go
@@ -21,6 +21,9 @@
 
 // Submit implements caller.Requests.
 func (o observedRouter) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
+	if err := mayUse(o.daemon.document(), r); err != nil {
+		return hoist.Answer{}, err
+	}
 	a, err := o.Router.Submit(ctx, r)
 	if err == nil {
 		o.daemon.observe(r.Class, a)
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -96,6 +96,10 @@
 	Stopped  = register(402, slog.LevelInfo, "daemon stopped")
 )
 
+// DeployFailed is logged for each service of the configuration whose job could
+// not be submitted or cancelled; it is tried again.
+var DeployFailed = register(403, slog.LevelWarn, "job of a configured service could not be changed")
+
 // Events of the configuration: 500 to 599.
 var (
 	ConfigAccepted    = register(500, slog.LevelInfo, "accepted a configuration")
--- a/internal/decide/config/check.go
+++ b/internal/decide/config/check.go
@@ -41,7 +41,6 @@
 const (
 	maxQueue    = 1_000_000
 	maxReplicas = 100_000
-	maxSlots    = 1024
 	maxWeight   = 10_000
 	maxPriority = 1000
 	maxWidth    = 200
@@ -69,8 +68,8 @@
 	switch {
 	case name == "" || len(name) > maxName:
 		c.add(key, "is %q, expected 1 to %d bytes", name, maxName)
-	case strings.ContainsAny(name, "/\n\r\t "):
-		c.add(key, "is %q, expected no spaces and no slash", name)
+	case strings.ContainsAny(name, "/:\n\r\t "):
+		c.add(key, "is %q, expected no spaces, slash or colon", name)
 	case seen[name]:
 		c.add(key, "is %q a second time", name)
 	}
@@ -160,7 +159,6 @@
 		key := fmt.Sprintf("services[%d]", i)
 		c.name(key+".name", string(s.Name), seen)
 		c.inRange(key+".replicas", s.Replicas, 0, maxReplicas)
-		c.inRange(key+".slots", s.Slots, 1, maxSlots)
 		if !s.Need.Resources().IsValid() {
 			c.add(key+".need", "is %v, expected a positive amount", s.Need.Resources())
 		}
--- a/internal/decide/config/config.go
+++ b/internal/decide/config/config.go
@@ -85,7 +85,6 @@
 	Name     hoist.ServiceName `toml:"name"`
 	Team     hoist.TeamID      `toml:"team"`
 	Replicas int               `toml:"replicas"`
-	Slots    int               `toml:"slots"`
 	Need     Need              `toml:"need"`
 	// Customers lists who may use the service; empty means all.
 	Customers []hoist.CustomerID `toml:"customers"`
