Stop a host without cutting off requests, and bound the front

Cause: a host that stopped closed its connections to other hosts while requests that it forwarded were in flight, cut off replies to other hosts, failed its health check only after the current round at the table, and accepted new work until it ended, so that it might never be idle. Bodies and connections of callers had no bound in total.

Change: the health check fails with the signal; callers are asked to close their connections; the host hands its shards over, accepts requests for the notice time, then refuses them as not run and waits for those in flight, which now include forwarded ones. Callers are served to the end before connections between hosts close. The front takes bodies of 32 MiB in total and 4,096 connections.

Conclusion: balancers with a check period above 2 s need a longer notice-time.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -81,8 +81,8 @@
 }
 
 // Run serves until ctx ends. It then leaves the balancer's health check, hands
-// over its shards, and returns when no request is in flight or the drain time
-// has passed.
+// over its shards, goes on accepting requests for the notice time, and returns
+// when no request is in flight or the drain time has passed.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.build()
 	events.Started.Log(ctx, d.Log, "host", d.Params.Host, "entry", d.entry.Addr(), "caller", d.caller.Addr())
@@ -93,16 +93,20 @@
 	defer leave()
 	d.stop = func() { leave(); stop() }
 	close(d.running)
+	defer context.AfterFunc(ctx, func() { d.front.Leave() })()
 	var g errgroup.Group
-	g.Go(func() error { return d.front.Run(serving) })
-	g.Go(func() error { return (&entry.Server{Listener: d.entry, Peer: d}).Run(serving) })
+	callers := start(&g, serving, d.front.Run)
+	hosts := start(&g, serving, (&entry.Server{Listener: d.entry, Peer: d}).Run)
 	g.Go(func() error { d.router.Run(serving); return nil })
 	g.Go(func() error { d.tasks.Run(serving); return nil })
 	g.Go(func() error {
+		defer d.members.Close()
+		defer stop()
 		err := d.members.Run(joined)
 		d.drain(serving)
-		stop()
-		d.members.Close()
+		// Answers to callers may come over connections to other hosts.
+		callers.end()
+		hosts.end()
 		return err
 	})
 	err := g.Wait()
@@ -121,8 +125,38 @@
 	d.stop()
 }
 
+// server is a part that runs until it is told to end.
+type server struct {
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// start runs a part in g until ctx ends or end is called.
+func start(g *errgroup.Group, ctx context.Context, run func(context.Context) error) server {
+	ctx, stop := context.WithCancel(ctx)
+	s := server{stop, make(chan struct{})}
+	g.Go(func() error {
+		defer close(s.ended)
+		return run(ctx)
+	})
+	return s
+}
+
+// end stops the part and waits for it.
+func (s server) end() {
+	s.stop()
+	<-s.ended
+}
+
+// drain waits until the balancer has noticed that the host leaves, refuses what
+// comes later, and waits for the requests in flight.
 func (d *Daemon) drain(ctx context.Context) {
 	events.Stopping.Log(ctx, d.Log, "host", d.Params.Host)
+	select {
+	case <-time.After(time.Duration(d.Params.NoticeTime)):
+	case <-ctx.Done():
+	}
+	d.front.Refuse()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.Params.DrainTime))
 	defer cancel()
 	if stuck, isIdle := d.router.Drain(ctx); !isIdle {
--- a/internal/core/params/params.go
+++ b/internal/core/params/params.go
@@ -41,10 +41,18 @@
 	PlatformURL string `toml:"platform-url"`
 	// Settle is how long a new host waits before it claims shards.
 	Settle Duration `toml:"settle"`
+	// NoticeTime is how long a host that stops goes on accepting requests, so
+	// that the balancer and the other hosts notice first.
+	NoticeTime Duration `toml:"notice-time"`
 	// DrainTime bounds the wait for requests in flight at shutdown.
 	DrainTime Duration `toml:"drain-time"`
 }
 
+// minNotice is the shortest notice time: the other hosts read the new owners of
+// a host's shards from the table within 1.3 s, and send requests to the host
+// until then.
+const minNotice = Duration(2 * time.Second)
+
 // Duration is a time.Duration that is written like "1.5s".
 type Duration time.Duration
 
@@ -58,9 +66,10 @@
 // Default returns the settings that a file need not give.
 func Default() Params {
 	return Params{
-		Cores:     1,
-		Settle:    Duration(3 * time.Second),
-		DrainTime: Duration(30 * time.Second),
+		Cores:      1,
+		Settle:     Duration(3 * time.Second),
+		NoticeTime: Duration(2 * time.Second),
+		DrainTime:  Duration(30 * time.Second),
 	}
 }
 
@@ -105,6 +114,7 @@
 	check(isAddr(p.CallerAddr), "key %q is %q, expected IP number and port", "caller-addr", p.CallerAddr)
 	check(strings.HasPrefix(p.PlatformURL, "http"), "key %q is %q, expected a URL", "platform-url", p.PlatformURL)
 	check(p.Settle >= 0, "key %q is negative", "settle")
+	check(p.NoticeTime >= minNotice, "key %q is below 2s", "notice-time")
 	check(p.DrainTime > 0, "key %q must be positive", "drain-time")
 	return out
 }
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -17,9 +17,12 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/semaphore"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -50,6 +53,13 @@
 	// maxName is the largest length of a customer or service; longer ones are
 	// refused between hosts.
 	maxName = 100
+	// maxBodies bounds the bodies of all requests in flight at a host.
+	maxBodies = 32 << 20
+	// maxConns bounds the connections of callers, each of which costs about
+	// 10 KB of buffers; the kernel queues the rest.
+	maxConns = 4096
+	// idleTimeout closes connections that callers do not use.
+	idleTimeout = 2 * time.Minute
 	// maxTimeout bounds how long a caller may wait.
 	maxTimeout = 12 * time.Hour
 	// defaultTimeout is used when the caller states none.
@@ -78,32 +88,53 @@
 	// IsReady tells the balancer whether to send callers here.
 	IsReady func() bool
 
-	once   sync.Once
-	server *http.Server
+	once      sync.Once
+	server    *http.Server
+	handler   http.Handler
+	bodies    *semaphore.Weighted
+	isLeaving atomic.Bool
+	isClosed  atomic.Bool
 }
 
 func (s *Server) init() {
 	s.once.Do(func() {
-		s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 16 << 10}
+		s.handler = s.routes()
+		s.bodies = semaphore.NewWeighted(maxBodies)
+		s.server = &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
+		}
 	})
 }
 
+// Leave makes the health check fail and asks callers to close their connections
+// after the next answer. Requests are still accepted.
+func (s *Server) Leave() {
+	s.isLeaving.Store(true)
+}
+
+// Refuse makes the server answer new requests as not run.
+func (s *Server) Refuse() {
+	s.isClosed.Store(true)
+}
+
 // Close breaks all connections at once.
 func (s *Server) Close() {
 	s.init()
 	_ = s.server.Close()
 }
 
-// Run serves until ctx ends and the open calls are answered.
+// Run serves until ctx ends. Calls that are then open are told so and are
+// answered before Run returns.
 func (s *Server) Run(ctx context.Context) error {
 	s.init()
+	s.server.BaseContext = func(net.Listener) context.Context { return ctx }
 	stop := context.AfterFunc(ctx, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
 		defer cancel()
 		_ = s.server.Shutdown(ctx)
 	})
 	defer stop()
-	err := s.server.Serve(s.Listener)
+	err := s.server.Serve(netutil.LimitListener(s.Listener, maxConns))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -112,15 +143,25 @@
 
 // Handler returns the handler of all paths.
 func (s *Server) Handler() http.Handler {
+	s.init()
+	return s.handler
+}
+
+func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests/{service}", s.serveRequest)
 	mux.HandleFunc("POST /v1/jobs", s.serveJob)
 	mux.HandleFunc("GET /v1/health", s.serveHealth)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isLeaving.Load() {
+			w.Header().Set("connection", "close")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if !s.IsReady() {
+	if s.isLeaving.Load() || !s.IsReady() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -128,11 +169,28 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
-	req, err := parseRequest(w, r, time.Now())
+	req, err := parseRequest(r, time.Now())
 	if err != nil {
 		rest.WriteError(w, err)
 		return
 	}
+	if s.isClosed.Load() {
+		WriteAnswer(w, refuse(req, "the host is stopping"))
+		return
+	}
+	size := min(max(r.ContentLength, 0), maxBody)
+	if r.ContentLength < 0 {
+		size = maxBody
+	}
+	if !s.bodies.TryAcquire(size) {
+		WriteAnswer(w, refuse(req, "too many requests in flight at this host"))
+		return
+	}
+	defer s.bodies.Release(size)
+	if req.Body, err = readBody(w, r); err != nil {
+		rest.WriteError(w, err)
+		return
+	}
 	answer, err := s.Requests.Submit(r.Context(), req)
 	if err != nil {
 		rest.WriteError(w, err)
@@ -141,18 +199,41 @@
 	WriteAnswer(w, answer)
 }
 
-func parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (hoist.Request, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		return hoist.Request{}, invalid("body", err.Error())
+// refuse answers a request that this host does not take. An earlier try of it
+// may have run, unless this is the first.
+func refuse(req hoist.Request, reason string) hoist.Answer {
+	if !req.FirstTry {
+		return hoist.Answer{Key: req.Key, Outcome: hoist.Unknown, Reason: reason}
 	}
+	return hoist.Answer{Key: req.Key, Outcome: hoist.NotRun, Reason: reason, RetryAfter: time.Second}
+}
+
+// readBody reads a body in full. One that is cut short is an error, so that
+// nothing of it runs.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limited := http.MaxBytesReader(w, r.Body, maxBody)
+	if r.ContentLength < 0 || r.ContentLength > maxBody {
+		body, err := io.ReadAll(limited)
+		if err != nil {
+			return nil, invalid("body", err.Error())
+		}
+		return body, nil
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(limited, body); err != nil {
+		return nil, invalid("body", err.Error())
+	}
+	return body, nil
+}
+
+// parseRequest reads the request without its body.
+func parseRequest(r *http.Request, now time.Time) (hoist.Request, error) {
 	req := hoist.Request{
 		Key:      hoist.RequestKey(r.Header.Get(HeaderKey)),
 		Customer: hoist.CustomerID(r.Header.Get(HeaderCustomer)),
 		Service:  hoist.ServiceName(r.PathValue("service")),
 		Class:    hoist.Class(r.Header.Get(HeaderClass)),
 		IssuedAt: now,
-		Body:     body,
 	}
 	if req.Key == "" || len(req.Key) > maxKey {
 		return req, invalid(HeaderKey, "expected 1 to 200 bytes")
