Accept requests to poll for, and cancel them

Cause: patient work had to hold a connection, and was lost with it.

Change: with "hoist-wait: no" a request is answered 202 once its row is in the table. Its coordinator writes the start before the attempt and the answer after it; a cancellation and a start check the same version, so that the table decides between them. Rows of one moment share a transaction of up to 64. A new owner resumes accepted requests, and ends started ones whose host is gone as outcome unknown. Answers above 64 KiB go to the object store. Rows of ended requests are kept for 24 hours. Other customers see 404.

Conclusion: the tests found that a start and a cancellation in one transaction both passed the check; a row is written once in each now. An idempotent request whose host died after the start also ends as outcome unknown: it is not known where its attempt may still run.

--- a/cmd/hoistd/main.go
+++ b/cmd/hoistd/main.go
@@ -20,6 +20,7 @@
 	"fuchsiahoist.example/hoist/internal/core/daemon"
 	"fuchsiahoist.example/hoist/internal/core/params"
 	"fuchsiahoist.example/hoist/internal/peer/hosts"
+	"fuchsiahoist.example/hoist/internal/peer/object"
 	"fuchsiahoist.example/hoist/internal/peer/table"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 )
@@ -73,6 +74,7 @@
 		Params:   p,
 		Table:    &table.Client{REST: client},
 		HostList: &hosts.Client{REST: client},
+		Store:    &object.Client{REST: client},
 		Log:      slog.New(slog.NewJSONHandler(os.Stderr, nil)),
 	}
 	if err := d.Listen(); err != nil {
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -36,7 +36,9 @@
 	Params   params.Params
 	Table    hoist.Table
 	HostList hoist.HostList
-	Log      *slog.Logger
+	// Store keeps large answers; without it requests to poll for are refused.
+	Store hoist.ObjectStore
+	Log   *slog.Logger
 	// Clock is the system clock if it is nil.
 	Clock hoist.Clock
 
@@ -184,7 +186,7 @@
 		Settle: time.Duration(d.Params.Settle),
 	}
 	d.router = &route.Router{
-		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log,
+		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log, Table: d.Table, Store: d.Store,
 		DialExecutor: func(l hoist.Listed) hoist.Executor {
 			return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 		},
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -56,6 +56,7 @@
 	ExecutorLeaving  = register(202, slog.LevelInfo, "executor is leaving")
 	AttemptUnsettled = register(203, slog.LevelWarn, "outcome of an attempt is unknown")
 	AttemptSettled   = register(205, slog.LevelInfo, "an attempt of unknown outcome has ended and its slot is free")
+	RecordLate       = register(206, slog.LevelWarn, "row of an accepted request could not be written or read")
 	DrainStuck       = register(204, slog.LevelError, "requests still in flight at the end of the drain time")
 )
 
--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -50,6 +50,8 @@
 	// slot receives the slot that the call may use; it is closed when the
 	// call is withdrawn.
 	slot chan slot
+	// row is set for a request that the caller polls for.
+	row *patientRow
 	// done is closed when answer and err are set.
 	done   chan struct{}
 	answer hoist.Answer
@@ -84,6 +86,9 @@
 	if !ok {
 		return hoist.Answer{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d", shard))
 	}
+	if req.NoWait {
+		return r.accept(ctx, req, shard, term)
+	}
 	c, verdict, err := r.begin(req, shard, term)
 	if err != nil {
 		return hoist.Answer{}, err
@@ -125,14 +130,7 @@
 		}
 		return c, verdict, nil
 	case dedup.Run:
-		c := &call{
-			request: req, shard: shard, term: term, arrived: now,
-			slot: make(chan slot, 1), done: make(chan struct{}),
-		}
-		r.calls[req.Key] = c
-		r.inFlight++
-		go r.runCall(c)
-		return c, verdict, nil
+		return r.startCall(req, shard, term, nil), verdict, nil
 	default:
 		if verdict.Answer.Outcome == hoist.NotRun {
 			verdict.Answer.RetryAfter = retryHint
@@ -141,6 +139,19 @@
 	}
 }
 
+// startCall starts the goroutine of a request whose key was just entered. The
+// mutex is held.
+func (r *Router) startCall(req hoist.Request, shard hoist.ShardID, term hoist.Term, row *patientRow) *call {
+	c := &call{
+		request: req, shard: shard, term: term, arrived: r.Clock.Now(), row: row,
+		slot: make(chan slot, 1), done: make(chan struct{}),
+	}
+	r.calls[req.Key] = c
+	r.inFlight++
+	go r.runCall(c)
+	return c
+}
+
 // runCall takes one request to its answer.
 func (r *Router) runCall(c *call) {
 	defer r.leave()
@@ -149,12 +160,17 @@
 	wait := refusedPause
 	for no := hoist.AttemptNo(1); ; no++ {
 		s, err := r.waitForSlot(ctx, c)
+		if errors.Is(err, hoist.ErrOverLimit) && c.row != nil && r.Clock.Now().Before(c.request.Deadline) {
+			// An accepted request is not refused for a full queue.
+			pause(ctx, maxRefusedPause)
+			continue
+		}
 		if err != nil {
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), err)
 			return
 		}
 		waited := r.Clock.Now().Sub(c.arrived)
-		answer, err := r.attempt(ctx, c, s, no)
+		answer, err := r.recordedAttempt(ctx, c, s, no)
 		switch {
 		case err == nil:
 			answer.Waited = waited
@@ -164,7 +180,7 @@
 			events.AttemptUnsettled.Log(ctx, r.Log, "key", c.request.Key, "error", err)
 			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
 			return
-		case errors.Is(err, hoist.ErrInvalid):
+		case errors.Is(err, hoist.ErrInvalid), errors.Is(err, errCancelled):
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
@@ -298,7 +314,13 @@
 // finish answers the call and all that joined it. An answer of not run is not
 // stored, so that the request can be issued anew.
 func (r *Router) finish(c *call, answer hoist.Answer, err error) {
+	if c.row != nil && !errors.Is(err, hoist.ErrNotOwner) {
+		r.recordEnd(c, answer)
+	}
 	r.mu.Lock()
+	if c.row != nil {
+		r.accepted--
+	}
 	if r.calls[c.request.Key] == c {
 		delete(r.calls, c.request.Key)
 	}
--- a/internal/core/route/cell_test.go
+++ b/internal/core/route/cell_test.go
@@ -9,6 +9,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/dedup"
 	"fuchsiahoist.example/hoist/internal/fake/execd"
+	"fuchsiahoist.example/hoist/internal/fake/plat"
 )
 
 // clock is the clock of the bubble.
@@ -26,6 +27,7 @@
 	term  [hoist.NumShards]hoist.Term
 	owner [hoist.NumShards]hoist.HostID
 	hosts []*host
+	table *plat.Platform
 	execs []*execd.Executor
 }
 
@@ -35,6 +37,7 @@
 	id       hoist.HostID
 	router   *Router
 	isDead   bool
+	isGone   bool // fenced in the table
 	isLapsed bool
 	seen     [hoist.NumShards]hoist.Term
 	active   [hoist.NumShards]hoist.Term
@@ -43,16 +46,16 @@
 }
 
 func newCell(ctx context.Context, seed uint64, slow int, service func(hoist.RequestKey) time.Duration) *cell {
-	c := &cell{seed: seed, slow: slow, sent: make(map[string]int)}
+	c := &cell{seed: seed, slow: slow, sent: make(map[string]int), table: &plat.Platform{}}
 	for i := range 3 {
 		c.execs = append(c.execs, &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 4, ServiceTime: service})
 	}
 	for i := range 3 {
 		h := &host{cell: c, id: hoist.HostID(fmt.Sprintf("h%d", i))}
-		h.router = &Router{Own: h, HostList: c, Clock: clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
+		h.router = &Router{Own: h, HostList: c, Table: c.table, Store: c.table, Clock: clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
 			for _, e := range c.execs {
 				if string(e.ID) == l.ID {
-					return &wire{Executor: e, cell: c, from: h}
+					return &cable{Executor: e, cell: c, from: h}
 				}
 			}
 			return nil
@@ -127,6 +130,9 @@
 
 // takeOver moves the shards of a lapsed host to the others.
 func (c *cell) takeOver(from *host) {
+	c.mu.Lock()
+	from.isGone = true
+	c.mu.Unlock()
 	for _, s := range c.ownedBy(from) {
 		for i := range c.hosts {
 			to := c.hosts[(int(s)+i)%len(c.hosts)]
@@ -182,7 +188,7 @@
 	c.mu.Unlock()
 	h.router.Release(lost)
 	c.mu.Lock()
-	h.isLapsed = false
+	h.isLapsed, h.isGone = false, false
 	c.mu.Unlock()
 }
 
@@ -247,14 +253,14 @@
 	}
 }
 
-// wire is the network between a host and an executor.
-type wire struct {
+// cable is the network between a host and an executor.
+type cable struct {
 	*execd.Executor
 	cell *cell
 	from *host
 }
 
-func (w *wire) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
+func (w *cable) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
 	// A connection ends with the process that accepted it.
 	process := w.Process()
 	isUp := func() bool { return w.from.isUp() && w.Process() == process }
@@ -263,7 +269,7 @@
 	})
 }
 
-func (w *wire) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
+func (w *cable) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
 	return carry(ctx, w.cell, w.from, "settle", key, w.from.isUp, func(ctx context.Context) (hoist.Answer, error) {
 		return w.Executor.Settle(ctx, term, key, no)
 	})
@@ -333,7 +339,10 @@
 func (h *host) Peers() map[hoist.HostID]hoist.Peer {
 	out := make(map[hoist.HostID]hoist.Peer)
 	for _, other := range h.cell.hosts {
-		if other != h {
+		h.cell.mu.Lock()
+		isGone := other.isGone
+		h.cell.mu.Unlock()
+		if other != h && !isGone {
 			out[other.id] = &link{from: h, to: other}
 		}
 	}
--- a/internal/core/route/execs.go
+++ b/internal/core/route/execs.go
@@ -46,6 +46,10 @@
 // Run keeps a goroutine for each executor that this host owns, until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	r.init()
+	if r.Table != nil && r.Store != nil {
+		go r.recordLoop(ctx)
+		go r.recoverLoop(ctx)
+	}
 	for {
 		listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		listed, err := r.HostList.List(listCtx)
--- a/internal/core/route/promise_test.go
+++ b/internal/core/route/promise_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/fake/plat"
 )
 
 // fault is something that happens to a cell at a time.
@@ -30,6 +31,8 @@
 	Patience time.Duration
 	Timeout  time.Duration
 	Reissues bool
+	// Polls makes the caller poll for its answer; Cancels makes it cancel first.
+	Polls, Cancels bool
 }
 
 // scenario is one run of a cell.
@@ -46,7 +49,7 @@
 			return time.Duration(rapid.IntRange(lo, hi).Draw(t, "ms")) * time.Millisecond
 		})
 	}
-	kinds := []string{"kill", "lapse", "handover", "handover", "restart", "leave", "back"}
+	kinds := []string{"kill", "lapse", "handover", "handover", "restart", "leave", "table down", "table loses"}
 	faults := rapid.Custom(func(t *rapid.T) fault {
 		return fault{ms(0, 4000).Draw(t, "at"), rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 2).Draw(t, "on")}
 	})
@@ -54,6 +57,7 @@
 		return job{
 			At: ms(0, 5000).Draw(t, "at"), Host: rapid.IntRange(0, 2).Draw(t, "host"), Idempotent: rapid.Bool().Draw(t, "idempotent"),
 			Patience: ms(100, 6000).Draw(t, "patience"), Timeout: ms(1, 8000).Draw(t, "timeout"), Reissues: rapid.Bool().Draw(t, "reissues"),
+			Polls: rapid.Bool().Draw(t, "polls"), Cancels: rapid.IntRange(0, 3).Draw(t, "cancels") == 0,
 		}
 	})
 	return scenario{
@@ -118,8 +122,14 @@
 		c.handOver(h, c.hosts[(f.On+1)%3])
 	case "restart":
 		e.Restart()
-	case "leave", "back":
-		e.SetLeaving(f.Kind == "leave")
+	case "table down":
+		c.table.SetTableFault(plat.Fault{Down: true})
+		time.Sleep(3 * time.Second)
+		c.table.SetTableFault(plat.Fault{})
+	case "table loses":
+		c.table.SetTableFault(plat.Fault{LoseAnswers: 5})
+	case "leave":
+		e.SetLeaving(true)
 		time.Sleep(5 * time.Second)
 		e.SetLeaving(false)
 	}
@@ -129,7 +139,7 @@
 func act(c *cell, o *observed, key hoist.RequestKey, j job) {
 	req := hoist.Request{
 		Key: key, Customer: "c", Service: "s", Class: hoist.Quick, Idempotent: j.Idempotent,
-		FirstTry: true, IssuedAt: time.Now(), Body: []byte(key),
+		FirstTry: true, IssuedAt: time.Now(), Body: []byte(key), NoWait: j.Polls,
 	}
 	for try := range 8 {
 		req.Deadline = time.Now().Add(j.Timeout)
@@ -143,6 +153,9 @@
 		}
 		cancel()
 		switch answer.Outcome {
+		case hoist.Accepted:
+			poll(c, o, req, j)
+			return
 		case hoist.Done:
 			assertAnswer(c, o, answer, req)
 			return
@@ -164,6 +177,46 @@
 	}
 }
 
+// poll asks any host that is up for the end of an accepted request.
+func poll(c *cell, o *observed, req hoist.Request, j job) {
+	ctx := context.Background()
+	for try := range 200 {
+		h := c.hosts[(j.Host+try)%3]
+		if !h.isUp() {
+			continue
+		}
+		if _, err := h.router.Poll(ctx, "other", req.Key); !errors.Is(err, hoist.ErrNotFound) && !errors.Is(err, hoist.ErrUnavailable) {
+			o.violate("%s: another customer sees it: %v", req.Key, err)
+		}
+		if err := h.router.Cancel(ctx, "other", req.Key); err == nil {
+			o.violate("%s: another customer cancels it", req.Key)
+		}
+		if j.Cancels && h.router.Cancel(ctx, "c", req.Key) == nil {
+			o.mu.Lock()
+			o.notRun[req.Key] = true
+			o.mu.Unlock()
+		}
+		answer, err := h.router.Poll(ctx, "c", req.Key)
+		switch {
+		case errors.Is(err, hoist.ErrUnavailable):
+		case err != nil:
+			o.violate("%s: poll: %v", req.Key, err)
+		case answer.Outcome == hoist.Done:
+			assertAnswer(c, o, answer, req)
+			return
+		case answer.Outcome == hoist.NotRun:
+			o.mu.Lock()
+			o.notRun[req.Key] = true
+			o.mu.Unlock()
+			return
+		case answer.Outcome == hoist.Unknown:
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	o.violate("%s: accepted and never ended", req.Key)
+}
+
 // assertAnswer checks that a caller got the whole answer to its own request.
 func assertAnswer(c *cell, o *observed, a hoist.Answer, r hoist.Request) {
 	if want := "checked " + string(r.Key) + ": " + string(r.Body); a.Key != r.Key || string(a.Body) != want {
@@ -248,7 +301,7 @@
 		jobs[i] = job{At: time.Duration(i*40) * time.Millisecond, Host: i % 3, Patience: 20 * time.Second, Timeout: 20 * time.Second}
 	}
 	for name, faults := range map[string][]fault{
-		"no fault": nil,
+		"no fault": nil, // also with requests to poll for
 		"leaving":  {{At: 300 * time.Millisecond, Kind: "leave", On: 1}},
 		"handover": {{At: 300 * time.Millisecond, Kind: "handover", On: 1}, {At: 700 * time.Millisecond, Kind: "handover", On: 2}},
 	} {
@@ -314,3 +367,33 @@
 		})
 	}
 }
+
+// TestLargeAnswer guards against an answer that does not fit its row.
+func TestLargeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCell(ctx, 0, 0, nil)
+		time.Sleep(2 * time.Second)
+		req := hoist.Request{
+			Key: "k/1", Customer: "c", Service: "s", Class: hoist.Patient, NoWait: true, FirstTry: true,
+			IssuedAt: time.Now(), Deadline: time.Now().Add(time.Minute), Body: make([]byte, 2*maxRowBody),
+		}
+		o := &observed{done: make(map[hoist.RequestKey]bool)}
+		for _, want := range []hoist.Outcome{hoist.Accepted, hoist.Accepted} {
+			if a, err := c.hosts[0].router.Submit(ctx, req); err != nil || a.Outcome != want {
+				t.Errorf("submit: %v %v", a.Outcome, err)
+			}
+		}
+		poll(c, o, req, job{})
+		for _, v := range o.violations {
+			t.Error(v)
+		}
+		other := req
+		other.Body = nil
+		if _, err := c.hosts[1].router.Submit(ctx, other); !errors.Is(err, hoist.ErrInvalid) {
+			t.Errorf("another request under the key: %v", err)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -54,6 +55,10 @@
 	DialExecutor func(hoist.Listed) hoist.Executor
 	Clock        hoist.Clock
 	Log          *slog.Logger
+	// Table and Store keep requests that callers poll for; without them such
+	// requests are refused.
+	Table hoist.Table
+	Store hoist.ObjectStore
 	// Policy chooses executors; nil means slots.FastestFree.
 	Policy hoist.ExecutorPolicy
 
@@ -70,7 +75,14 @@
 	executors map[hoist.ExecutorID]*handle
 	remote    map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots
 	sent      sentAttempts
-	inFlight  int
+	records   chan *recording
+	// stopped is closed when records are no longer written.
+	stopped chan struct{}
+	// accepted counts the calls that callers poll for.
+	accepted int
+	// instance names this process in the rows of requests that it started.
+	instance string
+	inFlight int
 	// idle is closed when nothing is in flight any more; nil unless Drain
 	// waits.
 	idle chan struct{}
@@ -92,6 +104,9 @@
 		r.executors = make(map[hoist.ExecutorID]*handle)
 		r.terms = make(map[hoist.ShardID]hoist.Term)
 		r.sent = make(sentAttempts)
+		r.records = make(chan *recording)
+		r.stopped = make(chan struct{})
+		r.instance = fmt.Sprintf("%s/%d", r.Own.Self(), r.Clock.Now().UnixNano())
 		r.remote = make(map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots)
 	})
 }
--- a/internal/decide/dedup/dedup.go
+++ b/internal/decide/dedup/dedup.go
@@ -135,6 +135,21 @@
 	return t.admit(r, content, now)
 }
 
+// Adopt enters a request that is recorded elsewhere as not run, whatever the
+// horizon. It returns Run, or Refuse if the key is in use.
+func (t *Table) Adopt(r hoist.Request) Decision {
+	if e, ok := t.entries[r.Key]; ok {
+		if e.answer == nil && !e.isElsewhere || e.answer != nil && e.answer.Outcome != hoist.NotRun {
+			return Refuse
+		}
+		if e.answer != nil {
+			t.remove(e)
+		}
+	}
+	t.entries[r.Key] = &entry{key: r.Key, content: r.Content(), issuedAt: r.IssuedAt}
+	return Run
+}
+
 // isReissued reports whether r is a new issue of a request that was answered as
 // not run.
 func (e *entry) isReissued(r hoist.Request) bool {
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -39,6 +39,7 @@
 	HeaderFirstTry   = "hoist-first-try"
 	HeaderIssuedAt   = "hoist-issued-at"
 	HeaderTimeout    = "hoist-timeout-ms"
+	HeaderWait       = "hoist-wait"
 	HeaderOutcome    = "hoist-outcome"
 	HeaderExecutor   = "hoist-executor"
 	HeaderWaited     = "hoist-waited-us"
@@ -48,6 +49,8 @@
 const (
 	// maxBody is the largest body of a request.
 	maxBody = 1 << 20
+	// maxKeptBody is the largest body of a request that is kept in the table.
+	maxKeptBody = 64 << 10
 	// maxKey is the largest length of a request key.
 	maxKey = 200
 	// maxName is the largest length of a customer or service; longer ones are
@@ -73,6 +76,12 @@
 	// Submit returns the answer, or hoist.ErrInvalid if the key belongs to
 	// another request.
 	Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error)
+	// Poll returns the answer to a request with NoWait: Accepted until it has
+	// ended, or hoist.ErrNotFound if the customer has none of that key.
+	Poll(ctx context.Context, customer hoist.CustomerID, key hoist.RequestKey) (hoist.Answer, error)
+	// Cancel returns nil if a request with NoWait has not started and will not,
+	// hoist.ErrConflict if it has, and hoist.ErrNotFound as Poll.
+	Cancel(ctx context.Context, customer hoist.CustomerID, key hoist.RequestKey) error
 }
 
 // Jobs accepts jobs.
@@ -150,6 +159,8 @@
 func (s *Server) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/requests/{service}", s.serveRequest)
+	mux.HandleFunc("GET /v1/requests/{key}", s.servePoll)
+	mux.HandleFunc("DELETE /v1/requests/{key}", s.serveCancel)
 	mux.HandleFunc("POST /v1/jobs", s.serveJob)
 	mux.HandleFunc("GET /v1/health", s.serveHealth)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -187,7 +198,11 @@
 		return
 	}
 	defer s.bodies.Release(size)
-	if req.Body, err = readBody(w, r); err != nil {
+	req.Body, err = readBody(w, r)
+	if err == nil && req.NoWait && len(req.Body) > maxKeptBody {
+		err = invalid("body", "expected up to 65536 bytes with hoist-wait: no")
+	}
+	if err != nil {
 		rest.WriteError(w, err)
 		return
 	}
@@ -268,6 +283,12 @@
 		}
 	}
 	timeout := defaultTimeout
+	if req.NoWait, err = parseNoWait(h); err != nil {
+		return err
+	}
+	if req.NoWait {
+		timeout = maxTimeout
+	}
 	if v := h.Get(HeaderTimeout); v != "" {
 		ms, err := strconv.Atoi(v)
 		if err != nil || ms < 1 || ms > int(maxTimeout/time.Millisecond) {
@@ -308,6 +329,8 @@
 		h.Set(HeaderDigest, codec.Digest(hoist.DigestOf(a.Body)))
 		h.Set("content-length", strconv.Itoa(len(a.Body)))
 		_, _ = w.Write(a.Body)
+	case hoist.Accepted:
+		w.WriteHeader(http.StatusAccepted)
 	case hoist.NotRun:
 		h.Set("retry-after", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
 		http.Error(w, a.Reason, http.StatusServiceUnavailable)
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -826,6 +826,54 @@
 	return nil
 }
 
+// A request that was accepted for polling, in the table.
+type PatientRow struct {
+	// Answer corresponds to the JSON schema field "answer".
+	Answer *Answer `json:"answer,omitempty,omitzero"`
+
+	// Content corresponds to the JSON schema field "content".
+	Content string `json:"content"`
+
+	// EndedAt corresponds to the JSON schema field "ended-at".
+	EndedAt *time.Time `json:"ended-at,omitempty,omitzero"`
+
+	// Object corresponds to the JSON schema field "object".
+	Object *string `json:"object,omitempty,omitzero"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request Request `json:"request"`
+
+	// StartedBy corresponds to the JSON schema field "started-by".
+	StartedBy *string `json:"started-by,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State string `json:"state"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PatientRow) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["content"]; raw != nil && !ok {
+		return fmt.Errorf("field content in PatientRow: required")
+	}
+	if _, ok := raw["request"]; raw != nil && !ok {
+		return fmt.Errorf("field request in PatientRow: required")
+	}
+	if _, ok := raw["state"]; raw != nil && !ok {
+		return fmt.Errorf("field state in PatientRow: required")
+	}
+	type Plain PatientRow
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = PatientRow(plain)
+	return nil
+}
+
 // Asks the owner of a worker to reserve, start or give back.
 type Placement struct {
 	// Grant corresponds to the JSON schema field "grant".
@@ -966,6 +1014,9 @@
 	// Key corresponds to the JSON schema field "key".
 	Key string `json:"key"`
 
+	// NoWait corresponds to the JSON schema field "no-wait".
+	NoWait *bool `json:"no-wait,omitempty,omitzero"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 }
--- a/request.go
+++ b/request.go
@@ -41,6 +41,9 @@
 	// Deadline is the time after which the answer is of no use.
 	Deadline time.Time
 	Body     []byte
+	// NoWait asks for an answer of Accepted once the request is recorded for
+	// good; the caller polls for the outcome.
+	NoWait bool
 }
 
 // Content returns the digest of all that makes up the request besides its key
@@ -72,6 +75,8 @@
 	Done Outcome = "done"
 	// NotRun means that the request certainly did not run.
 	NotRun Outcome = "not-run"
+	// Accepted means that the request is recorded and will be answered.
+	Accepted Outcome = "accepted"
 	// Unknown means that the request may have run.
 	Unknown Outcome = "outcome-unknown"
 )
