Read the id of a host under the lock

Cause: the race detector found Manager.Self reading the member while joining replaces it (go test -race ./internal/core/daemon).

Change: Self takes the lock.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -165,6 +165,8 @@
 
 // Self implements hoist.Ownership.
 func (m *Manager) Self() hoist.HostID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.Member.Host
 }
 
