--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -20,13 +20,6 @@
 // which may be on its way.
 const answerGrace = time.Second
 
-const (
-	// refusedPause is the wait before a refused request asks for a slot again.
-	// It doubles up to maxRefusedPause, so that refusals cause no storm.
-	refusedPause    = 5 * time.Millisecond
-	maxRefusedPause = 500 * time.Millisecond
-)
-
 // phase tells what a call is doing.
 type phase int
 
@@ -46,7 +39,9 @@
 	term    hoist.Term
 	arrived time.Time
 	phase   phase
-	ticket  queue.Ticket[*call]
+	// isWithdrawn tells that the next owner of the key may run the request.
+	isWithdrawn bool
+	ticket      queue.Ticket[*call]
 	// slot receives the slot that the call may use; it is closed when the
 	// call is withdrawn.
 	slot chan slot
@@ -157,16 +152,16 @@
 	defer r.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), c.request.Deadline.Sub(r.Clock.Now())+settleTime)
 	defer cancel()
-	wait := refusedPause
+	r.countRequest()
 	for no := hoist.AttemptNo(1); ; no++ {
 		s, err := r.waitForSlot(ctx, c)
 		if errors.Is(err, hoist.ErrOverLimit) && c.row != nil && r.Clock.Now().Before(c.request.Deadline) {
 			// An accepted request is not refused for a full queue.
-			pause(ctx, maxRefusedPause)
+			pause(ctx, maxWritePause)
 			continue
 		}
 		if err != nil {
-			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), err)
+			r.finish(c, refuseFor(c.request.Key, err), err)
 			return
 		}
 		waited := r.Clock.Now().Sub(c.arrived)
@@ -180,13 +175,11 @@
 			events.AttemptUnsettled.Log(ctx, r.Log, "key", c.request.Key, "error", err)
 			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
 			return
-		case errors.Is(err, hoist.ErrInvalid), errors.Is(err, errCancelled):
+		}
+		if errors.Is(err, errCancelled) || !r.mayRetry(ctx, c, no, err) {
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
-		r.setPhase(c, phaseIdle)
-		pause(ctx, wait)
-		wait = min(2*wait, maxRefusedPause)
 	}
 }
 
@@ -291,9 +284,11 @@
 // withdraw takes back a call of which nothing runs, and reports whether that is
 // so. The router's mutex is held.
 func (c *call) withdraw(r *Router) bool {
-	switch {
-	case c.phase == phaseAttempt:
+	if c.phase == phaseAttempt {
 		return false
+	}
+	c.isWithdrawn = true
+	switch {
 	case c.phase == phaseIdle, c.ticket == queue.Ticket[*call]{}:
 		// The call has not been queued; it finds that the shard moved.
 		return true
@@ -332,10 +327,13 @@
 			t.Finish(c.request.Key, answer, r.Clock.Now())
 		}
 	}
+	isWithdrawn := c.isWithdrawn
 	r.mu.Unlock()
 	c.answer = answer
 	if errors.Is(err, hoist.ErrNotOwner) {
 		c.err = err
+	} else if isWithdrawn && answer.Outcome == hoist.NotRun {
+		c.err = errMoved
 	}
 	close(c.done)
 }
--- a/internal/core/route/patient.go
+++ b/internal/core/route/patient.go
@@ -29,6 +29,10 @@
 	rescanEvery = 30 * time.Second
 	// maxAccepted bounds the accepted requests that a host holds in memory.
 	maxAccepted = 10_000
+	// writePause is the wait before an answer is written again; it doubles up to
+	// maxWritePause.
+	writePause    = 5 * time.Millisecond
+	maxWritePause = 500 * time.Millisecond
 	// keepRows is how long the row of an ended request is kept for polling.
 	keepRows = 24 * time.Hour
 )
@@ -202,7 +206,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), keepRows)
 	defer cancel()
-	for wait := refusedPause; ; wait = min(2*wait, maxRefusedPause) {
+	for wait := writePause; ; wait = min(2*wait, maxWritePause) {
 		err := r.tryRecordEnd(ctx, c, answer)
 		if err == nil || errors.Is(err, hoist.ErrConflict) || errors.Is(err, errStopped) {
 			return
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -32,6 +32,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/dedup"
 	"fuchsiahoist.example/hoist/internal/decide/queue"
+	"fuchsiahoist.example/hoist/internal/decide/retry"
 	"fuchsiahoist.example/hoist/internal/decide/slots"
 )
 
@@ -82,6 +83,7 @@
 	accepted int
 	// instance names this process in the rows of requests that it started.
 	instance string
+	retries  retry.Budget
 	inFlight int
 	// idle is closed when nothing is in flight any more; nil unless Drain
 	// waits.
