Test the bounds under ten and fifty times the load

Cause: nothing showed that waiting requests stay within their limits, or that refusals come at once.

Change: a test offers 1,200 quick and 6,000 patient requests a second to three hosts with a capacity of 120. Accepted requests to poll for are bounded to 4,000 a host.

--- /dev/null
+++ b/internal/core/route/overload_test.go
@@ -0,0 +1,113 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// overload counts the answers to a load.
+type overload struct {
+	mu         sync.Mutex
+	outcomes   map[hoist.Outcome]int
+	maxWaiting int
+	// atOnce counts the refusals that came within 100 ms.
+	atOnce int
+}
+
+func (o *overload) add(t *testing.T, c *cell, req hoist.Request, a hoist.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.outcomes[a.Outcome]++
+	if a.Outcome != hoist.NotRun {
+		return
+	}
+	if waited := time.Since(req.IssuedAt); waited < 100*time.Millisecond {
+		o.atOnce++
+	} else if time.Now().Before(req.Deadline) {
+		t.Errorf("%s: refused after %s, neither at once nor at its deadline: %s", req.Key, waited, a.Reason)
+	}
+	if a.RetryAfter <= 0 {
+		t.Errorf("%s: refused without a hint: %s", req.Key, a.Reason)
+	}
+	if n := c.runs(req.Key); n != 0 {
+		t.Errorf("%s: refused after %d runs", req.Key, n)
+	}
+}
+
+// waiting counts the requests that wait at a host.
+func (h *host) waiting() int {
+	h.router.mu.Lock()
+	defer h.router.mu.Unlock()
+	n := 0
+	for _, q := range h.router.queues {
+		for _, class := range classes {
+			n += q.Len(class)
+		}
+	}
+	return n
+}
+
+// TestOverload guards against queues that grow with the load, and against
+// refusals that come late, untrue, or without a hint, at ten and fifty times the
+// capacity of 120 requests a second.
+func TestOverload(t *testing.T) {
+	for _, tc := range []struct {
+		class   hoist.Class
+		timeout time.Duration
+		// every 10 ms this many requests arrive, count in all.
+		perTick, count int
+		// limit is what the hosts may hold: of quick ones less than what arrives
+		// before a deadline, of patient ones what the queues take of a customer.
+		limit, atLeastDone, atLeastAtOnce int
+	}{
+		{hoist.Quick, time.Second, 12, 6000, 1200, 300, 2000},
+		{hoist.Patient, 10 * time.Second, 60, 24000, 3 * queuePerCustomer, 1000, 5000},
+	} {
+		t.Run(string(tc.class), func(t *testing.T) {
+			o := &overload{outcomes: make(map[hoist.Outcome]int)}
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				c := newCell(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 100 * time.Millisecond })
+				time.Sleep(2 * time.Second)
+				var wg sync.WaitGroup
+				for i := range tc.count {
+					if i%tc.perTick == 0 {
+						time.Sleep(10 * time.Millisecond)
+						waiting := 0
+						for _, h := range c.hosts {
+							waiting += h.waiting()
+						}
+						o.maxWaiting = max(o.maxWaiting, waiting)
+					}
+					req := hoist.Request{
+						Key: hoist.RequestKey(fmt.Sprintf("k%d", i)), Customer: "c", Service: "s", Class: tc.class, FirstTry: true,
+						IssuedAt: time.Now(), Deadline: time.Now().Add(tc.timeout),
+					}
+					wg.Go(func() {
+						a, _ := c.hosts[i%3].router.Submit(ctx, req)
+						o.add(t, c, req, a)
+					})
+				}
+				wg.Wait()
+				cancel()
+				time.Sleep(20 * time.Second)
+			})
+			t.Logf("outcomes %v, %d refused at once, at most %d waiting", o.outcomes, o.atOnce, o.maxWaiting)
+			if o.maxWaiting > tc.limit {
+				t.Errorf("%d requests waited, limit %d", o.maxWaiting, tc.limit)
+			}
+			if o.outcomes[hoist.Done] < tc.atLeastDone || o.outcomes[hoist.Unknown] != 0 || o.outcomes[hoist.NotRun] == 0 {
+				t.Errorf("outcomes %v", o.outcomes)
+			}
+			if o.atOnce < tc.atLeastAtOnce {
+				t.Errorf("%d refusals came at once, expected %d", o.atOnce, tc.atLeastAtOnce)
+			}
+		})
+	}
+}
--- a/internal/core/route/patient.go
+++ b/internal/core/route/patient.go
@@ -27,8 +27,9 @@
 	// rescanEvery is the period of looking for requests that an earlier owner
 	// accepted while it lost the shard, and of deleting old rows.
 	rescanEvery = 30 * time.Second
-	// maxAccepted bounds the accepted requests that a host holds in memory.
-	maxAccepted = 10_000
+	// maxAccepted bounds the accepted requests that a host holds in memory, with
+	// bodies of up to 64 KiB each.
+	maxAccepted = 4000
 	// writePause is the wait before an answer is written again; it doubles up to
 	// maxWritePause.
 	writePause    = 5 * time.Millisecond
