--- a/internal/core/params/params.go
+++ b/internal/core/params/params.go
@@ -45,6 +45,9 @@
 	PlatformURL string `toml:"platform-url"`
 	// Settle is how long a new host waits before it claims shards.
 	Settle Duration `toml:"settle"`
+	// NoticeTime is how long a host that stops goes on accepting requests, so
+	// that the balancer and the other hosts notice first.
+	NoticeTime Duration `toml:"notice-time"`
 	// DrainTime bounds the wait for requests in flight at shutdown.
 	DrainTime Duration `toml:"drain-time"`
 	// OpenAccess lets everyone in as operator; without it there must be tokens.
@@ -65,6 +68,11 @@
 	CA string `toml:"ca"`
 }
 
+// minNotice is the shortest notice time: the other hosts read the new owners of
+// a host's shards from the table within 1.3 s, and send requests to the host
+// until then.
+const minNotice = Duration(2 * time.Second)
+
 // Duration is a time.Duration that is written like "1.5s".
 type Duration time.Duration
 
@@ -78,9 +86,10 @@
 // Default returns the settings that a file need not give.
 func Default() Params {
 	return Params{
-		Cores:     1,
-		Settle:    Duration(3 * time.Second),
-		DrainTime: Duration(30 * time.Second),
+		Cores:      1,
+		Settle:     Duration(3 * time.Second),
+		NoticeTime: Duration(2 * time.Second),
+		DrainTime:  Duration(30 * time.Second),
 	}
 }
 
@@ -126,6 +135,7 @@
 	check(strings.HasPrefix(p.PlatformURL, "http"), "key %q is %q, expected a URL", "platform-url", p.PlatformURL)
 	check(p.AdminAddr == "" || isAddr(p.AdminAddr), "key %q is %q, expected IP number and port", "admin-addr", p.AdminAddr)
 	check(p.Settle >= 0, "key %q is negative", "settle")
+	check(p.NoticeTime >= minNotice, "key %q is below 2s", "notice-time")
 	check(p.DrainTime > 0, "key %q must be positive", "drain-time")
 	hasTLS := p.TLS != TLS{}
 	check(p.PlainText != hasTLS, "expected either table %q or %q", "tls", "plain-text = true")
--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -39,10 +39,14 @@
 	term    hoist.Term
 	arrived time.Time
 	phase   phase
-	ticket  queue.Ticket[*call]
+	// isWithdrawn tells that the next owner of the key may run the request.
+	isWithdrawn bool
+	ticket      queue.Ticket[*call]
 	// slot receives the slot that the call may use; it is closed when the
 	// call is withdrawn.
 	slot chan slot
+	// row is set for a request that the caller polls for.
+	row *patientRow
 	// done is closed when answer and err are set.
 	done   chan struct{}
 	answer hoist.Answer
@@ -77,6 +81,9 @@
 	if !ok {
 		return hoist.Answer{}, merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d", shard))
 	}
+	if req.NoWait {
+		return r.accept(ctx, req, shard, term)
+	}
 	c, verdict, err := r.begin(req, shard, term)
 	if err != nil {
 		return hoist.Answer{}, err
@@ -118,14 +125,7 @@
 		}
 		return c, verdict, nil
 	case dedup.Run:
-		c := &call{
-			request: req, shard: shard, term: term, arrived: now,
-			slot: make(chan slot, 1), done: make(chan struct{}),
-		}
-		r.calls[req.Key] = c
-		r.inFlight++
-		go r.runCall(c)
-		return c, verdict, nil
+		return r.startCall(req, shard, term, nil), verdict, nil
 	default:
 		if verdict.Answer.Outcome == hoist.NotRun {
 			verdict.Answer.RetryAfter = retryHint
@@ -134,6 +134,19 @@
 	}
 }
 
+// startCall starts the goroutine of a request whose key was just entered. The
+// mutex is held.
+func (r *Router) startCall(req hoist.Request, shard hoist.ShardID, term hoist.Term, row *patientRow) *call {
+	c := &call{
+		request: req, shard: shard, term: term, arrived: r.Clock.Now(), row: row,
+		slot: make(chan slot, 1), done: make(chan struct{}),
+	}
+	r.calls[req.Key] = c
+	r.inFlight++
+	go r.runCall(c)
+	return c
+}
+
 // runCall takes one request to its answer.
 func (r *Router) runCall(c *call) {
 	defer r.leave()
@@ -142,12 +155,17 @@
 	r.countRequest()
 	for no := hoist.AttemptNo(1); ; no++ {
 		s, err := r.waitForSlot(ctx, c)
+		if errors.Is(err, hoist.ErrOverLimit) && c.row != nil && r.Clock.Now().Before(c.request.Deadline) {
+			// An accepted request is not refused for a full queue.
+			pause(ctx, maxWritePause)
+			continue
+		}
 		if err != nil {
 			r.finish(c, refuseFor(c.request.Key, err), err)
 			return
 		}
 		waited := r.Clock.Now().Sub(c.arrived)
-		answer, err := r.attempt(ctx, c, s, no)
+		answer, err := r.recordedAttempt(ctx, c, s, no)
 		switch {
 		case err == nil:
 			answer.Waited = waited
@@ -158,7 +176,7 @@
 			r.finish(c, refuse(c.request.Key, hoist.Unknown, err.Error()), nil)
 			return
 		}
-		if !r.mayRetry(ctx, c, no, err) {
+		if errors.Is(err, errCancelled) || !r.mayRetry(ctx, c, no, err) {
 			r.finish(c, refuse(c.request.Key, hoist.NotRun, err.Error()), nil)
 			return
 		}
@@ -266,9 +284,11 @@
 // withdraw takes back a call of which nothing runs, and reports whether that is
 // so. The router's mutex is held.
 func (c *call) withdraw(r *Router) bool {
-	switch {
-	case c.phase == phaseAttempt:
+	if c.phase == phaseAttempt {
 		return false
+	}
+	c.isWithdrawn = true
+	switch {
 	case c.phase == phaseIdle, c.ticket == queue.Ticket[*call]{}:
 		// The call has not been queued; it finds that the shard moved.
 		return true
@@ -289,7 +309,13 @@
 // finish answers the call and all that joined it. An answer of not run is not
 // stored, so that the request can be issued anew.
 func (r *Router) finish(c *call, answer hoist.Answer, err error) {
+	if c.row != nil && !errors.Is(err, hoist.ErrNotOwner) {
+		r.recordEnd(c, answer)
+	}
 	r.mu.Lock()
+	if c.row != nil {
+		r.accepted--
+	}
 	if r.calls[c.request.Key] == c {
 		delete(r.calls, c.request.Key)
 	}
@@ -301,10 +327,13 @@
 			t.Finish(c.request.Key, answer, r.Clock.Now())
 		}
 	}
+	isWithdrawn := c.isWithdrawn
 	r.mu.Unlock()
 	c.answer = answer
 	if errors.Is(err, hoist.ErrNotOwner) {
 		c.err = err
+	} else if isWithdrawn && answer.Outcome == hoist.NotRun {
+		c.err = errMoved
 	}
 	close(c.done)
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -36,8 +37,9 @@
 )
 
 const (
-	// forwardTries bounds how often a request follows a moving shard.
-	forwardTries = 20
+	// forwardTries bounds how often a request follows a moving shard: for 2 s, as
+	// a host that missed the word of the new owner reads the table within 1.3 s.
+	forwardTries = 40
 	// forwardPause is the wait before a request follows a moving shard.
 	forwardPause = 50 * time.Millisecond
 	// retryHint is the pause asked of callers whose request was not run.
@@ -54,6 +56,10 @@
 	DialExecutor func(hoist.Listed) hoist.Executor
 	Clock        hoist.Clock
 	Log          *slog.Logger
+	// Table and Store keep requests that callers poll for; without them such
+	// requests are refused.
+	Table hoist.Table
+	Store hoist.ObjectStore
 	// Policy chooses executors; nil means slots.FastestFree.
 	Policy hoist.ExecutorPolicy
 
@@ -70,8 +76,15 @@
 	executors map[hoist.ExecutorID]*handle
 	remote    map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots
 	sent      sentAttempts
-	retries   retry.Budget
-	inFlight  int
+	records   chan *recording
+	// stopped is closed when records are no longer written.
+	stopped chan struct{}
+	// accepted counts the calls that callers poll for.
+	accepted int
+	// instance names this process in the rows of requests that it started.
+	instance string
+	retries  retry.Budget
+	inFlight int
 	// idle is closed when nothing is in flight any more; nil unless Drain
 	// waits.
 	idle chan struct{}
@@ -93,6 +106,9 @@
 		r.executors = make(map[hoist.ExecutorID]*handle)
 		r.terms = make(map[hoist.ShardID]hoist.Term)
 		r.sent = make(sentAttempts)
+		r.records = make(chan *recording)
+		r.stopped = make(chan struct{})
+		r.instance = fmt.Sprintf("%s/%d", r.Own.Self(), r.Clock.Now().UnixNano())
 		r.remote = make(map[hoist.HostID]map[hoist.ServiceName]hoist.ServiceSlots)
 	})
 }
--- a/internal/peer/caller/access_test.go
+++ b/internal/peer/caller/access_test.go
@@ -13,9 +13,9 @@
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 )
 
-type requests struct{ caller.Requests }
+type anyRequests struct{ caller.Requests }
 
-func (requests) Submit(_ context.Context, r hoist.Request) (hoist.Answer, error) {
+func (anyRequests) Submit(_ context.Context, r hoist.Request) (hoist.Answer, error) {
 	return hoist.Answer{Key: r.Key, Outcome: hoist.Done}, nil
 }
 
@@ -30,7 +30,7 @@
 func TestAccess(t *testing.T) {
 	const secret = "0123456789abcdef"
 	s := &caller.Server{
-		Requests: requests{}, Jobs: jobs{}, IsReady: func() bool { return true },
+		Requests: anyRequests{}, Jobs: jobs{}, IsReady: func() bool { return true },
 		Access: access.NewList([]access.Entry{
 			{Name: "packer", Token: secret + "1", Role: access.RoleCaller, Customer: "sauce"},
 			{Name: "buyer", Token: secret + "2", Role: access.RoleTeam, Team: "buyers"},
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -32,6 +32,7 @@
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 	"fuchsiahoist.example/hoist/internal/fake/work"
 	"fuchsiahoist.example/hoist/internal/peer/hosts"
+	"fuchsiahoist.example/hoist/internal/peer/object"
 	"fuchsiahoist.example/hoist/internal/peer/table"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 )
@@ -228,6 +229,7 @@
 	d := &daemon.Daemon{
 		Params:   p,
 		Table:    &table.Client{REST: client},
+		Store:    &object.Client{REST: client},
 		HostList: &hosts.Client{REST: client},
 		Log:      r.Log,
 	}
--- a/internal/tool/load/cell.go
+++ b/internal/tool/load/cell.go
@@ -139,6 +139,8 @@
 
 func (c *Cell) startDaemon(ctx context.Context, i int, platformURL string) error {
 	p := params.Default()
+	p.OpenAccess = true
+	p.PlainText = true
 	p.Host = hoist.HostID(fmt.Sprintf("host-%d", i+1))
 	p.DataCentre = dataCentre(i)
 	p.Cores = 4
