--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -37,6 +37,9 @@
 	Delay time.Duration
 	// LoseAnswers lets this many writes take effect and then loses the answer.
 	LoseAnswers int
+	// LoseWrites drops this many writes; the caller does not learn that they
+	// had no effect.
+	LoseWrites int
 }
 
 // Platform is the stand-in. Set exported fields before the first use.
@@ -203,6 +206,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.writes++
+	if p.tableFault.LoseWrites > 0 {
+		p.tableFault.LoseWrites--
+		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("write lost by fault injection"))
+	}
 	for _, check := range txn.Checks {
 		if p.rows[check.Key].Version != check.Version {
 			return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("row %q", check.Key))
