Keep electorates in rows of their own

Cause: each member row listed its electorate, and every host reads all member rows in each round: 188,700 bytes at 120 hosts, 145 KB/s for each host. Change: the row electorate/<digest> lists an electorate and never changes; member rows carry the digest. A host writes the row with its own when its electorate changes and reads only those it has not read before. An electorate that the table does not have gives nobody a majority. Old electorate rows are not deleted yet.

--- /dev/null
+++ b/internal/core/member/electorate.go
@@ -0,0 +1,87 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+)
+
+// electoratePrefix is followed by the digest of the electorate that the row
+// lists. Such a row never changes. Member rows carry the digest instead of the
+// list, since every host reads all member rows in each round and the lists grow
+// with the square of the cell.
+const electoratePrefix hoist.RowKey = "electorate/"
+
+// digest names an electorate.
+type digest string
+
+func digestOf(electorate []hoist.ElectorID) digest {
+	list := strings.Join(codec.Strings(electorate), "\n")
+	return digest(fmt.Sprintf("%016x", uint64(hoist.DigestOf([]byte(list)))))
+}
+
+// digestIn returns the digest that a member row carries.
+func digestIn(member hoist.Member) digest {
+	if len(member.Electorate) != 1 {
+		return ""
+	}
+	return digest(member.Electorate[0])
+}
+
+func electoratePut(electorate []hoist.ElectorID) hoist.Put {
+	key := electoratePrefix + hoist.RowKey(digestOf(electorate))
+	return hoist.Put{Key: key, Value: codec.EncodeValue(electorate)}
+}
+
+// resolve replaces the digests in rows by the electorates. An electorate that
+// the table does not have stays empty, and nobody has a majority of it.
+func (m *Manager) resolve(ctx context.Context, rows []memberRow) error {
+	known, missing := m.knownElectorates(rows)
+	if len(missing) > 0 {
+		ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+		defer cancel()
+		read, err := m.Table.Read(ctx, missing...)
+		if err != nil {
+			return err
+		}
+		for _, row := range read {
+			electorate, err := codec.DecodeValue[[]hoist.ElectorID](row)
+			if err != nil {
+				events.RowUnreadable.Log(ctx, m.Log, "error", err)
+				continue
+			}
+			known[digest(strings.TrimPrefix(string(row.Key), string(electoratePrefix)))] = electorate
+		}
+	}
+	for i := range rows {
+		rows[i].member.Electorate = known[digestIn(rows[i].member)]
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.electorates = known
+	return nil
+}
+
+// knownElectorates returns the electorates of rows that this host has read
+// before, and the keys of the others.
+func (m *Manager) knownElectorates(rows []memberRow) (map[digest][]hoist.ElectorID, []hoist.RowKey) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := make(map[digest][]hoist.ElectorID)
+	asked := make(map[digest]bool)
+	var missing []hoist.RowKey
+	for _, row := range rows {
+		d := digestIn(row.member)
+		if electorate, ok := m.electorates[d]; ok {
+			known[d] = electorate
+		} else if !asked[d] {
+			asked[d] = true
+			missing = append(missing, electoratePrefix+hoist.RowKey(d))
+		}
+	}
+	return known, missing
+}
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -59,7 +59,7 @@
 	err := m.commit(ctx, hoist.Txn{
 		ID:     m.joinTxn,
 		Checks: []hoist.Check{{Key: memberKey(member.Host), Version: old.version}},
-		Puts:   []hoist.Put{memberPut(member)},
+		Puts:   []hoist.Put{memberPut(member), electoratePut(member.Electorate)},
 	})
 	if err != nil {
 		events.RenewalFailed.Log(ctx, m.Log, "error", err)
@@ -154,7 +154,7 @@
 		err := m.commit(ctx, hoist.Txn{
 			ID:     m.txnID(),
 			Checks: []hoist.Check{{Key: memberKey(row.Host), Version: checked}},
-			Puts:   []hoist.Put{memberPut(row)},
+			Puts:   []hoist.Put{memberPut(row), electoratePut(row.Electorate)},
 		})
 		if err == nil {
 			events.Left.Log(ctx, m.Log, "host", row.Host)
--- a/internal/core/member/lease.go
+++ b/internal/core/member/lease.go
@@ -72,12 +72,16 @@
 	}
 	row := m.ownRow(state)
 	checked := m.row.Version
+	puts := []hoist.Put{memberPut(row)}
+	if !m.row.Has(row.Electorate) {
+		puts = append(puts, electoratePut(row.Electorate))
+	}
 	sent := m.Clock.Now()
 	m.mu.Unlock()
 	err := m.commit(ctx, hoist.Txn{
 		ID:     m.txnID(),
 		Checks: []hoist.Check{{Key: memberKey(row.Host), Version: checked}},
-		Puts:   []hoist.Put{memberPut(row)},
+		Puts:   puts,
 	})
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -87,24 +87,26 @@
 	epoch     hoist.Epoch
 	hasJoined bool
 	row       owner.OwnRow
-	lease     owner.Lease
-	observer  owner.Observer
-	voter     *owner.Voter
-	shards    owner.Map
-	routes    [hoist.NumShards]route
-	seenTerms [hoist.NumShards]hoist.Term
-	held      [hoist.NumShards]holding
-	members   []hoist.Member
-	joinedAt  time.Time
-	shardGen  hoist.RowVersion
-	tableOK   time.Time
-	isLeaving bool
-	peers     map[hoist.HostID]*link
-	targets   map[hoist.HostID]bool
-	process   uint64
-	txnCount  int
-	joinTxn   hoist.TxnID
-	reported  reported
+	// electorates are those of the member rows last read.
+	electorates map[digest][]hoist.ElectorID
+	lease       owner.Lease
+	observer    owner.Observer
+	voter       *owner.Voter
+	shards      owner.Map
+	routes      [hoist.NumShards]route
+	seenTerms   [hoist.NumShards]hoist.Term
+	held        [hoist.NumShards]holding
+	members     []hoist.Member
+	joinedAt    time.Time
+	shardGen    hoist.RowVersion
+	tableOK     time.Time
+	isLeaving   bool
+	peers       map[hoist.HostID]*link
+	targets     map[hoist.HostID]bool
+	process     uint64
+	txnCount    int
+	joinTxn     hoist.TxnID
+	reported    reported
 
 	isKilled atomic.Bool
 	kill     context.CancelFunc
--- a/internal/core/member/rows.go
+++ b/internal/core/member/rows.go
@@ -83,10 +83,13 @@
 		}
 		out = append(out, memberRow{codec.ToMember(w), row.Version, row.Txn})
 	}
-	return out, nil
+	return out, m.resolve(ctx, out)
 }
 
+// memberPut writes a member row, which carries the digest of its electorate. The
+// row of the electorate must be in the table or in the same transaction.
 func memberPut(member hoist.Member) hoist.Put {
+	member.Electorate = []hoist.ElectorID{hoist.ElectorID(digestOf(member.Electorate))}
 	return hoist.Put{Key: memberKey(member.Host), Value: codec.EncodeValue(codec.Member(member))}
 }
 
--- a/internal/decide/owner/row.go
+++ b/internal/decide/owner/row.go
@@ -46,6 +46,11 @@
 	r.lost = append(r.lost, lostRenewal{checked, electorate})
 }
 
+// Has reports whether the row is known to have held the electorate.
+func (r *OwnRow) Has(electorate []hoist.ElectorID) bool {
+	return slices.Equal(r.electorate, electorate)
+}
+
 // Electorates returns every electorate that the row may hold. A promise needs
 // a majority of each, as a host that takes over needs one of the electorate
 // that it reads in the row.
--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -135,5 +136,7 @@
 			out = append(out, m.Elector())
 		}
 	}
+	// Hosts that know the same members have the same electorate.
+	slices.Sort(out)
 	return out
 }
