--- a/internal/core/tasks/cell_test.go
+++ b/internal/core/tasks/cell_test.go
@@ -26,11 +26,13 @@
 // cell is a cell in one process: hosts that call each other directly, workers
 // and a table, on the clock of a synctest bubble.
 type cell struct {
-	t       *testing.T
+	t       testing.TB
 	plat    *plat.Platform
 	history *work.History
 	workers []*work.Worker
 	hosts   []*host
+	// table is what the hosts use; it is plat unless a test limits it.
+	table hoist.Table
 
 	mu    sync.Mutex
 	owner [hoist.NumShards]*host
@@ -59,54 +61,80 @@
 	seen     map[hoist.ShardID]hoist.Term
 }
 
+// tableOf is the table that the cell uses now.
+type tableOf struct{ c *cell }
+
+func (t tableOf) Read(ctx context.Context, keys ...hoist.RowKey) ([]hoist.Row, error) {
+	return t.c.table.Read(ctx, keys...)
+}
+
+func (t tableOf) Scan(ctx context.Context, prefix hoist.RowKey) ([]hoist.Row, error) {
+	return t.c.table.Scan(ctx, prefix)
+}
+
+func (t tableOf) Commit(ctx context.Context, txn hoist.Txn) error {
+	return t.c.table.Commit(ctx, txn)
+}
+
 type clock struct{}
 
 func (clock) Now() time.Time { return time.Now() }
 
-// runCell runs fn in a bubble with a cell of the given size. Workers hold 8
-// cores each and are spread over three data centres with two racks each.
+// runCell runs fn in a bubble with a cell of the given size.
 func runCell(t *testing.T, hosts, workers int, fn func(c *cell)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cell{
-			t: t, plat: &plat.Platform{}, history: &work.History{},
-			cut: make(map[[2]hoist.HostID]bool), loseReplies: make(map[string]int), late: make(map[string]int),
-		}
-		if isVerbose {
-			c.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
-		}
-		for i := range workers {
-			w := &work.Worker{
-				ID: hoist.WorkerID(fmt.Sprintf("w%d", i)), DataCentre: hoist.DataCentreID(fmt.Sprintf("dc%d", i%3)),
-				Rack: hoist.RackID(fmt.Sprintf("r%d", i%6)), Capacity: hoist.Resources{CPU: 8000, Memory: 8192},
-				History: c.history, TakesWhileLeaving: true,
-			}
-			c.workers = append(c.workers, w)
-			c.list(w, false)
-		}
-		for i := range hosts {
-			c.addHost(i)
-		}
-		for _, h := range c.hosts {
-			h.run()
-		}
-		for shard := range hoist.NumShards {
-			c.give(hoist.ShardID(shard), c.hosts[shard%hosts])
-		}
+		c := newCell(t, hosts, workers, 8)
 		defer func() {
-			for _, h := range c.hosts {
-				h.stop()
-			}
-			time.Sleep(lateTime)
+			c.close()
 			synctest.Wait()
-			for _, w := range c.workers {
-				w.Close()
-			}
 		}()
 		time.Sleep(3 * time.Second)
 		fn(c)
 	})
 }
 
+// newCell starts a cell. The workers have 1 GiB for each core and are spread
+// over three data centres with two racks each.
+func newCell(t testing.TB, hosts, workers int, cores hoist.MilliCPU) *cell {
+	c := &cell{
+		t: t, plat: &plat.Platform{}, history: &work.History{},
+		cut: make(map[[2]hoist.HostID]bool), loseReplies: make(map[string]int), late: make(map[string]int),
+	}
+	c.table = c.plat
+	if isVerbose {
+		c.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	for i := range workers {
+		w := &work.Worker{
+			ID: hoist.WorkerID(fmt.Sprintf("w%d", i)), DataCentre: hoist.DataCentreID(fmt.Sprintf("dc%d", i%3)),
+			Rack: hoist.RackID(fmt.Sprintf("r%d", i%6)), Capacity: hoist.Resources{CPU: cores * 1000, Memory: hoist.MiB(cores * 1024)},
+			History: c.history, TakesWhileLeaving: true,
+		}
+		c.workers = append(c.workers, w)
+		c.list(w, false)
+	}
+	for i := range hosts {
+		c.addHost(i)
+	}
+	for _, h := range c.hosts {
+		h.run()
+	}
+	for shard := range hoist.NumShards {
+		c.give(hoist.ShardID(shard), c.hosts[shard%hosts])
+	}
+	return c
+}
+
+func (c *cell) close() {
+	for _, h := range c.hosts {
+		h.stop()
+	}
+	time.Sleep(lateTime)
+	for _, w := range c.workers {
+		w.Close()
+	}
+}
+
 func (c *cell) list(w *work.Worker, isLeaving bool) {
 	c.plat.Add(hoist.Listed{Kind: hoist.ListedWorker, ID: string(w.ID), DataCentre: w.DataCentre, Rack: w.Rack, Leaving: isLeaving})
 }
@@ -119,7 +147,7 @@
 		byID[string(w.ID)] = w
 	}
 	h.m = &tasks.Manager{
-		Own: h, HostList: c.plat, Table: c.plat, Clock: clock{},
+		Own: h, HostList: c.plat, Table: tableOf{c}, Clock: clock{},
 		Log:        c.log,
 		DialWorker: func(l hoist.Listed) hoist.Worker { return byID[l.ID].Direct() },
 	}
--- a/internal/core/tasks/survey.go
+++ b/internal/core/tasks/survey.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,22 +15,33 @@
 )
 
 const (
-	// surveyEvery is the period in which it is checked whether a survey is due.
+	// surveyEvery is the period in which it is checked whether an audit is due.
 	surveyEvery = time.Second
+	// recoverEvery is the period of surveys while shards are not ready. The
+	// adoption of the workers of a dead host takes about this long.
+	recoverEvery = 250 * time.Millisecond
+	// quickRounds bounds the surveys in that period; a worker that is still not
+	// adopted then is waited for longer.
+	quickRounds = 20
+	// auditAgain is the wait after an audit that left workers unclear.
+	auditAgain = 5 * time.Second
 	// auditEvery is the period of comparing all running tasks with the workers'
 	// lists. It catches what no other path reports; a minute keeps its cost
 	// below one task record a second and 60 tasks.
 	auditEvery = time.Minute
-	// scansPerShard bounds the shards that are read with a scan each. Above
-	// that all shards are read with three scans, of up to 100 shards each, so
-	// that a reply stays small.
-	scansPerShard = 3
+	// scansAtOnce bounds the scans under way. A table that answers after 1.5 s
+	// still lets a host read 32 shards within the time limit of two calls.
+	scansAtOnce = 16
 )
 
 // audit tells when the running tasks are to be compared with the workers' lists.
 type audit struct {
 	last  time.Time
 	isDue bool
+	// again is when an audit that left workers unclear is repeated.
+	again time.Time
+	// rounds counts the surveys since shards were acquired last.
+	rounds int
 	// owners are the owners of the workers that tasks run on.
 	owners map[hoist.WorkerID]hoist.HostID
 }
@@ -65,17 +75,29 @@
 // with the workers' lists when the owner of a worker changed and now and then.
 func (m *Manager) surveyLoop(ctx context.Context) {
 	for {
-		if shards, isRecovery := m.surveyDue(); len(shards) > 0 {
-			m.survey(ctx, shards, isRecovery)
+		wait := surveyEvery
+		if shards := m.surveyDue(); len(shards) > 0 {
+			m.survey(ctx, shards)
+			wait = m.surveyWait()
 		}
-		if !pause(ctx, surveyEvery) {
+		if !pause(ctx, wait) {
 			return
 		}
 	}
 }
 
+// surveyWait is the wait until the next survey.
+func (m *Manager) surveyWait() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.audit.rounds++; m.audit.rounds > quickRounds {
+		return surveyEvery
+	}
+	return recoverEvery
+}
+
 // surveyDue returns the shards to ask about: those that are not ready, or all.
-func (m *Manager) surveyDue() (shards []hoist.ShardTerm, isRecovery bool) {
+func (m *Manager) surveyDue() []hoist.ShardTerm {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var pending, all []hoist.ShardTerm
@@ -94,12 +116,14 @@
 	if m.audit.last.IsZero() {
 		m.audit.last = now
 	}
-	if m.audit.isDue || now.Sub(m.audit.last) >= auditEvery {
+	isAgain := !m.audit.again.IsZero() && now.After(m.audit.again)
+	if m.audit.isDue || isAgain || now.Sub(m.audit.last) >= auditEvery {
 		m.audit.isDue = false
+		m.audit.again = time.Time{}
 		m.audit.last = now
-		return all, len(pending) > 0
+		return all
 	}
-	return pending, true
+	return pending
 }
 
 // noteOwners makes an audit due if a worker with tasks has another owner than
@@ -119,36 +143,50 @@
 }
 
 // survey asks all hosts about the tasks of shards and applies what they tell.
-func (m *Manager) survey(ctx context.Context, shards []hoist.ShardTerm, isRecovery bool) {
+func (m *Manager) survey(ctx context.Context, shards []hoist.ShardTerm) {
 	s := m.askAll(ctx, shards)
-	var rows map[hoist.ShardID][]hoist.Row
-	if isRecovery {
-		// The rows are read after the lists: an end that a worker no longer
-		// lists was written before it was forgotten.
-		var err error
-		if rows, err = m.readRows(ctx, shards); err != nil {
-			events.SurveyWaits.Log(ctx, m.Log, "error", err)
-			return
-		}
+	m.mu.Lock()
+	lost, unclear := m.noteAbsent(s)
+	due := m.rowsDue(shards, unclear)
+	m.mu.Unlock()
+	// The rows are read after the lists: an end that a worker no longer lists
+	// was written before it was forgotten.
+	rows, err := m.readRows(ctx, due)
+	if err != nil {
+		events.SurveyWaits.Log(ctx, m.Log, "error", err)
 	}
 	// A stop that fails is repeated after the next audit.
-	m.callAll(ctx, m.applySurvey(ctx, shards, rows, s), callStop)
+	m.callAll(ctx, m.applySurvey(ctx, s, rows, lost, unclear), callStop)
+}
+
+// rowsDue returns the shards whose rows are to be read: once to find those
+// without jobs, which need not wait for any worker, and when nothing is unclear
+// any more. The mutex is held.
+func (m *Manager) rowsDue(shards []hoist.ShardTerm, unclear int) []hoist.ShardTerm {
+	var due []hoist.ShardTerm
+	for _, st := range shards {
+		s, ok := m.shards[st.Shard]
+		if ok && s.term == st.Term && !s.isReady && (unclear == 0 || !s.wasRead) {
+			due = append(due, st)
+		}
+	}
+	return due
 }
 
-// applySurvey recovers shards and compares the running tasks with the lists. It
-// returns the tasks to stop.
-func (m *Manager) applySurvey(ctx context.Context, shards []hoist.ShardTerm, rows map[hoist.ShardID][]hoist.Row, s surveyed) []hoist.Placement {
+// applySurvey recovers the shards whose rows were read and compares the running
+// tasks with the lists. It returns the tasks to stop.
+func (m *Manager) applySurvey(ctx context.Context, s surveyed, rows map[hoist.ShardTerm][]hoist.Row, lost []hoist.WorkerID, unclear int) []hoist.Placement {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	lost, unclear := m.noteAbsent(s)
-	for _, st := range shards {
+	for st, shardRows := range rows {
 		if current, ok := m.shards[st.Shard]; ok && current.term == st.Term && !current.isReady {
-			m.recoverShard(ctx, st, rows[st.Shard], s, unclear)
+			current.wasRead = true
+			m.recoverShard(ctx, st, shardRows, s, unclear)
 		}
 	}
 	strays := m.compare(ctx, s)
 	for _, id := range lost {
-		for _, j := range m.book.Lost(id, m.Clock.Now()) {
+		for _, j := range m.book.Lost(id, s.sent, m.Clock.Now()) {
 			m.ledger.mark(j)
 		}
 	}
@@ -232,45 +270,36 @@
 			unclear++
 		}
 	}
-	if unclear > 0 {
-		m.audit.ask()
+	if unclear > 0 && m.audit.again.IsZero() {
+		m.audit.again = s.sent.Add(auditAgain)
 	}
 	return lost, unclear
 }
 
-// readRows reads the job rows of shards in few scans.
-func (m *Manager) readRows(ctx context.Context, shards []hoist.ShardTerm) (map[hoist.ShardID][]hoist.Row, error) {
+// readRows reads the job rows of shards with one scan each. One scan for all
+// shards of the cell would be fewer calls but would read the rows of all other
+// hosts too. Shards whose scan failed are not in the result.
+func (m *Manager) readRows(ctx context.Context, shards []hoist.ShardTerm) (map[hoist.ShardTerm][]hoist.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	prefixes := []hoist.RowKey{"job/0", "job/1", "job/2"}
-	if len(shards) <= scansPerShard {
-		prefixes = prefixes[:0]
-		for _, s := range shards {
-			prefixes = append(prefixes, shardPrefix(s.Shard))
-		}
-	}
-	scanned := make([][]hoist.Row, len(prefixes))
-	g, ctx := errgroup.WithContext(ctx)
-	for i, prefix := range prefixes {
-		g.Go(func() (err error) {
-			scanned[i], err = m.Table.Scan(ctx, prefix)
-			return err
+	out := make(map[hoist.ShardTerm][]hoist.Row)
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(scansAtOnce)
+	for _, st := range shards {
+		g.Go(func() error {
+			rows, err := m.Table.Scan(ctx, shardPrefix(st.Shard))
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[st] = rows
+			return nil
 		})
 	}
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	out := make(map[hoist.ShardID][]hoist.Row)
-	for _, row := range slices.Concat(scanned...) {
-		w, err := codec.DecodeValue[wire.JobRow](row)
-		if err != nil {
-			events.RowUnreadable.Log(ctx, m.Log, "error", err)
-			continue
-		}
-		shard := teamShardOf(hoist.TeamID(w.Spec.Team))
-		out[shard] = append(out[shard], row)
-	}
-	return out, nil
+	err := g.Wait()
+	return out, err
 }
 
 // recoverShard makes a shard ready. A worker that nobody has adopted may still
--- a/internal/core/tasks/tasks.go
+++ b/internal/core/tasks/tasks.go
@@ -96,6 +96,7 @@
 	absent  map[hoist.WorkerID]absence
 	audit   audit
 	kick    chan struct{}
+	listDue chan struct{}
 	told    map[hoist.TaskID]bool
 }
 
@@ -104,6 +105,8 @@
 	term hoist.Term
 	// isReady is set when the jobs and their running tasks are known.
 	isReady bool
+	// wasRead is set when the rows were read without the shard being ready.
+	wasRead bool
 }
 
 var _ hoist.ShardHolder = (*Manager)(nil)
@@ -134,6 +137,7 @@
 		m.absent = make(map[hoist.WorkerID]absence)
 		m.audit.owners = make(map[hoist.WorkerID]hoist.HostID)
 		m.kick = make(chan struct{}, 1)
+		m.listDue = make(chan struct{}, 1)
 		m.told = make(map[hoist.TaskID]bool)
 	})
 }
@@ -184,6 +188,8 @@
 		m.shards[s.Shard] = &teamShard{term: s.Term}
 	}
 	m.audit.ask()
+	m.audit.rounds = 0
+	signal(m.listDue)
 }
 
 // Release implements hoist.ShardHolder.
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -94,7 +94,7 @@
 		if err == nil {
 			m.sync(ctx, listed)
 		}
-		if !pause(ctx, renewEvery) {
+		if !pauseOr(ctx, renewEvery, m.listDue) {
 			return
 		}
 	}
--- a/internal/decide/jobs/steps.go
+++ b/internal/decide/jobs/steps.go
@@ -212,10 +212,14 @@
 	return out
 }
 
-// Lost records that nothing runs on a worker any more.
-func (b *Book) Lost(worker hoist.WorkerID, now time.Time) []*Job {
+// Lost records that nothing runs on a worker any more of what was placed there
+// before a time.
+func (b *Book) Lost(worker hoist.WorkerID, before, now time.Time) []*Job {
 	var changed []*Job
 	for _, t := range b.OnWorker(worker) {
+		if !t.Since.Before(before) {
+			continue
+		}
 		if j := b.end(t, hoist.TaskStopped, now); j != nil {
 			changed = append(changed, j)
 		}
