Stop the tasks of a gang that did not start as a whole at their owners

Cause: a job's owner that loses the owner of a worker while an all-at-once job starts cannot stop the tasks there; they ran in part for as long as the two were cut off from each other.

Change: tasks of a gang start on trial. Replicas are counted once for each job in a pass.

Conclusion: a gang that is cut apart after it started as a whole, and then loses a task, still runs in part until the owners reach each other.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -77,7 +77,7 @@
 	WorkerSilent  = register(314, slog.LevelWarn, "worker is lost; its tasks wait again")
 	StartUnknown  = register(315, slog.LevelWarn, "outcome of a start is unknown")
 	SurveyWaits   = register(316, slog.LevelWarn, "jobs wait for workers that nobody can look at")
-	TaskStray     = register(317, slog.LevelWarn, "stopped a task that no job expects")
+	TaskStray     = register(317, slog.LevelWarn, "stopped a task that no job expects, or of a gang that did not start as a whole")
 	TaskMissing   = register(318, slog.LevelWarn, "worker does not run a task that was placed on it")
 )
 
--- a/internal/core/tasks/cell_test.go
+++ b/internal/core/tasks/cell_test.go
@@ -388,6 +388,10 @@
 		return hoist.ErrOutcomeUnknown
 	}
 	fn()
+	if !c.reaches(l.from, l.to) {
+		<-ctx.Done()
+		return hoist.ErrOutcomeUnknown
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.loseReplies[method] > 0 {
--- a/internal/core/tasks/gangs.go
+++ b/internal/core/tasks/gangs.go
@@ -89,7 +89,7 @@
 			ps = append(ps, kept.Placement)
 			continue
 		}
-		choice, ok := fleet.Choose(w.job.Spec, w.ask, nil)
+		choice, ok := fleet.Choose(w.job.Spec, w.ask)
 		if !ok {
 			missing++
 			if isKept && w.isTurn {
@@ -134,6 +134,7 @@
 func (m *Manager) claimGang(ctx context.Context, w wanted, ps []hoist.Placement) {
 	for i := range ps {
 		ps[i].Hold = w.isTurn
+		ps[i].Trial = true
 	}
 	results := m.callAll(ctx, ps, callReserve)
 	reserved := 0
@@ -190,12 +191,46 @@
 		tasks[0].Job.Reason = quotaPrefix + err.Error()
 		return false
 	}
+	tasks[0].Job.IsWhole = false
 	for i, p := range ps {
 		m.beginOne(tasks[i], p, m.Clock.Now())
 	}
 	return true
 }
 
+// confirmGangs tells the owners of the workers that all tasks of a gang run, as
+// often as it takes.
+func (m *Manager) confirmGangs(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, j := range m.book.Unconfirmed() {
+		s, ok := m.shardOf(j.Spec.Team)
+		if try := m.tryOf(j.Spec.ID); !ok || try.isBusy {
+			continue
+		}
+		m.tryOf(j.Spec.ID).isBusy = true
+		var ps []hoist.Placement
+		for _, t := range j.Tasks {
+			if t.Phase == jobs.Running {
+				ps = append(ps, placementOf(t, jobs.Choice{Worker: t.Worker}, t.Attempt, s.term))
+			}
+		}
+		m.calls.running.Go(func() { m.confirmGang(ctx, j, ps) })
+	}
+}
+
+// confirmGang tells the owners of the workers that all tasks of one gang run.
+func (m *Manager) confirmGang(ctx context.Context, j *jobs.Job, ps []hoist.Placement) {
+	isWhole := true
+	for _, err := range m.callAll(ctx, ps, callReserve) {
+		isWhole = isWhole && err == nil
+	}
+	m.mu.Lock()
+	j.IsWhole = isWhole
+	m.mu.Unlock()
+	m.endTry(j.Spec.ID)
+}
+
 func (m *Manager) endTry(id hoist.JobID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/core/tasks/owned.go
+++ b/internal/core/tasks/owned.go
@@ -13,6 +13,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/grant"
+	"fuchsiahoist.example/hoist/internal/decide/jobs"
 )
 
 // endFollows is the result of a stop after which the worker's owner reports the
@@ -148,6 +149,9 @@
 		return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("attempt %d of task %s was stopped", g.Attempt, g.Task))
 	}
 	if h.live[g.Task] == g.Attempt {
+		if !p.Trial {
+			delete(h.trials, g.Task)
+		}
 		return nil
 	}
 	if now.Sub(h.asked) > freshTime {
@@ -263,6 +267,9 @@
 	}
 	h.live[g.Task] = g.Attempt
 	h.starting[g.Task] = g
+	if p.Trial {
+		h.trials[g.Task] = closing{g.Attempt, now.Add(jobs.GangTrialTime)}
+	}
 	m.health.Started(runOf(p.Worker, stoppedStatus(g, "")), now)
 	if h.hold.job == g.Job {
 		h.hold = hold{}
--- a/internal/core/tasks/pass.go
+++ b/internal/core/tasks/pass.go
@@ -80,6 +80,7 @@
 		if now := m.Clock.Now(); now.Sub(ticked) >= tickEvery {
 			ticked = now
 			m.tick(ctx, now)
+			m.confirmGangs(ctx)
 		}
 		m.stopDue(ctx)
 		m.retryOpen(ctx)
@@ -243,9 +244,12 @@
 // chooseEach chooses a worker for each task that fits, and tells why the others
 // wait.
 func chooseEach(fleet *jobs.Fleet, w wanted) ([]chosen, string) {
+	if w.ask.Spread {
+		fleet.CountReplicas(w.placed)
+	}
 	var out []chosen
 	for _, t := range w.tasks {
-		choice, ok := fleet.Choose(w.job.Spec, w.ask, w.placed)
+		choice, ok := fleet.Choose(w.job.Spec, w.ask)
 		if !ok {
 			return out, fleet.Explain(w.ask, 1).String()
 		}
--- a/internal/core/tasks/scenes_test.go
+++ b/internal/core/tasks/scenes_test.go
@@ -36,6 +36,7 @@
 		{"a gang that cannot run does not block others", 2, 3, []hoist.JobSpec{gang("vast", 100, time.Second), gang("small", 4, time.Second)}, seeStuck, []int{1}},
 		{"the start of one task of a gang is refused", 2, 4, nil, refuseOne, nil},
 		{"a job owner dies while a gang starts", 3, 6, []hoist.JobSpec{gang("gang", 8, 5*time.Second)}, dieInGang, []int{0}},
+		{"owners are cut off while a gang starts", 2, 6, nil, cutInGang, nil},
 		{"a wave of cancellations", 3, 9, nil, cancelWave, nil},
 		{"cancellations while messages are lost", 3, 9, nil, cancelLossy, nil},
 		{"a cancellation that the table cannot record", 2, 3, []hoist.JobSpec{batch("batch", 4, 20*time.Second)}, cancelDown, []int{0}},
@@ -187,6 +188,24 @@
 	c.checkDone(s)
 }
 
+func cutInGang(c *cell) {
+	s := gang("gang", 10, 40*time.Second)
+	for _, w := range c.workers {
+		if c.workerOwner(w.ID) != c.jobOwner(s.Team) {
+			w.SetFault(work.Fault{Delay: 200 * time.Millisecond})
+		}
+	}
+	c.submit(s)
+	time.Sleep(150 * time.Millisecond)
+	c.setCut(c.hosts[0], c.hosts[1], true)
+	time.Sleep(time.Minute)
+	c.checkGang(s)
+	c.setCut(c.hosts[0], c.hosts[1], false)
+	time.Sleep(2 * time.Minute)
+	c.check([]hoist.JobSpec{s})
+	c.checkDone(s)
+}
+
 // cancelMany submits and cancels jobs at once, and checks that none of them
 // starts anything after the cancellation was acknowledged.
 func cancelMany(c *cell, n int, pause time.Duration, faults func()) {
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -41,6 +41,9 @@
 	starting map[hoist.TaskID]hoist.Grant
 	// closing are tasks that were stopped and whose end no report has listed.
 	closing map[hoist.TaskID]closing
+	// trials are the tasks of gangs of which it is not known that all run, and
+	// until when they may run so.
+	trials map[hoist.TaskID]closing
 	// refused are attempts that must not start any more.
 	refused map[hoist.TaskID]closing
 	// ends are the ends that the owners of the jobs have not acknowledged.
@@ -73,6 +76,7 @@
 		reserved: make(map[hoist.TaskID]hoist.AttemptNo),
 		starting: make(map[hoist.TaskID]hoist.Grant),
 		closing:  make(map[hoist.TaskID]closing),
+		trials:   make(map[hoist.TaskID]closing),
 		refused:  make(map[hoist.TaskID]closing),
 		ends:     make(map[hoist.TaskAttempt]*end),
 		acked:    make(map[hoist.TaskAttempt]bool),
@@ -184,8 +188,7 @@
 		events.WorkerLost.Log(ctx, m.Log, "worker", id, "error", err)
 		return false
 	}
-	strays := m.reconcile(ctx, id, h, report, asked)
-	for _, task := range strays {
+	for _, task := range m.reconcile(ctx, id, h, report, asked) {
 		events.TaskStray.Log(ctx, m.Log, "worker", id, "task", task)
 		stopCtx, cancel := context.WithTimeout(ctx, workerTimeout)
 		// A stop that fails is repeated with the next report.
@@ -232,7 +235,9 @@
 }
 
 // reconcile brings the account up to date with a report. It returns the tasks
-// that run without having been granted.
+// to stop: those that
+// run without having been granted, and those of gangs that did not start as a
+// whole.
 func (m *Manager) reconcile(ctx context.Context, id hoist.WorkerID, h *handle, report hoist.WorkerReport, asked time.Time) []hoist.TaskID {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -262,7 +267,7 @@
 		signal(h.endsDue)
 	}
 	m.wake()
-	return h.strays()
+	return append(h.strays(), h.failedTrials(m.Clock.Now())...)
 }
 
 // open opens the account from what the worker runs.
@@ -341,6 +346,21 @@
 	}
 }
 
+// failedTrials returns the running tasks of gangs that did not start as a whole
+// in time.
+func (h *handle) failedTrials(now time.Time) []hoist.TaskID {
+	var out []hoist.TaskID
+	for task, trial := range h.trials {
+		switch {
+		case h.live[task] != trial.attempt:
+			delete(h.trials, task)
+		case now.After(trial.at):
+			out = append(out, task)
+		}
+	}
+	return out
+}
+
 // strays returns the running tasks that the account does not have.
 func (h *handle) strays() []hoist.TaskID {
 	var out []hoist.TaskID
--- a/internal/decide/jobs/due.go
+++ b/internal/decide/jobs/due.go
@@ -141,6 +141,18 @@
 	}
 }
 
+// Unconfirmed returns the gangs whose tasks all run and are still on trial.
+func (b *Book) Unconfirmed() []*Job {
+	var out []*Job
+	for _, j := range b.active {
+		isStarted := j.counts[Running] > 0 && j.counts[Running]+j.counts[Done] == len(j.Tasks)
+		if j.Spec.Kind == hoist.GangJob && isStarted && !j.IsWhole {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
 // OldestGang returns the gang that has waited longest among those that ready
 // accepts.
 func (b *Book) OldestGang(ready func(*Job) bool) hoist.GangTurn {
--- a/internal/decide/jobs/fleet.go
+++ b/internal/decide/jobs/fleet.go
@@ -41,13 +41,14 @@
 	}
 }
 
+// CountReplicas tells how many replicas of a service each worker has, before
+// workers are chosen for further ones.
+func (f *Fleet) CountReplicas(placed map[hoist.WorkerID]int) {
+	place.CountReplicas(f.workers, placed)
+}
+
 // Choose picks a worker for a task of a job and takes its need from the view.
-// For a service, placed tells how many replicas each worker has; the choice is
-// counted in.
-func (f *Fleet) Choose(spec hoist.JobSpec, ask hoist.Ask, placed map[hoist.WorkerID]int) (Choice, bool) {
-	if ask.Spread {
-		place.CountReplicas(f.workers, placed)
-	}
+func (f *Fleet) Choose(spec hoist.JobSpec, ask hoist.Ask) (Choice, bool) {
 	isYielding := false
 	i := f.policy.Choose(ask, f.workers, f.rng)
 	if i < 0 && spec.Urgent {
@@ -62,7 +63,7 @@
 	c := &f.workers[i]
 	c.Free = c.Free.Sub(spec.Need)
 	if ask.Spread {
-		placed[c.Worker]++
+		place.AddReplica(f.workers, i)
 	}
 	return Choice{c.Worker, isYielding}, true
 }
--- a/internal/decide/jobs/jobs.go
+++ b/internal/decide/jobs/jobs.go
@@ -96,6 +96,9 @@
 	// IsCancelWritten is set when the table records the cancellation. Until
 	// then running tasks are not stopped, as it may be taken back.
 	IsCancelWritten bool
+	// IsWhole is set when the owners of the workers know that all tasks of an
+	// all-at-once job run.
+	IsWhole bool
 	// IsLate is set when the deadline was or will be missed.
 	IsLate bool
 	// Ended is when the job ended.
--- a/internal/decide/jobs/steps.go
+++ b/internal/decide/jobs/steps.go
@@ -18,6 +18,10 @@
 	// with each further one up to maxBackoff.
 	failBackoff = time.Second
 	maxBackoff  = time.Minute
+	// GangTrialTime is how long a task of a gang runs without the word that all
+	// of them run. The owner of a job that cannot reach the owner of a worker
+	// cannot stop its tasks; they are stopped after this time.
+	GangTrialTime = GangStartWindow - 5*time.Second
 )
 
 // NewAttempt returns the number of a further attempt at a task of the job. It
--- a/internal/proto/codec/task.go
+++ b/internal/proto/codec/task.go
@@ -78,6 +78,7 @@
 		TeamTerm:  int(p.TeamTerm),
 		Hold:      optional(p.Hold),
 		Preempt:   optional(p.Preempt),
+		Trial:     optional(p.Trial),
 	}
 }
 
@@ -90,6 +91,7 @@
 		TeamTerm:  hoist.Term(p.TeamTerm),
 		Hold:      value(p.Hold),
 		Preempt:   value(p.Preempt),
+		Trial:     value(p.Trial),
 	}
 }
 
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -987,6 +987,9 @@
 	// TeamTerm corresponds to the JSON schema field "team-term".
 	TeamTerm int `json:"team-term"`
 
+	// Trial corresponds to the JSON schema field "trial".
+	Trial *bool `json:"trial,omitempty,omitzero"`
+
 	// Worker corresponds to the JSON schema field "worker".
 	Worker string `json:"worker"`
 }
--- a/peer.go
+++ b/peer.go
@@ -104,6 +104,9 @@
 	Hold bool
 	// Preempt lets the owner stop tasks of lower priority to make room.
 	Preempt bool
+	// Trial lets the owner stop the task again unless the same attempt is
+	// reserved without it in time, when all tasks of the job have started.
+	Trial bool
 }
 
 // JobRef names one job of a team.
