--- a/internal/decide/jobs/steps.go
+++ b/internal/decide/jobs/steps.go
@@ -18,6 +18,10 @@
 	// with each further one up to maxBackoff.
 	failBackoff = time.Second
 	maxBackoff  = time.Minute
+	// GangTrialTime is how long a task of a gang runs without the word that all
+	// of them run. The owner of a job that cannot reach the owner of a worker
+	// cannot stop its tasks; they are stopped after this time.
+	GangTrialTime = GangStartWindow - 5*time.Second
 )
 
 // NewAttempt returns the number of a further attempt at a task of the job. It
@@ -212,10 +216,14 @@
 	return out
 }
 
-// Lost records that nothing runs on a worker any more.
-func (b *Book) Lost(worker hoist.WorkerID, now time.Time) []*Job {
+// Lost records that nothing runs on a worker any more of what was placed there
+// before a time.
+func (b *Book) Lost(worker hoist.WorkerID, before, now time.Time) []*Job {
 	var changed []*Job
 	for _, t := range b.OnWorker(worker) {
+		if !t.Since.Before(before) {
+			continue
+		}
 		if j := b.end(t, hoist.TaskStopped, now); j != nil {
 			changed = append(changed, j)
 		}
