Lock around the wake-up channel

Cause: a claim without shards that arrived while Run started read the channel as it was being set: a data race. Change: the wake-up takes the lock under which the channel is set.

--- a/internal/core/member/fence.go
+++ b/internal/core/member/fence.go
@@ -156,7 +156,10 @@
 	return nil
 }
 
+// wakeUp asks for a round at the table without waiting for the next.
 func (m *Manager) wakeUp() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	select {
 	case m.wake <- struct{}{}:
 	default:
