Move the view of a simulated cell into its stand-in

Cause: the tests decoded member rows and counted owners by themselves, and other tests of cells need the same. Change: cell.Cell has Owned and Members. No assertion changed.

--- a/internal/core/member/bench_test.go
+++ b/internal/core/member/bench_test.go
@@ -99,11 +99,10 @@
 func deathTime(hosts, centres int, offset time.Duration) time.Duration {
 	c := steadyCell(hosts, centres)
 	defer c.Close()
-	w := &world{Cell: c}
 	time.Sleep(offset)
 	c.Processes()[1].Kill()
 	died := time.Now()
-	for w.owned() < hoist.NumShards && time.Since(died) < time.Minute {
+	for c.Owned() < hoist.NumShards && time.Since(died) < time.Minute {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return time.Since(died)
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -209,7 +209,7 @@
 		w.process(3).Kill()
 		w.process(2).Kill()
 		w.run(20 * time.Second)
-		if n := w.owned(); n == hoist.NumShards {
+		if n := w.Owned(); n == hoist.NumShards {
 			t.Errorf("two of four members took over %d shards", n)
 		}
 		err := w.process(0).Manager.FenceMember(context.Background(), "h1")
@@ -218,7 +218,7 @@
 		}
 		w.fenceByOperator()
 		if !w.recovers() || w.violation != "" {
-			t.Errorf("%d shards have an owner; %s", w.owned(), w.violation)
+			t.Errorf("%d shards have an owner; %s", w.Owned(), w.violation)
 		}
 	})
 }
--- a/internal/core/member/world_test.go
+++ b/internal/core/member/world_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
-	"fuchsiahoist.example/hoist/internal/proto/codec"
-	"fuchsiahoist.example/hoist/internal/proto/wire"
 )
 
 // world is a cell whose properties are checked all the time.
@@ -75,13 +72,13 @@
 			ready = append(ready, p)
 		}
 	}
-	rows := w.rows("member/")
+	rows := w.Members()
 	for _, p := range ready {
 		if !p.Manager.IsReady() {
 			continue // the lease ended before the rows were read
 		}
-		m, err := codec.DecodeValue[wire.Member](rows["member/"+hoist.RowKey(p.Member.Host)])
-		if err != nil || m.State == string(hoist.MemberFenced) || m.Addr != p.Member.Addr {
+		m := rows[p.Member.Host]
+		if m.State == hoist.MemberFenced || m.Addr != p.Member.Addr {
 			w.failf("%s has a lease and the row %+v", p.Member.Addr, m)
 		}
 	}
@@ -108,15 +105,6 @@
 	}
 }
 
-// rows reads the table past its faults.
-func (w *world) rows(prefix hoist.RowKey) map[hoist.RowKey]hoist.Row {
-	out := make(map[hoist.RowKey]hoist.Row)
-	for _, row := range w.Table.Rows(prefix) {
-		out[row.Key] = row
-	}
-	return out
-}
-
 // run lets d pass and checks the properties on the way.
 func (w *world) run(d time.Duration) {
 	step := max(100*time.Millisecond, d/1000)
@@ -127,19 +115,6 @@
 	}
 }
 
-// owned counts the shards that have an acting owner.
-func (w *world) owned() int {
-	n := 0
-	for _, p := range w.Processes() {
-		for shard := range hoist.ShardID(hoist.NumShards) {
-			if _, ok := p.Manager.Owns(shard); ok {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func (w *world) setTable(f plat.Fault) {
 	w.mu.Lock()
 	w.downSince = time.Time{}
@@ -172,7 +147,7 @@
 		w.fenceByOperator()
 	}
 	if !mayFence || !w.recovers() {
-		w.failf("%d shards have an owner long after the faults ended", w.owned())
+		w.failf("%d shards have an owner long after the faults ended", w.Owned())
 	}
 }
 
@@ -181,7 +156,7 @@
 	const period, tries = 2 * time.Second, 20
 	for range tries {
 		w.run(period)
-		if w.owned() == hoist.NumShards {
+		if w.Owned() == hoist.NumShards {
 			return true
 		}
 	}
@@ -193,8 +168,7 @@
 	for _, p := range w.Processes() {
 		ready[p.Member.Host] = ready[p.Member.Host] || p.Manager.IsReady()
 	}
-	for key := range w.rows("member/") {
-		host := hoist.HostID(strings.TrimPrefix(string(key), "member/"))
+	for host := range w.Members() {
 		if ready[host] {
 			continue
 		}
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -29,6 +29,8 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/member"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/wire"
 )
 
 // TableAddr stands for the table in Cut.
@@ -185,6 +187,35 @@
 	return c.sent[kind]
 }
 
+// Owned counts the shards that a process may act for at this moment. A shard
+// with two owners counts twice.
+func (c *Cell) Owned() int {
+	n := 0
+	for _, p := range c.Processes() {
+		for shard := range hoist.ShardID(hoist.NumShards) {
+			if _, ok := p.Manager.Owns(shard); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Members returns the member rows of the table, whatever its fault. The
+// electorates are as the rows have them.
+func (c *Cell) Members() map[hoist.HostID]hoist.Member {
+	out := make(map[hoist.HostID]hoist.Member)
+	for _, row := range c.Table.Rows("member/") {
+		w, err := codec.DecodeValue[wire.Member](row)
+		if err != nil {
+			// Only the membership writes these rows.
+			panic(err)
+		}
+		out[hoist.HostID(w.Host)] = codec.ToMember(w)
+	}
+	return out
+}
+
 func (c *Cell) isCut(a, b string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
