--- a/internal/core/member/fence.go
+++ b/internal/core/member/fence.go
@@ -112,7 +112,7 @@
 }
 
 // FenceMember fences a member on the operator's word, without a vote. It is the
-// way out when half or more of the members were lost at once. The operator must
+// way out when more than half of the members were lost at once. The operator must
 // know that the process of the member has ended or reaches neither workers nor
 // executors; docs/operations/membership.md tells how.
 //
