--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -47,6 +47,9 @@
 	Log   bool   `help:"Write the daemons' log to standard error."`
 	Serve bool   `help:"Start the cell, print its addresses and serve until interrupted."`
 	Hosts int    `help:"With --serve: number of daemons; 0 starts the stand-ins only." default:"3"`
+
+	Workers   int `help:"With --serve: number of workers." default:"6"`
+	Executors int `help:"With --serve: number of executors." default:"6"`
 }
 
 // errCheck reports a check that did not hold; the report names it.
@@ -66,7 +69,7 @@
 		run.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
 	if c.Serve {
-		run.Hosts = c.Hosts
+		run.Hosts, run.Workers, run.Executors = c.Hosts, c.Workers, c.Executors
 		return run.Serve(ctx)
 	}
 	result, err := run.Do(ctx)
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -14,6 +14,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -58,8 +59,11 @@
 	Log *slog.Logger
 	// Seed fixes the service times.
 	Seed uint64
-	// Hosts is the number of daemons that Serve starts.
-	Hosts int
+	// Hosts, Workers and Executors are the sizes of the cell; a zero means the
+	// size of the demonstration, but for Hosts with Serve.
+	Hosts     int
+	Workers   int
+	Executors int
 
 	platform  *plat.Platform
 	executors []*execd.Executor
@@ -109,7 +113,7 @@
 	if err := r.waitReady(ctx); err != nil {
 		return Result{}, err
 	}
-	fmt.Fprintf(r.Out, "cell: %d hosts, %d executors of %d slots, %d workers\n", numHosts, numExecutors, slots, numWorkers)
+	fmt.Fprintf(r.Out, "cell: %d hosts, %d executors of %d slots, %d workers\n", r.Hosts, r.Executors, slots, r.Workers)
 	failures := r.injectFailures(ctx)
 	answers := r.feed(ctx)
 	<-failures
@@ -136,6 +140,8 @@
 }
 
 func (r *Run) start(ctx context.Context) error {
+	r.Workers = cmp.Or(r.Workers, numWorkers)
+	r.Executors = cmp.Or(r.Executors, numExecutors)
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	r.platform = &plat.Platform{}
 	var err error
@@ -163,7 +169,7 @@
 }
 
 func (r *Run) startExecutors() error {
-	for i := range numExecutors {
+	for i := range r.Executors {
 		base := time.Duration(1+i%3*2) * time.Millisecond
 		e := &execd.Executor{
 			ID:    hoist.ExecutorID(fmt.Sprintf("executor-%d", i+1)),
@@ -196,7 +202,7 @@
 }
 
 func (r *Run) startWorkers() error {
-	for i := range numWorkers {
+	for i := range r.Workers {
 		w := &work.Worker{
 			ID:         hoist.WorkerID(fmt.Sprintf("worker-%d", i+1)),
 			DataCentre: dataCentre(i),
