Tell a refused operator so

Cause: two hosts with TLS and tokens, tried with openssl and curl: all calls were let in or refused as they should, but the client told a refused operator "outcome unknown: HTTP status 403". Change: hoist.ErrDenied with a code of its own; replies with status 401 and 403 without a code mean it too. Conclusion: a refused call certainly had no effect, and the client says so.

--- a/errors.go
+++ b/errors.go
@@ -45,6 +45,10 @@
 	// ErrInvalid reports input that breaks the rules of its format.
 	ErrInvalid = merry.Sentinel("invalid")
 
+	// ErrDenied reports a caller who is unknown or may not do what they asked
+	// for.
+	ErrDenied = merry.Sentinel("access denied")
+
 	// ErrNotFound reports that the named entity does not exist.
 	ErrNotFound = merry.Sentinel("not found")
 )
--- a/internal/core/access/access.go
+++ b/internal/core/access/access.go
@@ -24,10 +24,6 @@
 	hoist "fuchsiahoist.example/hoist"
 )
 
-// ErrDenied reports a missing or unknown token, or a role that does not allow
-// the call.
-var ErrDenied = merry.Sentinel("access denied")
-
 // Role tells what the holder of a token may do.
 type Role string
 
@@ -169,14 +165,14 @@
 }
 
 // Authenticate finds the identity of an HTTP request by its authorization
-// header. It returns ErrDenied if there is none.
+// header. It returns hoist.ErrDenied if there is none.
 func (l *List) Authenticate(r *http.Request) (Identity, error) {
 	if l.isOpen {
 		return Identity{Name: "open", Role: RoleOperator}, nil
 	}
 	token, ok := strings.CutPrefix(r.Header.Get("authorization"), "Bearer ")
 	if !ok {
-		return Identity{}, merry.Wrap(ErrDenied, merry.AppendMessage("no bearer token"))
+		return Identity{}, merry.Wrap(hoist.ErrDenied, merry.AppendMessage("no bearer token"))
 	}
 	return l.Find(Token(token))
 }
@@ -192,7 +188,7 @@
 		}
 	}
 	if found < 0 {
-		return Identity{}, merry.Wrap(ErrDenied, merry.AppendMessage("unknown token"))
+		return Identity{}, merry.Wrap(hoist.ErrDenied, merry.AppendMessage("unknown token"))
 	}
 	return l.entries[found].identity, nil
 }
--- a/internal/core/access/access_test.go
+++ b/internal/core/access/access_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/access"
 )
 
@@ -41,7 +42,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			id, err := l.Authenticate(&http.Request{Header: http.Header{"Authorization": {c.header}}})
-			is.Equal(errors.Is(err, access.ErrDenied), c.name == "")
+			is.Equal(errors.Is(err, hoist.ErrDenied), c.name == "")
 			is.Equal(id.Name, c.name)
 			is.Equal([]bool{id.May(access.Submit), id.May(access.View), id.May(access.Operate)}, []bool{c.submit, c.view, c.operate})
 			is.Equal([]bool{id.MayUse("sauce"), id.MayUse("jam"), id.MayCharge("buyers")}, []bool{c.sauce, c.jam, c.buyers})
--- a/internal/peer/admin/admin.go
+++ b/internal/peer/admin/admin.go
@@ -111,7 +111,7 @@
 			ctx.Header("www-authenticate", "Bearer")
 			ctx.StopWithText(http.StatusUnauthorized, "%s", err)
 		case !id.May(action):
-			ctx.StopWithText(http.StatusForbidden, "%s", access.ErrDenied)
+			ctx.StopWithText(http.StatusForbidden, "%s", hoist.ErrDenied)
 		default:
 			ctx.Next()
 		}
--- a/internal/peer/admin/session.go
+++ b/internal/peer/admin/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/kataras/iris/v12"
 
+	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/access"
 )
 
@@ -75,7 +76,7 @@
 		return session{}, false
 	}
 	if !found.identity.May(action) {
-		ctx.StopWithText(http.StatusForbidden, "%s", access.ErrDenied)
+		ctx.StopWithText(http.StatusForbidden, "%s", hoist.ErrDenied)
 		return session{}, false
 	}
 	return found, true
--- a/internal/peer/caller/access.go
+++ b/internal/peer/caller/access.go
@@ -26,7 +26,7 @@
 		}
 		customer := hoist.CustomerID(r.Header.Get(HeaderCustomer))
 		if customer != "" && !id.MayUse(customer) {
-			http.Error(w, access.ErrDenied.Error(), http.StatusForbidden)
+			http.Error(w, hoist.ErrDenied.Error(), http.StatusForbidden)
 			return
 		}
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), identityKey{}, id)))
@@ -40,7 +40,7 @@
 	if id.MayCharge(team) {
 		return true
 	}
-	http.Error(w, access.ErrDenied.Error(), http.StatusForbidden)
+	http.Error(w, hoist.ErrDenied.Error(), http.StatusForbidden)
 	return false
 }
 
--- a/internal/proto/codec/errors.go
+++ b/internal/proto/codec/errors.go
@@ -30,6 +30,7 @@
 	{"leaving", hoist.ErrLeaving},
 	{"invalid", hoist.ErrInvalid},
 	{"not-found", hoist.ErrNotFound},
+	{"denied", hoist.ErrDenied},
 }
 
 // ErrorCode returns the code of err.
--- a/internal/proto/rest/rest.go
+++ b/internal/proto/rest/rest.go
@@ -133,6 +133,9 @@
 func ReplyError(status int, body []byte) error {
 	var p problem
 	if err := json.Unmarshal(body, &p); err != nil || p.Code == "" {
+		if status == http.StatusUnauthorized || status == http.StatusForbidden {
+			return merry.Wrap(hoist.ErrDenied, merry.AppendMessagef("HTTP status %d", status))
+		}
 		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.AppendMessagef("HTTP status %d", status))
 	}
 	return codec.Error(p.Code, p.Message)
