Measure the spread of configurations with the heartbeats in force

Cause: the measurement let all pairs of 120 hosts exchange heartbeats, which large cells no longer do. Change: the test cell uses owner.BeatTargets.

--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -15,6 +15,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/spread"
 	"fuchsiahoist.example/hoist/internal/decide/config"
+	"fuchsiahoist.example/hoist/internal/decide/owner"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 )
 
@@ -73,6 +74,8 @@
 	violations []string
 	fetches    int
 	bytes      int
+	// targets has the hosts that each host sends heartbeats to.
+	targets map[hoist.HostID]map[hoist.HostID]bool
 }
 
 func newCell(n int) *cell {
@@ -81,9 +84,25 @@
 		c.hosts = append(c.hosts, &host{id: hoist.HostID(fmt.Sprintf("h%03d", i)), cell: c})
 		c.start(i)
 	}
+	c.targets = beatTargets(n)
 	return c
 }
 
+// beatTargets returns the targets of a cell with 8 hosts in each data centre.
+func beatTargets(n int) map[hoist.HostID]map[hoist.HostID]bool {
+	var members []hoist.Member
+	for i := range n {
+		members = append(members, hoist.Member{
+			Host: hoist.HostID(fmt.Sprintf("h%03d", i)), DataCentre: hoist.DataCentreID(fmt.Sprint(i / 8)), State: hoist.MemberLive,
+		})
+	}
+	out := make(map[hoist.HostID]map[hoist.HostID]bool)
+	for _, m := range members {
+		out[m.Host] = owner.BeatTargets(m, members)
+	}
+	return out
+}
+
 func (c *cell) close() {
 	for _, h := range c.hosts {
 		h.stop()
@@ -123,13 +142,14 @@
 	c.inForce[v] = text
 }
 
-// beat lets half a second pass and exchanges heartbeats between all hosts that
-// are not cut off.
+// beat lets half a second pass and exchanges heartbeats, as far as hosts are not
+// cut off. Both sides of an exchange hear of the other.
 func (c *cell) beat() {
 	time.Sleep(500 * time.Millisecond)
 	for _, to := range c.hosts {
 		for _, from := range c.hosts {
-			if from != to && !from.isCut && !to.isCut {
+			isHeard := c.targets[from.id][to.id] || c.targets[to.id][from.id]
+			if isHeard && !from.isCut && !to.isCut {
 				to.keeper.Heard(hoist.Heartbeat{Host: from.id, Config: from.keeper.Current().Version})
 			}
 		}
