Keep connections to hosts that have left for a minute

Cause: a leaving host writes its row as fenced and then answers what is in flight. The others closed their connections as soon as they read the row, which interrupted dispatches there; a graceful shutdown must interrupt none. Change: such a row has the state 'left', which counts as fenced everywhere else. Heartbeats to the host end, and the connection is closed after a minute, twice the default drain time. Connections to fenced hosts close at once as before.

--- a/internal/core/member/fence.go
+++ b/internal/core/member/fence.go
@@ -18,7 +18,7 @@
 	var wg sync.WaitGroup
 	var fenced atomic.Int32
 	for _, row := range rows {
-		isOther := row.member.Host != m.Member.Host && row.member.State != hoist.MemberFenced
+		isOther := row.member.Host != m.Member.Host && !row.member.State.HasEnded()
 		if !isOther || !m.isTurn(row.member) {
 			continue
 		}
@@ -134,7 +134,7 @@
 
 func (m *Manager) fenceByOperator(ctx context.Context, row memberRow) error {
 	member := row.member
-	if member.State == hoist.MemberFenced {
+	if member.State.HasEnded() {
 		return nil
 	}
 	m.mu.Lock()
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -37,7 +37,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, owner.FenceWindow)
 	defer cancel()
-	isActing := old.version != 0 && old.member.State != hoist.MemberFenced
+	isActing := old.version != 0 && !old.member.State.HasEnded()
 	if isActing && !m.mayFence(ctx, old.member) {
 		m.reportWait(ctx, old.member.Epoch)
 		return false
@@ -93,7 +93,7 @@
 	m.reported.waitsFor = epoch
 }
 
-// leave hands over all shards and marks the row as fenced, so that nobody waits
+// leave hands over all shards and marks the row as left, so that nobody waits
 // for the lease to lapse.
 func (m *Manager) leave(ctx context.Context) {
 	const leaveTime = 5 * time.Second
@@ -111,7 +111,7 @@
 		}
 	}
 	m.drop()
-	m.fenceSelf(ctx)
+	m.recordLeave(ctx)
 }
 
 // leaveRound hands over what it can. It reports false if the host was fenced.
@@ -143,12 +143,12 @@
 	return false
 }
 
-// fenceSelf marks the row as fenced. The others fence it when the lease lapses
+// recordLeave marks the row as left. The others fence it when the lease lapses
 // if that fails until ctx ends.
-func (m *Manager) fenceSelf(ctx context.Context) {
+func (m *Manager) recordLeave(ctx context.Context) {
 	for {
 		m.mu.Lock()
-		row := m.ownRow(hoist.MemberFenced)
+		row := m.ownRow(hoist.MemberLeft)
 		checked := m.row.Version
 		m.mu.Unlock()
 		err := m.commit(ctx, hoist.Txn{
--- a/internal/core/member/lease.go
+++ b/internal/core/member/lease.go
@@ -47,7 +47,7 @@
 	defer m.mu.Unlock()
 	for _, member := range m.members {
 		if member.Host == m.Member.Host {
-			return member.Epoch != m.epoch || member.State == hoist.MemberFenced
+			return member.Epoch != m.epoch || member.State.HasEnded()
 		}
 	}
 	return true
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -52,6 +52,8 @@
 	// farBeatEvery is the number of periods between heartbeats to members that
 	// are not among owner.BeatTargets, which only find half-open connections.
 	farBeatEvery = 10
+	// keepLeftFor is twice the default drain time of a host that left.
+	keepLeftFor = time.Minute
 	// shardsPerTxn keeps claim transactions small.
 	shardsPerTxn = 64
 )
@@ -102,6 +104,7 @@
 	tableOK     time.Time
 	isLeaving   bool
 	peers       map[hoist.HostID]*link
+	leftLinks   []*link
 	targets     map[hoist.HostID]bool
 	process     uint64
 	txnCount    int
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -222,3 +223,31 @@
 		}
 	})
 }
+
+// TestLinks guards against breaking the connection to a host that has left and
+// still answers requests in flight, and against keeping one to a lost host.
+func TestLinks(t *testing.T) {
+	cases := []struct {
+		name        string
+		end         func(*cell.Process)
+		soon, later bool
+	}{
+		{"left", (*cell.Process).Leave, true, false},
+		{"died", (*cell.Process).Kill, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(3)
+				defer w.Close()
+				w.run(8 * time.Second)
+				c.end(w.process(1))
+				is := is.New(t)
+				w.run(30 * time.Second)
+				is.Equal(w.IsLinked("h0:1", "h1:1"), c.soon) // within the drain time
+				w.run(40 * time.Second)
+				is.Equal(w.IsLinked("h0:1", "h1:1"), c.later) // long after
+			})
+		})
+	}
+}
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -15,6 +16,8 @@
 	cancel context.CancelFunc
 	// heardAt is when the host last answered a heartbeat.
 	heardAt time.Time
+	// leftAt is when the host was first seen to have left.
+	leftAt time.Time
 }
 
 // closer is implemented by peers that hold a connection.
@@ -27,17 +30,18 @@
 	m.mu.Lock()
 	wanted := make(map[hoist.HostID]string)
 	for _, member := range m.members {
-		if member.Host != m.Member.Host && member.State != hoist.MemberFenced {
+		if member.Host != m.Member.Host && !member.State.HasEnded() {
 			wanted[member.Host] = member.Addr
 		}
 	}
 	var closed []*link
 	for host, l := range m.peers {
 		if wanted[host] != l.addr {
-			closed = append(closed, l)
 			delete(m.peers, host)
+			closed = append(closed, l)
 		}
 	}
+	closed = m.keepLeft(closed)
 	for host, addr := range wanted {
 		if _, ok := m.peers[host]; !ok {
 			m.openLink(ctx, host, addr)
@@ -47,6 +51,36 @@
 	closeLinks(closed)
 }
 
+// keepLeft takes the links to members that left out of closed and adds those
+// that left long ago: a host answers what is in flight after it has left.
+func (m *Manager) keepLeft(closed []*link) []*link {
+	now := m.Clock.Now()
+	left := make(map[string]bool)
+	for _, member := range m.members {
+		if member.State == hoist.MemberLeft {
+			left[member.Addr] = true
+		}
+	}
+	var out []*link
+	for _, l := range closed {
+		if !left[l.addr] {
+			out = append(out, l)
+			continue
+		}
+		l.cancel()
+		l.leftAt = now
+		m.leftLinks = append(m.leftLinks, l)
+	}
+	m.leftLinks = slices.DeleteFunc(m.leftLinks, func(l *link) bool {
+		isOver := now.Sub(l.leftAt) > keepLeftFor
+		if isOver {
+			out = append(out, l)
+		}
+		return isOver
+	})
+	return out
+}
+
 func (m *Manager) openLink(ctx context.Context, host hoist.HostID, addr string) {
 	// The link outlives the shutdown signal: leaving needs it.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -73,6 +107,8 @@
 		closed = append(closed, l)
 	}
 	clear(m.peers)
+	closed = append(closed, m.leftLinks...)
+	m.leftLinks = nil
 	m.mu.Unlock()
 	closeLinks(closed)
 }
--- a/internal/core/member/world_test.go
+++ b/internal/core/member/world_test.go
@@ -78,7 +78,7 @@
 			continue // the lease ended before the rows were read
 		}
 		m := rows[p.Member.Host]
-		if m.State == hoist.MemberFenced || m.Addr != p.Member.Addr {
+		if m.State.HasEnded() || m.Addr != p.Member.Addr {
 			w.failf("%s has a lease and the row %+v", p.Member.Addr, m)
 		}
 	}
--- a/internal/decide/owner/beat.go
+++ b/internal/decide/owner/beat.go
@@ -24,7 +24,7 @@
 	far := make(map[hoist.DataCentreID][]hoist.HostID)
 	running := 0
 	for _, m := range members {
-		if m.Host == self.Host || m.State == hoist.MemberFenced {
+		if m.Host == self.Host || m.State.HasEnded() {
 			continue
 		}
 		running++
--- a/internal/decide/owner/observe.go
+++ b/internal/decide/owner/observe.go
@@ -61,7 +61,7 @@
 	var next time.Time
 	for _, m := range members {
 		left := -o.LapsedFor(m, now)
-		if m.State == hoist.MemberFenced || left < 0 {
+		if m.State.HasEnded() || left < 0 {
 			continue
 		}
 		// One nanosecond later the lease has lapsed.
@@ -82,7 +82,7 @@
 	own := rank(lapsed, self)
 	before := 0
 	for _, m := range members {
-		if m.State == hoist.MemberFenced || m.Host == self || m.Host == lapsed || o.HasLapsed(m, now) {
+		if m.State.HasEnded() || m.Host == self || m.Host == lapsed || o.HasLapsed(m, now) {
 			continue
 		}
 		if rank(lapsed, m.Host) < own {
--- a/internal/decide/owner/shards.go
+++ b/internal/decide/owner/shards.go
@@ -90,7 +90,7 @@
 // hasGone reports whether the process of the host in the given epoch can never
 // act again. Once true it stays true, however old member is.
 func hasGone(member hoist.Member, epoch hoist.Epoch) bool {
-	return member.Epoch > epoch || (member.Epoch == epoch && member.State == hoist.MemberFenced)
+	return member.Epoch > epoch || (member.Epoch == epoch && member.State.HasEnded())
 }
 
 // Surplus returns the shards that self owns and another live member ranks
--- a/internal/decide/owner/vote.go
+++ b/internal/decide/owner/vote.go
@@ -79,7 +79,7 @@
 func (v *Voter) Read(members []hoist.Member, sent time.Time) {
 	for _, m := range members {
 		first := m.Epoch
-		if m.State == hoist.MemberFenced {
+		if m.State.HasEnded() {
 			first++
 		}
 		if first > v.firstEpoch[m.Host] {
@@ -132,7 +132,7 @@
 func Electorate(self hoist.Member, members []hoist.Member) []hoist.ElectorID {
 	out := []hoist.ElectorID{self.Elector()}
 	for _, m := range members {
-		if m.Host != self.Host && m.State != hoist.MemberFenced {
+		if m.Host != self.Host && !m.State.HasEnded() {
 			out = append(out, m.Elector())
 		}
 	}
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -53,6 +53,7 @@
 	cuts      map[[2]string]bool
 	handover  HandoverFault
 	sent      map[Message]int
+	links     map[[2]string]int
 	inFlight  sync.WaitGroup
 }
 
@@ -98,7 +99,7 @@
 	p.Manager = &member.Manager{
 		Member:  m,
 		Table:   tableOf{p},
-		Dial:    func(addr string) hoist.Peer { return &link{from: p, addr: addr} },
+		Dial:    p.dial,
 		Clock:   clock{},
 		Holders: []hoist.ShardHolder{p},
 		Beat:    p,
@@ -108,6 +109,7 @@
 		c.listeners = make(map[string]*Process)
 		c.cuts = make(map[[2]string]bool)
 		c.sent = make(map[Message]int)
+		c.links = make(map[[2]string]int)
 	}
 	c.listeners[m.Addr] = p
 	c.processes = append(c.processes, p)
@@ -187,6 +189,14 @@
 	return c.sent[kind]
 }
 
+// IsLinked reports whether the process at the address from keeps a connection
+// to another address.
+func (c *Cell) IsLinked(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.links[[2]string{from, to}] > 0
+}
+
 // Owned counts the shards that a process may act for at this moment. A shard
 // with two owners counts twice.
 func (c *Cell) Owned() int {
--- a/internal/fake/cell/links.go
+++ b/internal/fake/cell/links.go
@@ -74,6 +74,20 @@
 	addr string
 }
 
+func (p *Process) dial(addr string) hoist.Peer {
+	p.cell.mu.Lock()
+	defer p.cell.mu.Unlock()
+	p.cell.links[[2]string{p.Member.Addr, addr}]++
+	return &link{from: p, addr: addr}
+}
+
+// Close breaks the connection.
+func (l *link) Close() {
+	l.from.cell.mu.Lock()
+	defer l.from.cell.mu.Unlock()
+	l.from.cell.links[[2]string{l.from.Member.Addr, l.addr}]--
+}
+
 // exchange sends a message and returns the result of do at the receiver. A
 // message that is late is still acted on.
 func exchange[Out any](ctx context.Context, l *link, kind Message, do func(*Process) (Out, error)) (Out, error) {
--- a/peer.go
+++ b/peer.go
@@ -41,8 +41,17 @@
 	MemberLive    MemberState = "live"
 	MemberLeaving MemberState = "leaving"
 	MemberFenced  MemberState = "fenced"
+	// MemberLeft is the state of a member that handed its shards over. Its
+	// process may still answer what is in flight.
+	MemberLeft MemberState = "left"
 )
 
+// HasEnded reports whether a member in the state can never again act for shards
+// in the epoch of its row.
+func (s MemberState) HasEnded() bool {
+	return s == MemberFenced || s == MemberLeft
+}
+
 // ShardTerm names a shard and the term in which it is owned.
 type ShardTerm struct {
 	Shard ShardID
