Let the vote model replace voters and wait in one action

With that model one group of cases missed a youth of one lease, lost electorates and half as a majority; 30 groups still missed the youth. Change: the action restartAndWait, and 100 groups of cases.

--- a/internal/decide/owner/lease_test.go
+++ b/internal/decide/owner/lease_test.go
@@ -169,7 +169,7 @@
 // with lost and late writes, changing electorates and voters that restart.
 func TestVotes(t *testing.T) {
 	// One group finds most faults in the rules; some need more cases.
-	const groups = 30
+	const groups = 100
 	for i := range groups {
 		t.Run(fmt.Sprint(i), func(t *testing.T) { rapid.Check(t, checkVotes) })
 	}
@@ -200,5 +200,10 @@
 		},
 		"inform":  func(t *rapid.T) { m.inform(reachable.Draw(t, "informed")) },
 		"restart": func(t *rapid.T) { m.restart(reachable.Draw(t, "restarted")) },
+		"restartAndWait": func(t *rapid.T) {
+			m.restart(reachable.Draw(t, "restarted"))
+			m.pass(owner.LeaseTime + owner.Drift + millis(1100))
+			m.inform(1<<voters - 1)
+		},
 	})
 }
