Predict the wait behind a backlog that is not served

Cause: a rate was used only after eight requests were served from a backlog. A host that owns no executor serves none, so its quick requests waited for their deadline (found by TestOverload of internal/core/route). Change: a backlog that has lasted for 250 ms is enough, and one request more than was served is counted, so that the rate is never zero.

--- a/internal/decide/queue/drain.go
+++ b/internal/decide/queue/drain.go
@@ -11,8 +11,10 @@
 	// idleMemory is how long a rate is kept without a backlog.
 	idleMemory = 5 * time.Second
 	// leastServed is how many requests must have been served from a backlog
-	// before a wait is predicted from them.
+	// before a wait is predicted from them, unless the backlog has lasted for
+	// leastBusy: a host without slots serves none.
 	leastServed = 8
+	leastBusy   = 250 * time.Millisecond
 )
 
 // drain learns how fast a backlog is served. The rate includes all that has an
@@ -51,7 +53,7 @@
 
 // isKnown reports whether enough requests were served to predict a wait.
 func (d *drain) isKnown() bool {
-	return d.served >= leastServed
+	return d.served >= leastServed || d.busy >= leastBusy.Seconds()
 }
 
 // wait returns how long a number of requests takes to leave the backlog; 0
@@ -60,5 +62,6 @@
 	if !d.isKnown() {
 		return 0
 	}
-	return time.Duration(float64(requests) * d.busy / d.served * float64(time.Second))
+	// One more than was served: the next request may leave at any moment.
+	return time.Duration(float64(requests) * d.busy / (d.served + 1) * float64(time.Second))
 }
--- a/internal/decide/queue/queue_test.go
+++ b/internal/decide/queue/queue_test.go
@@ -259,3 +259,19 @@
 		})
 	}
 }
+
+// TestStalledBacklog guards against quick requests that wait for their deadline
+// on a host that has no slots, whose rate is never learned from what it serves.
+func TestStalledBacklog(t *testing.T) {
+	is := is.New(t)
+	q := queue.New[int](queue.Limits{PerCustomer: 1000})
+	accepted := 0
+	for i := range 200 { // one request in 10 ms, none is served
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		r := hoist.Request{Customer: "c", Class: hoist.Quick, Deadline: now.Add(time.Second)}
+		if _, err := q.Push(r, 1, 0, now); err == nil {
+			accepted++
+		}
+	}
+	is.True(accepted < 50) // those of the first half second, before the stall shows
+}
