Count a slot of another host as free when its attempt has ended

Cause: a host without a free executor of its own counted down the slots that another host had reported, and waited for the next heartbeat when they were used up, although the attempts had ended long before.

Change: the count goes up when an attempt at another host has ended. A benchmark sends requests through one and three daemons and directly to an executor in the same run.

--- /dev/null
+++ b/internal/core/daemon/bench_test.go
@@ -0,0 +1,149 @@
+package daemon_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/peer/caller"
+	"fuchsiahoist.example/hoist/internal/peer/exec"
+)
+
+// post sends a request and drops the answer, which must be 200.
+func post(b *testing.B, client *http.Client, url string, body []byte, headers ...string) {
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		b.Errorf("status %d, %v", resp.StatusCode, err)
+	}
+}
+
+// cpuTime returns the processor time of this process: daemons, stand-ins and
+// client together.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+var benchKey atomic.Int64
+
+// BenchmarkRequest compares a request through the daemons with a direct call of
+// the executor. Metrics: p50-us and p99-us of a sequence of requests, cpu-us/op
+// of the whole process.
+func BenchmarkRequest(b *testing.B) {
+	for _, hosts := range []int{0, 1, 3} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			c := newCell(b, max(hosts, 1), time.Second, nil)
+			c.waitReady(b)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+			for _, size := range []int{100, 10_000, 100_000} {
+				body := bytes.Repeat([]byte("b"), size)
+				b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) { benchRequests(b, c, client, hosts, body) })
+			}
+		})
+	}
+}
+
+// benchRequests sends requests to the hosts in turn, or to an executor if hosts
+// is 0.
+func benchRequests(b *testing.B, c *cell, client *http.Client, hosts int, body []byte) {
+	took := make([]time.Duration, 0, 1<<16)
+	b.ReportAllocs()
+	cpu := cpuTime()
+	for b.Loop() {
+		n := benchKey.Add(1)
+		key := fmt.Sprintf("bench-%d", n)
+		begun := time.Now()
+		if hosts == 0 {
+			post(b, client, c.execURLs[0]+"/v1/run", body,
+				exec.HeaderTerm, fmt.Sprint(c.execs[0].Term()), exec.HeaderKey, key, exec.HeaderAttempt, "1")
+		} else {
+			post(b, client, c.urls[int(n)%hosts]+"/v1/requests/s", body,
+				caller.HeaderKey, key, caller.HeaderCustomer, "c", caller.HeaderClass, string(hoist.Quick))
+		}
+		took = append(took, time.Since(begun))
+	}
+	cpu = cpuTime() - cpu
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(float64(cpu.Microseconds())/float64(len(took)), "cpu-us/op")
+}
+
+// BenchmarkOpenWatch measures the memory of open watches: daemon, stand-in of
+// the executor and client together.
+func BenchmarkOpenWatch(b *testing.B) {
+	for _, n := range []int{100, 200, 400} {
+		b.Run(fmt.Sprintf("watches=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(openWatches(b, n), "B/watch")
+			}
+		})
+	}
+}
+
+func openWatches(b *testing.B, n int) float64 {
+	release := make(chan struct{})
+	c := newCell(b, 1, time.Second, func(key hoist.RequestKey) time.Duration {
+		if key[0] == 'w' {
+			<-release
+		}
+		return 0
+	}, 1000)
+	c.waitReady(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
+	before := memory()
+	var open sync.WaitGroup
+	for i := range n {
+		open.Go(func() {
+			post(b, client, c.urls[0]+"/v1/requests/s", nil, caller.HeaderKey, fmt.Sprintf("w%d", i),
+				caller.HeaderCustomer, "c", caller.HeaderClass, string(hoist.Watch), caller.HeaderTimeout, "3600000")
+		})
+	}
+	waitFor(b, "watches", func() bool {
+		running := 0
+		for _, e := range c.execs {
+			for key := range e.Runs() {
+				if key[0] == 'w' {
+					running++
+				}
+			}
+		}
+		return running == n
+	})
+	each := float64(memory()-before) / float64(n)
+	close(release)
+	open.Wait()
+	return each
+}
+
+// memory returns the bytes of heap and stacks in use.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/internal/core/daemon/stop_test.go
+++ b/internal/core/daemon/stop_test.go
@@ -27,6 +27,7 @@
 type cell struct {
 	platform *plat.Platform
 	execs    []*execd.Executor
+	execURLs []string
 	urls     []string
 	stops    []context.CancelFunc
 	ended    []chan error
@@ -52,15 +53,15 @@
 	return b.buf.String()
 }
 
-func newCell(t *testing.T, hosts int, drain time.Duration, service func(hoist.RequestKey) time.Duration) *cell {
+func newCell(t testing.TB, hosts int, drain time.Duration, service func(hoist.RequestKey) time.Duration, slots ...int) *cell {
 	c := &cell{platform: &plat.Platform{}}
 	is := is.New(t)
 	for i := range 2 {
-		e := &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 8, ServiceTime: service}
+		e := &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: append(slots, 8)[0], ServiceTime: service}
 		addr, err := e.Start()
 		is.NoErr(err)
 		t.Cleanup(e.Close)
-		c.execs = append(c.execs, e)
+		c.execs, c.execURLs = append(c.execs, e), append(c.execURLs, addr)
 		c.platform.Add(hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Addr: addr, Service: "s"})
 	}
 	for i := range hosts {
@@ -104,7 +105,7 @@
 }
 
 // waitFor waits for a condition with a generous bound.
-func waitFor(t *testing.T, what string, cond func() bool) {
+func waitFor(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for range 600 {
 		if cond() {
@@ -115,7 +116,7 @@
 	t.Fatalf("%s: not after 30 s", what)
 }
 
-func (c *cell) waitReady(t *testing.T) {
+func (c *cell) waitReady(t testing.TB) {
 	for i := range c.urls {
 		n := 0
 		waitFor(t, "ready", func() bool {
--- a/internal/core/route/attempt.go
+++ b/internal/core/route/attempt.go
@@ -28,12 +28,30 @@
 		return hoist.Answer{}, merry.Wrap(hoist.ErrUnavailable, merry.PrependMessagef("no connection to host %s", s.host))
 	}
 	answer, err := peer.Dispatch(ctx, a)
-	if err != nil && !errors.Is(err, hoist.ErrOutcomeUnknown) {
+	switch {
+	case err == nil:
+		r.returnRemote(s.host, a.Request.Service)
+	case !errors.Is(err, hoist.ErrOutcomeUnknown):
 		r.forgetRemote(s.host, a.Request.Service)
 	}
 	return answer, err
 }
 
+// returnRemote counts a slot of another host as free again when its attempt has
+// ended; the next heartbeat would tell only up to half a second later.
+func (r *Router) returnRemote(host hoist.HostID, service hoist.ServiceName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.remote[host][service]
+	if !ok {
+		return
+	}
+	s.Quick++
+	s.Patient++
+	r.remote[host][service] = s
+	r.assign(service)
+}
+
 // mayCoordinate checks right before the send that this host still coordinates
 // the call.
 func (r *Router) mayCoordinate(c *call) error {
--- a/internal/fake/execd/execd.go
+++ b/internal/fake/execd/execd.go
@@ -101,6 +101,13 @@
 	return e.started
 }
 
+// Term returns the term that was set last.
+func (e *Executor) Term() hoist.Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term
+}
+
 // init makes the maps; the mutex is held.
 func (e *Executor) init() {
 	if e.running != nil {
