Move the cells of the tests to stand-ins of their own

Cause: a cell of routers over a faulty network and a cell of daemons were written inside tests, where other packages could not use them.

Change: internal/fake/cell has the first, internal/fake/local the second. The tests check the same as before, from outside the package.

--- a/internal/core/daemon/bench_test.go
+++ b/internal/core/daemon/bench_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/fake/local"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
 )
@@ -56,8 +57,7 @@
 func BenchmarkRequest(b *testing.B) {
 	for _, hosts := range []int{0, 1, 3} {
 		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
-			c := newCell(b, max(hosts, 1), time.Second, nil)
-			c.waitReady(b)
+			c := start(b, local.Options{Hosts: max(hosts, 1), DrainTime: time.Second})
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 			for _, size := range []int{100, 10_000, 100_000} {
 				body := bytes.Repeat([]byte("b"), size)
@@ -69,7 +69,7 @@
 
 // benchRequests sends requests to the hosts in turn, or to an executor if hosts
 // is 0.
-func benchRequests(b *testing.B, c *cell, client *http.Client, hosts int, body []byte) {
+func benchRequests(b *testing.B, c *local.Cell, client *http.Client, hosts int, body []byte) {
 	took := make([]time.Duration, 0, 1<<16)
 	b.ReportAllocs()
 	cpu := cpuTime()
@@ -78,10 +78,10 @@
 		key := fmt.Sprintf("bench-%d", n)
 		begun := time.Now()
 		if hosts == 0 {
-			post(b, client, c.execURLs[0]+"/v1/run", body,
-				exec.HeaderTerm, fmt.Sprint(c.execs[0].Term()), exec.HeaderKey, key, exec.HeaderAttempt, "1")
+			post(b, client, c.ExecURLs[0]+"/v1/run", body,
+				exec.HeaderTerm, fmt.Sprint(c.Execs[0].Term()), exec.HeaderKey, key, exec.HeaderAttempt, "1")
 		} else {
-			post(b, client, c.urls[int(n)%hosts]+"/v1/requests/s", body,
+			post(b, client, c.URLs[int(n)%hosts]+"/v1/requests/s", body,
 				caller.HeaderKey, key, caller.HeaderCustomer, "c", caller.HeaderClass, string(hoist.Quick))
 		}
 		took = append(took, time.Since(begun))
@@ -107,25 +107,24 @@
 
 func openWatches(b *testing.B, n int) float64 {
 	release := make(chan struct{})
-	c := newCell(b, 1, time.Second, func(key hoist.RequestKey) time.Duration {
+	c := start(b, local.Options{Hosts: 1, Slots: 64, DrainTime: time.Second, ServiceTime: func(key hoist.RequestKey) time.Duration {
 		if key[0] == 'w' {
 			<-release
 		}
 		return 0
-	}, 64)
-	c.waitReady(b)
+	}})
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}
 	before := memory()
 	var open sync.WaitGroup
 	for i := range n {
 		open.Go(func() {
-			post(b, client, c.urls[0]+"/v1/requests/s", nil, caller.HeaderKey, fmt.Sprintf("w%d", i),
+			post(b, client, c.URLs[0]+"/v1/requests/s", nil, caller.HeaderKey, fmt.Sprintf("w%d", i),
 				caller.HeaderCustomer, "c", caller.HeaderClass, string(hoist.Watch), caller.HeaderTimeout, "3600000")
 		})
 	}
 	waitFor(b, "watches", func() bool {
 		running := 0
-		for _, e := range c.execs {
+		for _, e := range c.Execs {
 			for key := range e.Runs() {
 				if key[0] == 'w' {
 					running++
--- a/internal/core/route/halfopen_test.go
+++ b/internal/core/route/halfopen_test.go
@@ -1,4 +1,4 @@
-package route
+package route_test
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/execd"
 	"fuchsiahoist.example/hoist/internal/fake/relay"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
@@ -25,7 +27,7 @@
 
 // farm is a router with executors behind relays.
 type farm struct {
-	router *Router
+	router *route.Router
 	execs  []*execd.Executor
 	relays []*relay.Relay
 	listed []hoist.Listed
@@ -50,7 +52,7 @@
 		f.execs, f.relays = append(f.execs, e), append(f.relays, r)
 		f.listed = append(f.listed, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Addr: "http://" + addr, Service: "s"})
 	}
-	f.router = &Router{Own: solo{}, HostList: f, Clock: clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
+	f.router = &route.Router{Own: solo{}, HostList: f, Clock: cell.Clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
 		return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 	}}
 	var all []hoist.ShardTerm
--- a/internal/core/route/overload_test.go
+++ b/internal/core/route/overload_test.go
@@ -1,4 +1,4 @@
-package route
+package route_test
 
 import (
 	"context"
@@ -9,6 +9,8 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/fake/cell"
 )
 
 // overload counts the answers to a load.
@@ -20,7 +22,7 @@
 	atOnce int
 }
 
-func (o *overload) add(t *testing.T, c *cell, req hoist.Request, a hoist.Answer) {
+func (o *overload) add(t *testing.T, c *cell.Cell, req hoist.Request, a hoist.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.outcomes[a.Outcome]++
@@ -35,24 +37,11 @@
 	if a.RetryAfter <= 0 {
 		t.Errorf("%s: refused without a hint: %s", req.Key, a.Reason)
 	}
-	if n := c.runs(req.Key); n != 0 {
+	if n := c.Runs(req.Key); n != 0 {
 		t.Errorf("%s: refused after %d runs", req.Key, n)
 	}
 }
 
-// waiting counts the requests that wait at a host.
-func (h *host) waiting() int {
-	h.router.mu.Lock()
-	defer h.router.mu.Unlock()
-	n := 0
-	for _, q := range h.router.queues {
-		for _, class := range classes {
-			n += q.Len(class)
-		}
-	}
-	return n
-}
-
 // TestOverload guards against queues that grow with the load, and against
 // refusals that come late, untrue, or without a hint, at ten and fifty times the
 // capacity of 120 requests a second.
@@ -67,21 +56,21 @@
 		limit, atLeastDone, atLeastAtOnce int
 	}{
 		{hoist.Quick, time.Second, 12, 6000, 1200, 300, 2000},
-		{hoist.Patient, 10 * time.Second, 60, 24000, 3 * queuePerCustomer, 1000, 5000},
+		{hoist.Patient, 10 * time.Second, 60, 24000, 3 * route.QueuePerCustomer, 1000, 5000},
 	} {
 		t.Run(string(tc.class), func(t *testing.T) {
 			o := &overload{outcomes: make(map[hoist.Outcome]int)}
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				c := newCell(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 100 * time.Millisecond })
+				c := cell.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 100 * time.Millisecond })
 				time.Sleep(2 * time.Second)
 				var wg sync.WaitGroup
 				for i := range tc.count {
 					if i%tc.perTick == 0 {
 						time.Sleep(10 * time.Millisecond)
 						waiting := 0
-						for _, h := range c.hosts {
-							waiting += h.waiting()
+						for _, h := range c.Hosts {
+							waiting += h.Router.Waiting()
 						}
 						o.maxWaiting = max(o.maxWaiting, waiting)
 					}
@@ -90,7 +79,7 @@
 						IssuedAt: time.Now(), Deadline: time.Now().Add(tc.timeout),
 					}
 					wg.Go(func() {
-						a, _ := c.hosts[i%3].router.Submit(ctx, req)
+						a, _ := c.Hosts[i%3].Router.Submit(ctx, req)
 						o.add(t, c, req, a)
 					})
 				}
--- a/internal/core/route/promise_test.go
+++ b/internal/core/route/promise_test.go
@@ -1,4 +1,4 @@
-package route
+package route_test
 
 import (
 	"context"
@@ -12,6 +12,8 @@
 	"pgregory.net/rapid"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 )
 
@@ -81,24 +83,15 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-// runs counts the starts of a key at all executors.
-func (c *cell) runs(key hoist.RequestKey) int {
-	n := 0
-	for _, e := range c.execs {
-		n += e.Runs()[key]
-	}
-	return n
-}
-
 // play runs a scenario in a bubble and returns what it broke.
-func (s scenario) play(c *cell, o *observed) {
+func (s scenario) play(c *cell.Cell, o *observed) {
 	var wg sync.WaitGroup
 	time.Sleep(2 * time.Second)
 	for i, j := range s.Jobs {
 		wg.Go(func() { time.Sleep(j.At); act(c, o, hoist.RequestKey(fmt.Sprintf("k%d", i)), j) })
 	}
 	for _, f := range s.Faults {
-		wg.Go(func() { time.Sleep(f.At); c.inject(f) })
+		wg.Go(func() { time.Sleep(f.At); inject(c, f) })
 	}
 	wg.Wait()
 	time.Sleep(30 * time.Second)
@@ -106,28 +99,28 @@
 	assertSlotsFree(c, o)
 }
 
-func (c *cell) inject(f fault) {
-	h, e := c.hosts[f.On], c.execs[f.On]
+func inject(c *cell.Cell, f fault) {
+	h, e := c.Hosts[f.On], c.Execs[f.On]
 	switch f.Kind {
 	case "kill":
 		// Two hosts stay, as a cell without hosts answers nothing.
 		if f.On == 0 {
-			c.kill(h)
+			c.Kill(h)
 		}
 	case "lapse":
 		if f.On == 1 {
-			c.lapse(h, 2*time.Second)
+			c.Lapse(h, 2*time.Second)
 		}
 	case "handover":
-		c.handOver(h, c.hosts[(f.On+1)%3])
+		c.HandOver(h, c.Hosts[(f.On+1)%3])
 	case "restart":
 		e.Restart()
 	case "table down":
-		c.table.SetTableFault(plat.Fault{Down: true})
+		c.Table.SetTableFault(plat.Fault{Down: true})
 		time.Sleep(3 * time.Second)
-		c.table.SetTableFault(plat.Fault{})
+		c.Table.SetTableFault(plat.Fault{})
 	case "table loses":
-		c.table.SetTableFault(plat.Fault{LoseAnswers: 5})
+		c.Table.SetTableFault(plat.Fault{LoseAnswers: 5})
 	case "leave":
 		e.SetLeaving(true)
 		time.Sleep(5 * time.Second)
@@ -136,7 +129,7 @@
 }
 
 // act is a caller that keeps the rules of docs/callers.md.
-func act(c *cell, o *observed, key hoist.RequestKey, j job) {
+func act(c *cell.Cell, o *observed, key hoist.RequestKey, j job) {
 	req := hoist.Request{
 		Key: key, Customer: "c", Service: "s", Class: hoist.Quick, Idempotent: j.Idempotent,
 		FirstTry: true, IssuedAt: time.Now(), Body: []byte(key), NoWait: j.Polls,
@@ -144,10 +137,10 @@
 	for try := range 8 {
 		req.Deadline = time.Now().Add(j.Timeout)
 		ctx, cancel := context.WithTimeout(context.Background(), j.Patience)
-		h := c.hosts[(j.Host+try)%3]
-		answer := refuse(key, hoist.NotRun, "no connection")
-		if h.isUp() {
-			answer, _ = h.router.Submit(ctx, req)
+		h := c.Hosts[(j.Host+try)%3]
+		answer := hoist.Answer{Outcome: hoist.NotRun, Reason: "no connection"}
+		if h.IsUp() {
+			answer, _ = h.Router.Submit(ctx, req)
 		} else if !req.FirstTry {
 			answer.Outcome = hoist.Unknown
 		}
@@ -160,7 +153,7 @@
 			assertAnswer(c, o, answer, req)
 			return
 		case hoist.NotRun:
-			if n := c.runs(key); n != 0 {
+			if n := c.Runs(key); n != 0 {
 				o.violate("%s: told not run (%s) after %d runs", key, answer.Reason, n)
 			}
 			if !j.Reissues {
@@ -178,25 +171,25 @@
 }
 
 // poll asks any host that is up for the end of an accepted request.
-func poll(c *cell, o *observed, req hoist.Request, j job) {
+func poll(c *cell.Cell, o *observed, req hoist.Request, j job) {
 	ctx := context.Background()
 	for try := range 200 {
-		h := c.hosts[(j.Host+try)%3]
-		if !h.isUp() {
+		h := c.Hosts[(j.Host+try)%3]
+		if !h.IsUp() {
 			continue
 		}
-		if _, err := h.router.Poll(ctx, "other", req.Key); !errors.Is(err, hoist.ErrNotFound) && !errors.Is(err, hoist.ErrUnavailable) {
+		if _, err := h.Router.Poll(ctx, "other", req.Key); !errors.Is(err, hoist.ErrNotFound) && !errors.Is(err, hoist.ErrUnavailable) {
 			o.violate("%s: another customer sees it: %v", req.Key, err)
 		}
-		if err := h.router.Cancel(ctx, "other", req.Key); err == nil {
+		if err := h.Router.Cancel(ctx, "other", req.Key); err == nil {
 			o.violate("%s: another customer cancels it", req.Key)
 		}
-		if j.Cancels && h.router.Cancel(ctx, "c", req.Key) == nil {
+		if j.Cancels && h.Router.Cancel(ctx, "c", req.Key) == nil {
 			o.mu.Lock()
 			o.notRun[req.Key] = true
 			o.mu.Unlock()
 		}
-		answer, err := h.router.Poll(ctx, "c", req.Key)
+		answer, err := h.Router.Poll(ctx, "c", req.Key)
 		switch {
 		case errors.Is(err, hoist.ErrUnavailable):
 		case err != nil:
@@ -218,11 +211,11 @@
 }
 
 // assertAnswer checks that a caller got the whole answer to its own request.
-func assertAnswer(c *cell, o *observed, a hoist.Answer, r hoist.Request) {
+func assertAnswer(c *cell.Cell, o *observed, a hoist.Answer, r hoist.Request) {
 	if want := "checked " + string(r.Key) + ": " + string(r.Body); a.Key != r.Key || string(a.Body) != want {
 		o.violate("%s: answer %q for %q", r.Key, a.Body, a.Key)
 	}
-	if n := c.runs(r.Key); n != 1 {
+	if n := c.Runs(r.Key); n != 1 {
 		o.violate("%s: done after %d runs", r.Key, n)
 	}
 	o.mu.Lock()
@@ -231,10 +224,10 @@
 }
 
 // assertPromises checks what must hold when all is quiet.
-func assertPromises(c *cell, o *observed, jobs int) {
+func assertPromises(c *cell.Cell, o *observed, jobs int) {
 	for i := range jobs {
 		key := hoist.RequestKey(fmt.Sprintf("k%d", i))
-		n := c.runs(key)
+		n := c.Runs(key)
 		if n > 1 {
 			o.violate("%s: ran %d times", key, n)
 		}
@@ -242,7 +235,7 @@
 			o.violate("%s: ran after the caller was told not run", key)
 		}
 	}
-	for _, e := range c.execs {
+	for _, e := range c.Execs {
 		if e.MaxInFlight() > e.Slots {
 			o.violate("%s: ran %d in %d slots", e.ID, e.MaxInFlight(), e.Slots)
 		}
@@ -250,14 +243,14 @@
 }
 
 // assertSlotsFree checks that every slot is free again when all is quiet.
-func assertSlotsFree(c *cell, o *observed) {
+func assertSlotsFree(c *cell.Cell, o *observed) {
 	free, want := 0, 0
-	for _, e := range c.execs {
+	for _, e := range c.Execs {
 		want += e.Slots
 	}
-	for _, h := range c.hosts {
-		if h.isUp() {
-			for _, s := range h.router.Slots() {
+	for _, h := range c.Hosts {
+		if h.IsUp() {
+			for _, s := range h.Router.Slots() {
 				free += s.Quick
 			}
 		}
@@ -272,7 +265,7 @@
 	o := &observed{notRun: make(map[hoist.RequestKey]bool), done: make(map[hoist.RequestKey]bool)}
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCell(ctx, s.Seed, s.Slow, func(key hoist.RequestKey) time.Duration {
+		c := cell.New(ctx, s.Seed, s.Slow, func(key hoist.RequestKey) time.Duration {
 			return time.Duration(1+hoist.DigestOf([]byte(key))%1500) * time.Millisecond
 		})
 		s.play(c, o)
@@ -341,24 +334,24 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				c := newCell(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 2500 * time.Millisecond })
+				c := cell.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 2500 * time.Millisecond })
 				time.Sleep(2 * time.Second)
 				req := hoist.Request{
 					Key: "k", Customer: "c", Service: "s", Class: hoist.Quick, IssuedAt: time.Now(),
 					Deadline: time.Now().Add(time.Minute), Body: []byte("k"),
 				}
-				go func(r hoist.Request) { _, _ = c.hosts[0].router.Submit(ctx, r) }(req)
+				go func(r hoist.Request) { _, _ = c.Hosts[0].Router.Submit(ctx, r) }(req)
 				time.Sleep(100 * time.Millisecond)
 				tc.change(&req)
 				begun := time.Now()
-				answer, err := c.hosts[1].router.Submit(ctx, req)
+				answer, err := c.Hosts[1].Router.Submit(ctx, req)
 				if answer.Outcome != tc.outcome || !errors.Is(err, tc.err) {
 					t.Errorf("outcome %q, error %v", answer.Outcome, err)
 				}
 				if took := time.Since(begun); took > tc.within {
 					t.Errorf("answered after %s", took)
 				}
-				if n := c.runs(req.Key); n != tc.runs {
+				if n := c.Runs(req.Key); n != tc.runs {
 					t.Errorf("ran %d times", n)
 				}
 				cancel()
@@ -372,15 +365,15 @@
 func TestLargeAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCell(ctx, 0, 0, nil)
+		c := cell.New(ctx, 0, 0, nil)
 		time.Sleep(2 * time.Second)
 		req := hoist.Request{
 			Key: "k/1", Customer: "c", Service: "s", Class: hoist.Patient, NoWait: true, FirstTry: true,
-			IssuedAt: time.Now(), Deadline: time.Now().Add(time.Minute), Body: make([]byte, 2*maxRowBody),
+			IssuedAt: time.Now(), Deadline: time.Now().Add(time.Minute), Body: make([]byte, 2*route.MaxRowBody),
 		}
 		o := &observed{done: make(map[hoist.RequestKey]bool)}
 		for _, want := range []hoist.Outcome{hoist.Accepted, hoist.Accepted} {
-			if a, err := c.hosts[0].router.Submit(ctx, req); err != nil || a.Outcome != want {
+			if a, err := c.Hosts[0].Router.Submit(ctx, req); err != nil || a.Outcome != want {
 				t.Errorf("submit: %v %v", a.Outcome, err)
 			}
 		}
@@ -390,7 +383,7 @@
 		}
 		other := req
 		other.Body = nil
-		if _, err := c.hosts[1].router.Submit(ctx, other); !errors.Is(err, hoist.ErrInvalid) {
+		if _, err := c.Hosts[1].Router.Submit(ctx, other); !errors.Is(err, hoist.ErrInvalid) {
 			t.Errorf("another request under the key: %v", err)
 		}
 		cancel()
--- a/internal/core/route/cell_test.go
+++ b/internal/fake/cell/cell.go
@@ -1,4 +1,13 @@
-package route
+// Package cell is a stand-in for the cell around routers: three hosts with a
+// router each, executors, a table, and a network that loses and delays messages.
+// It opens no socket, so that it can run in a bubble with fake time.
+//
+// # Usage
+//
+//	c := cell.New(ctx, seed, 20, serviceTime)
+//	c.Kill(c.Hosts[0])
+//	runs := c.Runs(key)
+package cell
 
 import (
 	"context"
@@ -7,35 +16,40 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/route"
 	"fuchsiahoist.example/hoist/internal/decide/dedup"
 	"fuchsiahoist.example/hoist/internal/fake/execd"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 )
 
-// clock is the clock of the bubble.
-type clock struct{}
+// Clock is the system clock, or that of a bubble.
+type Clock struct{}
 
-func (clock) Now() time.Time { return time.Now() }
+// Now implements hoist.Clock.
+func (Clock) Now() time.Time { return time.Now() }
 
-// cell is a cell of routers over fakes. Faults of messages follow from a seed
+// Cell is a cell of routers over fakes. Faults of messages follow from a seed
 // and the message, so that a scenario does not depend on the order of goroutines.
-type cell struct {
+type Cell struct {
 	seed  uint64
 	slow  int // messages out of 100 that are late or lost
 	mu    sync.Mutex
 	sent  map[string]int
 	term  [hoist.NumShards]hoist.Term
 	owner [hoist.NumShards]hoist.HostID
-	hosts []*host
-	table *plat.Platform
-	execs []*execd.Executor
+	// Hosts are the entry hosts.
+	Hosts []*Host
+	// Table is the platform of all hosts.
+	Table *plat.Platform
+	// Execs are the executors.
+	Execs []*execd.Executor
 }
 
-// host is one entry host; it is the hoist.Ownership of its router.
-type host struct {
-	cell     *cell
-	id       hoist.HostID
-	router   *Router
+// Host is one entry host; it is the hoist.Ownership of its router.
+type Host struct {
+	cell     *Cell
+	ID       hoist.HostID
+	Router   *route.Router
 	isDead   bool
 	isGone   bool // fenced in the table
 	isLapsed bool
@@ -45,54 +59,55 @@
 	stop     context.CancelFunc
 }
 
-func newCell(ctx context.Context, seed uint64, slow int, service func(hoist.RequestKey) time.Duration) *cell {
-	c := &cell{seed: seed, slow: slow, sent: make(map[string]int), table: &plat.Platform{}}
+// New starts a cell. Of 100 messages slow are late or lost.
+func New(ctx context.Context, seed uint64, slow int, service func(hoist.RequestKey) time.Duration) *Cell {
+	c := &Cell{seed: seed, slow: slow, sent: make(map[string]int), Table: &plat.Platform{}}
 	for i := range 3 {
-		c.execs = append(c.execs, &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 4, ServiceTime: service})
+		c.Execs = append(c.Execs, &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 4, ServiceTime: service})
 	}
 	for i := range 3 {
-		h := &host{cell: c, id: hoist.HostID(fmt.Sprintf("h%d", i))}
-		h.router = &Router{Own: h, HostList: c, Table: c.table, Store: c.table, Clock: clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
-			for _, e := range c.execs {
+		h := &Host{cell: c, ID: hoist.HostID(fmt.Sprintf("h%d", i))}
+		h.Router = &route.Router{Own: h, HostList: c, Table: c.Table, Store: c.Table, Clock: Clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
+			for _, e := range c.Execs {
 				if string(e.ID) == l.ID {
 					return &cable{Executor: e, cell: c, from: h}
 				}
 			}
 			return nil
 		}}
-		c.hosts = append(c.hosts, h)
+		c.Hosts = append(c.Hosts, h)
 	}
-	for _, h := range c.hosts {
+	for _, h := range c.Hosts {
 		var run context.Context
 		run, h.stop = context.WithCancel(ctx)
-		go h.router.Run(run)
+		go h.Router.Run(run)
 		go h.beat(run)
 	}
 	for s := range hoist.NumShards {
-		c.move([]hoist.ShardID{hoist.ShardID(s)}, c.hosts[s%3], nil, time.Now())
+		c.move([]hoist.ShardID{hoist.ShardID(s)}, c.Hosts[s%3], nil, time.Now())
 	}
 	return c
 }
 
 // List implements hoist.HostList.
-func (c *cell) List(context.Context) ([]hoist.Listed, error) {
+func (c *Cell) List(context.Context) ([]hoist.Listed, error) {
 	var out []hoist.Listed
-	for _, e := range c.execs {
+	for _, e := range c.Execs {
 		out = append(out, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Service: "s"})
 	}
 	return out, nil
 }
 
 // move makes to the owner of shards in the next term.
-func (c *cell) move(shards []hoist.ShardID, to *host, keys []hoist.KeyRecord, horizon time.Time) {
+func (c *Cell) move(shards []hoist.ShardID, to *Host, keys []hoist.KeyRecord, horizon time.Time) {
 	var terms []hoist.ShardTerm
 	c.mu.Lock()
 	for _, s := range shards {
 		c.term[s]++
-		c.owner[s] = to.id
+		c.owner[s] = to.ID
 		to.active[s], to.seen[s] = c.term[s], c.term[s]
 		terms = append(terms, hoist.ShardTerm{Shard: s, Term: c.term[s]})
-		for i, h := range c.hosts {
+		for i, h := range c.Hosts {
 			// One host in four misses the announcement and reads the table later.
 			if h != to && int(s+hoist.ShardID(i))%4 == 0 {
 				time.AfterFunc(1300*time.Millisecond, func() { h.learn(s) })
@@ -102,26 +117,26 @@
 		}
 	}
 	c.mu.Unlock()
-	to.router.Acquire(terms, keys, horizon)
+	to.Router.Acquire(terms, keys, horizon)
 }
 
-func (h *host) learn(s hoist.ShardID) {
+func (h *Host) learn(s hoist.ShardID) {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
 	h.learnLocked(s)
 }
 
-func (h *host) learnLocked(s hoist.ShardID) {
+func (h *Host) learnLocked(s hoist.ShardID) {
 	h.view[s] = h.cell.owner[s]
 	h.seen[s] = max(h.seen[s], h.cell.term[s])
 }
 
-func (c *cell) ownedBy(h *host) []hoist.ShardID {
+func (c *Cell) ownedBy(h *Host) []hoist.ShardID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []hoist.ShardID
 	for s, owner := range c.owner {
-		if owner == h.id {
+		if owner == h.ID {
 			out = append(out, hoist.ShardID(s))
 		}
 	}
@@ -129,13 +144,13 @@
 }
 
 // takeOver moves the shards of a lapsed host to the others.
-func (c *cell) takeOver(from *host) {
+func (c *Cell) takeOver(from *Host) {
 	c.mu.Lock()
 	from.isGone = true
 	c.mu.Unlock()
 	for _, s := range c.ownedBy(from) {
-		for i := range c.hosts {
-			to := c.hosts[(int(s)+i)%len(c.hosts)]
+		for i := range c.Hosts {
+			to := c.Hosts[(int(s)+i)%len(c.Hosts)]
 			c.mu.Lock()
 			isLive := to != from && !to.isDead && !to.isLapsed
 			c.mu.Unlock()
@@ -147,8 +162,8 @@
 	}
 }
 
-// handOver moves half of the shards of a host to another as planned.
-func (c *cell) handOver(from, to *host) {
+// HandOver moves half of the shards of a host to another as planned.
+func (c *Cell) HandOver(from, to *Host) {
 	var shards []hoist.ShardID
 	c.mu.Lock()
 	for s := range from.active {
@@ -159,13 +174,13 @@
 	}
 	c.mu.Unlock()
 	horizon := time.Now()
-	keys := from.router.Release(shards)
+	keys := from.Router.Release(shards)
 	time.Sleep(30 * time.Millisecond)
 	c.move(shards, to, keys, horizon)
 }
 
-// lapse ends the lease of a host until it comes back without shards.
-func (c *cell) lapse(h *host, back time.Duration) {
+// Lapse ends the lease of a host until it comes back without shards.
+func (c *Cell) Lapse(h *Host, back time.Duration) {
 	c.mu.Lock()
 	wasLapsed := h.isLapsed
 	h.isLapsed = true
@@ -186,13 +201,14 @@
 		h.learnLocked(hoist.ShardID(s))
 	}
 	c.mu.Unlock()
-	h.router.Release(lost)
+	h.Router.Release(lost)
 	c.mu.Lock()
 	h.isLapsed, h.isGone = false, false
 	c.mu.Unlock()
 }
 
-func (c *cell) kill(h *host) {
+// Kill ends a host, whose shards the others take over.
+func (c *Cell) Kill(h *Host) {
 	c.mu.Lock()
 	h.isDead = true
 	c.mu.Unlock()
@@ -203,9 +219,9 @@
 
 // fate decides what becomes of a message: how long it takes, and whether it or
 // its answer is lost.
-func (c *cell) fate(from *host, kind string, key hoist.RequestKey) (delay time.Duration, isLost, isAnswerLost bool) {
+func (c *Cell) fate(from *Host, kind string, key hoist.RequestKey) (delay time.Duration, isLost, isAnswerLost bool) {
 	c.mu.Lock()
-	id := fmt.Sprintf("%d/%s/%s/%s", c.seed, from.id, kind, key)
+	id := fmt.Sprintf("%d/%s/%s/%s", c.seed, from.ID, kind, key)
 	c.sent[id]++
 	id = fmt.Sprintf("%s/%d", id, c.sent[id])
 	c.mu.Unlock()
@@ -225,7 +241,7 @@
 
 // carry takes a call over the network. Lost messages look like a half-open
 // connection: nothing comes back until the caller gives up or 3 s have passed.
-func carry(ctx context.Context, c *cell, from *host, kind string, key hoist.RequestKey, isUp func() bool,
+func carry(ctx context.Context, c *Cell, from *Host, kind string, key hoist.RequestKey, isUp func() bool,
 	call func(context.Context) (hoist.Answer, error),
 ) (hoist.Answer, error) {
 	delay, isLost, isAnswerLost := c.fate(from, kind, key)
@@ -234,7 +250,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second+delay)
 	defer cancel()
-	out := make(chan result, 1)
+	out := make(chan reply, 1)
 	go func() {
 		time.Sleep(delay)
 		if isLost || !isUp() {
@@ -242,7 +258,7 @@
 		}
 		answer, err := call(context.WithoutCancel(ctx))
 		if !isAnswerLost && isUp() {
-			out <- result{answer: answer, err: err}
+			out <- reply{answer, err}
 		}
 	}()
 	select {
@@ -253,24 +269,30 @@
 	}
 }
 
+// reply is what came back of a message.
+type reply struct {
+	answer hoist.Answer
+	err    error
+}
+
 // cable is the network between a host and an executor.
 type cable struct {
 	*execd.Executor
-	cell *cell
-	from *host
+	cell *Cell
+	from *Host
 }
 
 func (w *cable) Run(ctx context.Context, term hoist.Term, a hoist.Attempt) (hoist.Answer, error) {
 	// A connection ends with the process that accepted it.
 	process := w.Process()
-	isUp := func() bool { return w.from.isUp() && w.Process() == process }
+	isUp := func() bool { return w.from.IsUp() && w.Process() == process }
 	return carry(ctx, w.cell, w.from, "run", a.Request.Key, isUp, func(ctx context.Context) (hoist.Answer, error) {
 		return w.Executor.Run(ctx, term, a)
 	})
 }
 
 func (w *cable) Settle(ctx context.Context, term hoist.Term, key hoist.RequestKey, no hoist.AttemptNo) (hoist.Answer, error) {
-	return carry(ctx, w.cell, w.from, "settle", key, w.from.isUp, func(ctx context.Context) (hoist.Answer, error) {
+	return carry(ctx, w.cell, w.from, "settle", key, w.from.IsUp, func(ctx context.Context) (hoist.Answer, error) {
 		return w.Executor.Settle(ctx, term, key, no)
 	})
 }
@@ -278,79 +300,81 @@
 // link is the network between two hosts.
 type link struct {
 	hoist.Peer
-	from, to *host
+	from, to *Host
 }
 
-func (l *link) isUp() bool { return l.from.isUp() && l.to.isUp() }
+func (l *link) IsUp() bool { return l.from.IsUp() && l.to.IsUp() }
 
 func (l *link) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
-	return carry(ctx, l.from.cell, l.from, "submit", r.Key, l.isUp, func(ctx context.Context) (hoist.Answer, error) {
-		return l.to.router.Coordinate(ctx, r)
+	return carry(ctx, l.from.cell, l.from, "submit", r.Key, l.IsUp, func(ctx context.Context) (hoist.Answer, error) {
+		return l.to.Router.Coordinate(ctx, r)
 	})
 }
 
 func (l *link) Dispatch(ctx context.Context, a hoist.Attempt) (hoist.Answer, error) {
-	return carry(ctx, l.from.cell, l.from, "dispatch", a.Request.Key, l.isUp, func(ctx context.Context) (hoist.Answer, error) {
-		return l.to.router.Dispatch(ctx, a)
+	return carry(ctx, l.from.cell, l.from, "dispatch", a.Request.Key, l.IsUp, func(ctx context.Context) (hoist.Answer, error) {
+		return l.to.Router.Dispatch(ctx, a)
 	})
 }
 
-func (h *host) isUp() bool {
+// IsUp reports whether the host has not been killed.
+func (h *Host) IsUp() bool {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
 	return !h.isDead
 }
 
 // beat tells the other hosts of free slots.
-func (h *host) beat(ctx context.Context) {
-	for pause(ctx, 500*time.Millisecond) {
-		for _, other := range h.cell.hosts {
-			if other != h && h.isUp() {
-				other.router.Heard(hoist.Heartbeat{Host: h.id, Slots: h.router.Slots()})
+func (h *Host) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(500 * time.Millisecond)
+		for _, other := range h.cell.Hosts {
+			if other != h && h.IsUp() {
+				other.Router.Heard(hoist.Heartbeat{Host: h.ID, Slots: h.Router.Slots()})
 			}
 		}
 	}
 }
 
 // Self implements hoist.Ownership.
-func (h *host) Self() hoist.HostID { return h.id }
+func (h *Host) Self() hoist.HostID { return h.ID }
 
 // Owns implements hoist.Ownership.
-func (h *host) Owns(s hoist.ShardID) (hoist.Term, bool) {
+func (h *Host) Owns(s hoist.ShardID) (hoist.Term, bool) {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
 	return h.active[s], h.active[s] != 0 && h.active[s] >= h.seen[s] && !h.isDead && !h.isLapsed
 }
 
 // OwnerOf implements hoist.Ownership.
-func (h *host) OwnerOf(s hoist.ShardID) (hoist.HostID, bool) {
+func (h *Host) OwnerOf(s hoist.ShardID) (hoist.HostID, bool) {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
 	return h.view[s], true
 }
 
 // Peer implements hoist.Ownership.
-func (h *host) Peer(id hoist.HostID) (hoist.Peer, bool) {
+func (h *Host) Peer(id hoist.HostID) (hoist.Peer, bool) {
 	p, ok := h.Peers()[id]
 	return p, ok
 }
 
 // Peers implements hoist.Ownership.
-func (h *host) Peers() map[hoist.HostID]hoist.Peer {
+func (h *Host) Peers() map[hoist.HostID]hoist.Peer {
 	out := make(map[hoist.HostID]hoist.Peer)
-	for _, other := range h.cell.hosts {
+	for _, other := range h.cell.Hosts {
 		h.cell.mu.Lock()
 		isGone := other.isGone
 		h.cell.mu.Unlock()
 		if other != h && !isGone {
-			out[other.id] = &link{from: h, to: other}
+			out[other.ID] = &link{from: h, to: other}
 		}
 	}
 	return out
 }
 
 // Accepts implements hoist.Ownership.
-func (h *host) Accepts(s hoist.ShardID, term hoist.Term) bool {
+func (h *Host) Accepts(s hoist.ShardID, term hoist.Term) bool {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
 	if term < h.seen[s] {
@@ -359,3 +383,12 @@
 	h.seen[s] = term
 	return true
 }
+
+// Runs counts the starts of a key at all executors.
+func (c *Cell) Runs(key hoist.RequestKey) int {
+	n := 0
+	for _, e := range c.Execs {
+		n += e.Runs()[key]
+	}
+	return n
+}
