Test that a leaving executor gets nothing new after 2 s

Cause: no test showed it. The stand-in's package had the name of another.

Change: a test sends work while the host list, or an executor's own word, says that it leaves, and counts the attempts sent to it afterwards. The stand-in of the network between routers is named internal/fake/simnet.

--- a/internal/core/route/halfopen_test.go
+++ b/internal/core/route/halfopen_test.go
@@ -11,9 +11,9 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/route"
-	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/execd"
 	"fuchsiahoist.example/hoist/internal/fake/relay"
+	"fuchsiahoist.example/hoist/internal/fake/simnet"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
 )
 
@@ -52,7 +52,7 @@
 		f.execs, f.relays = append(f.execs, e), append(f.relays, r)
 		f.listed = append(f.listed, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Addr: "http://" + addr, Service: "s"})
 	}
-	f.router = &route.Router{Own: solo{}, HostList: f, Clock: cell.Clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
+	f.router = &route.Router{Own: solo{}, HostList: f, Clock: simnet.Clock{}, DialExecutor: func(l hoist.Listed) hoist.Executor {
 		return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 	}}
 	var all []hoist.ShardTerm
--- a/internal/core/route/overload_test.go
+++ b/internal/core/route/overload_test.go
@@ -10,7 +10,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/route"
-	"fuchsiahoist.example/hoist/internal/fake/cell"
+	"fuchsiahoist.example/hoist/internal/fake/simnet"
 )
 
 // overload counts the answers to a load.
@@ -22,7 +22,7 @@
 	atOnce int
 }
 
-func (o *overload) add(t *testing.T, c *cell.Cell, req hoist.Request, a hoist.Answer) {
+func (o *overload) add(t *testing.T, c *simnet.Cell, req hoist.Request, a hoist.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.outcomes[a.Outcome]++
@@ -62,7 +62,7 @@
 			o := &overload{outcomes: make(map[hoist.Outcome]int)}
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				c := cell.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 100 * time.Millisecond })
+				c := simnet.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 100 * time.Millisecond })
 				time.Sleep(2 * time.Second)
 				var wg sync.WaitGroup
 				for i := range tc.count {
--- a/internal/core/route/promise_test.go
+++ b/internal/core/route/promise_test.go
@@ -13,8 +13,8 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/route"
-	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
+	"fuchsiahoist.example/hoist/internal/fake/simnet"
 )
 
 // fault is something that happens to a cell at a time.
@@ -84,7 +84,7 @@
 }
 
 // play runs a scenario in a bubble and returns what it broke.
-func (s scenario) play(c *cell.Cell, o *observed) {
+func (s scenario) play(c *simnet.Cell, o *observed) {
 	var wg sync.WaitGroup
 	time.Sleep(2 * time.Second)
 	for i, j := range s.Jobs {
@@ -99,7 +99,7 @@
 	assertSlotsFree(c, o)
 }
 
-func inject(c *cell.Cell, f fault) {
+func inject(c *simnet.Cell, f fault) {
 	h, e := c.Hosts[f.On], c.Execs[f.On]
 	switch f.Kind {
 	case "kill":
@@ -129,7 +129,7 @@
 }
 
 // act is a caller that keeps the rules of docs/callers.md.
-func act(c *cell.Cell, o *observed, key hoist.RequestKey, j job) {
+func act(c *simnet.Cell, o *observed, key hoist.RequestKey, j job) {
 	req := hoist.Request{
 		Key: key, Customer: "c", Service: "s", Class: hoist.Quick, Idempotent: j.Idempotent,
 		FirstTry: true, IssuedAt: time.Now(), Body: []byte(key), NoWait: j.Polls,
@@ -171,7 +171,7 @@
 }
 
 // poll asks any host that is up for the end of an accepted request.
-func poll(c *cell.Cell, o *observed, req hoist.Request, j job) {
+func poll(c *simnet.Cell, o *observed, req hoist.Request, j job) {
 	ctx := context.Background()
 	for try := range 200 {
 		h := c.Hosts[(j.Host+try)%3]
@@ -211,7 +211,7 @@
 }
 
 // assertAnswer checks that a caller got the whole answer to its own request.
-func assertAnswer(c *cell.Cell, o *observed, a hoist.Answer, r hoist.Request) {
+func assertAnswer(c *simnet.Cell, o *observed, a hoist.Answer, r hoist.Request) {
 	if want := "checked " + string(r.Key) + ": " + string(r.Body); a.Key != r.Key || string(a.Body) != want {
 		o.violate("%s: answer %q for %q", r.Key, a.Body, a.Key)
 	}
@@ -224,7 +224,7 @@
 }
 
 // assertPromises checks what must hold when all is quiet.
-func assertPromises(c *cell.Cell, o *observed, jobs int) {
+func assertPromises(c *simnet.Cell, o *observed, jobs int) {
 	for i := range jobs {
 		key := hoist.RequestKey(fmt.Sprintf("k%d", i))
 		n := c.Runs(key)
@@ -243,7 +243,7 @@
 }
 
 // assertSlotsFree checks that every slot is free again when all is quiet.
-func assertSlotsFree(c *cell.Cell, o *observed) {
+func assertSlotsFree(c *simnet.Cell, o *observed) {
 	free, want := 0, 0
 	for _, e := range c.Execs {
 		want += e.Slots
@@ -265,7 +265,7 @@
 	o := &observed{notRun: make(map[hoist.RequestKey]bool), done: make(map[hoist.RequestKey]bool)}
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := cell.New(ctx, s.Seed, s.Slow, func(key hoist.RequestKey) time.Duration {
+		c := simnet.New(ctx, s.Seed, s.Slow, func(key hoist.RequestKey) time.Duration {
 			return time.Duration(1+hoist.DigestOf([]byte(key))%1500) * time.Millisecond
 		})
 		s.play(c, o)
@@ -334,7 +334,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
-				c := cell.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 2500 * time.Millisecond })
+				c := simnet.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 2500 * time.Millisecond })
 				time.Sleep(2 * time.Second)
 				req := hoist.Request{
 					Key: "k", Customer: "c", Service: "s", Class: hoist.Quick, IssuedAt: time.Now(),
@@ -365,7 +365,7 @@
 func TestLargeAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := cell.New(ctx, 0, 0, nil)
+		c := simnet.New(ctx, 0, 0, nil)
 		time.Sleep(2 * time.Second)
 		req := hoist.Request{
 			Key: "k/1", Customer: "c", Service: "s", Class: hoist.Patient, NoWait: true, FirstTry: true,
@@ -390,3 +390,41 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestLeavingExecutor guards against work for an executor 2 s after the host
+// list or its own word said that it leaves, and against the loss of what it runs.
+func TestLeavingExecutor(t *testing.T) {
+	for name, leave := range map[string]func(*simnet.Cell){
+		"by the list":     func(c *simnet.Cell) { c.ListLeaving(c.Execs[0].ID) },
+		"by its own word": func(c *simnet.Cell) { c.Execs[0].SetLeaving(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				c := simnet.New(ctx, 0, 0, func(hoist.RequestKey) time.Duration { return 400 * time.Millisecond })
+				o := &observed{done: make(map[hoist.RequestKey]bool), notRun: make(map[hoist.RequestKey]bool)}
+				time.Sleep(2 * time.Second)
+				var wg sync.WaitGroup
+				before := 0
+				for i := range 100 {
+					switch i {
+					case 20:
+						leave(c)
+					case 60: // 2 s later
+						before = len(c.Execs[0].Runs()) + c.Execs[0].Late()
+					}
+					wg.Go(func() {
+						act(c, o, hoist.RequestKey(fmt.Sprintf("k%d", i)), job{Host: i % 3, Patience: time.Minute, Timeout: time.Minute})
+					})
+					time.Sleep(50 * time.Millisecond)
+				}
+				wg.Wait()
+				if now := len(c.Execs[0].Runs()) + c.Execs[0].Late(); now != before || before == 0 || len(o.done) != 100 {
+					t.Errorf("%d attempts sent before, %d after; %d of 100 done", before, now-before, len(o.done))
+				}
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/fake/execd/execd.go
+++ b/internal/fake/execd/execd.go
@@ -47,6 +47,7 @@
 	term     hoist.Term
 	leaving  bool
 	started  int
+	late     int
 	running  map[attemptID]struct{}
 	finished map[attemptID]finished
 	// ends lists the finished attempts, oldest first.
@@ -94,6 +95,13 @@
 	e.running, e.finished, e.refused, e.ends = nil, nil, nil, nil
 }
 
+// Late returns how many attempts were sent here while the executor was leaving.
+func (e *Executor) Late() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.late
+}
+
 // Process returns the number of the process, which Restart raises.
 func (e *Executor) Process() int {
 	e.mu.Lock()
@@ -208,6 +216,7 @@
 		return 0, merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("attempt %d of %q was settled as not run", id.no, id.key))
 	}
 	if e.leaving {
+		e.late++
 		return 0, merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("executor %s", e.ID))
 	}
 	if len(e.running) >= e.Slots {
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/simnet/simnet.go
@@ -1,13 +1,13 @@
-// Package cell is a stand-in for the cell around routers: three hosts with a
+// Package simnet is a stand-in for the cell around routers: three hosts with a
 // router each, executors, a table, and a network that loses and delays messages.
 // It opens no socket, so that it can run in a bubble with fake time.
 //
 // # Usage
 //
-//	c := cell.New(ctx, seed, 20, serviceTime)
+//	c := simnet.New(ctx, seed, 20, serviceTime)
 //	c.Kill(c.Hosts[0])
 //	runs := c.Runs(key)
-package cell
+package simnet
 
 import (
 	"context"
@@ -31,12 +31,14 @@
 // Cell is a cell of routers over fakes. Faults of messages follow from a seed
 // and the message, so that a scenario does not depend on the order of goroutines.
 type Cell struct {
-	seed  uint64
-	slow  int // messages out of 100 that are late or lost
-	mu    sync.Mutex
-	sent  map[string]int
-	term  [hoist.NumShards]hoist.Term
-	owner [hoist.NumShards]hoist.HostID
+	seed uint64
+	slow int // messages out of 100 that are late or lost
+	mu   sync.Mutex
+	sent map[string]int
+	// leaving holds the executors that the host list says to be leaving.
+	leaving map[hoist.ExecutorID]bool
+	term    [hoist.NumShards]hoist.Term
+	owner   [hoist.NumShards]hoist.HostID
 	// Hosts are the entry hosts.
 	Hosts []*Host
 	// Table is the platform of all hosts.
@@ -61,7 +63,7 @@
 
 // New starts a cell. Of 100 messages slow are late or lost.
 func New(ctx context.Context, seed uint64, slow int, service func(hoist.RequestKey) time.Duration) *Cell {
-	c := &Cell{seed: seed, slow: slow, sent: make(map[string]int), Table: &plat.Platform{}}
+	c := &Cell{seed: seed, slow: slow, sent: make(map[string]int), leaving: make(map[hoist.ExecutorID]bool), Table: &plat.Platform{}}
 	for i := range 3 {
 		c.Execs = append(c.Execs, &execd.Executor{ID: hoist.ExecutorID(fmt.Sprintf("e%d", i)), Slots: 4, ServiceTime: service})
 	}
@@ -91,13 +93,22 @@
 
 // List implements hoist.HostList.
 func (c *Cell) List(context.Context) ([]hoist.Listed, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var out []hoist.Listed
 	for _, e := range c.Execs {
-		out = append(out, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Service: "s"})
+		out = append(out, hoist.Listed{Kind: hoist.ListedExecutor, ID: string(e.ID), Service: "s", Leaving: c.leaving[e.ID]})
 	}
 	return out, nil
 }
 
+// ListLeaving makes the host list say that an executor is leaving.
+func (c *Cell) ListLeaving(id hoist.ExecutorID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving[id] = true
+}
+
 // move makes to the owner of shards in the next term.
 func (c *Cell) move(shards []hoist.ShardID, to *Host, keys []hoist.KeyRecord, horizon time.Time) {
 	var terms []hoist.ShardTerm
