--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -18,6 +18,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 
+	"fuchsiahoist.example/hoist/internal/decide/config"
 	"fuchsiahoist.example/hoist/internal/tool/demo"
 )
 
@@ -28,8 +29,15 @@
 )
 
 type cli struct {
-	Demo demoCmd `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
-	Load loadCmd `cmd:"" help:"Compare policies over seeded loads."`
+	Config   configCmd   `cmd:"" help:"Look at and change the configuration."`
+	Job      jobCmd      `cmd:"" help:"Submit, look at and cancel jobs."`
+	Worker   workerCmd   `cmd:"" help:"Look at and drain workers."`
+	Executor executorCmd `cmd:"" help:"Look at and drain executors."`
+	Host     hostCmd     `cmd:"" help:"Look at the entry hosts."`
+	Report   reportCmd   `cmd:"" help:"Print a report."`
+	Demo     demoCmd     `cmd:"" help:"Run a small cell in this process, with failures, and check the outcome."`
+	Bench    benchCmd    `cmd:"" help:"Measure decisions on seeded input."`
+	Load     loadCmd     `cmd:"" help:"Compare policies over seeded loads."`
 }
 
 // demoCmd runs the demonstration.
@@ -37,6 +45,11 @@
 	Input string `help:"JSON Lines file of requests and jobs." type:"path" placeholder:"FILE"`
 	Seed  uint64 `help:"Seed of the service times." default:"1"`
 	Log   bool   `help:"Write the daemons' log to standard error."`
+	Serve bool   `help:"Start the cell, print its addresses and serve until interrupted."`
+	Hosts int    `help:"With --serve: number of daemons; 0 starts the stand-ins only." default:"3"`
+
+	Workers   int `help:"With --serve: number of workers." default:"6"`
+	Executors int `help:"With --serve: number of executors." default:"6"`
 }
 
 // errCheck reports a check that did not hold; the report names it.
@@ -55,6 +68,10 @@
 	if c.Log {
 		run.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
+	if c.Serve {
+		run.Hosts, run.Workers, run.Executors = c.Hosts, c.Workers, c.Executors
+		return run.Serve(ctx)
+	}
 	result, err := run.Do(ctx)
 	if err == nil && len(result.Violations) > 0 {
 		err = errCheck
@@ -93,8 +110,10 @@
 }
 
 func exitCode(err error) int {
-	if errors.Is(err, demo.ErrInput) {
-		return exitUsage
+	for _, kind := range []error{demo.ErrInput, config.ErrDocument, hoist.ErrInvalid} {
+		if errors.Is(err, kind) {
+			return exitUsage
+		}
 	}
 	return exitFailed
 }
--- a/cmd/hoistd/main.go
+++ b/cmd/hoistd/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"fuchsiahoist.example/hoist/internal/core/certs"
 	"fuchsiahoist.example/hoist/internal/core/daemon"
 	"fuchsiahoist.example/hoist/internal/core/params"
 	"fuchsiahoist.example/hoist/internal/peer/hosts"
@@ -58,7 +59,7 @@
 	}
 	if err := serve(p); err != nil {
 		fmt.Fprintln(os.Stderr, "hoistd:", err)
-		if errors.Is(err, params.ErrSettings) {
+		if errors.Is(err, certs.ErrFiles) {
 			return exitUsage
 		}
 		return exitFailed
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,11 +20,17 @@
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/certs"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/member"
+	"fuchsiahoist.example/hoist/internal/core/metric"
 	"fuchsiahoist.example/hoist/internal/core/params"
+	"fuchsiahoist.example/hoist/internal/core/report"
 	"fuchsiahoist.example/hoist/internal/core/route"
+	"fuchsiahoist.example/hoist/internal/core/spread"
 	"fuchsiahoist.example/hoist/internal/core/tasks"
+	"fuchsiahoist.example/hoist/internal/decide/config"
+	"fuchsiahoist.example/hoist/internal/peer/admin"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 	"fuchsiahoist.example/hoist/internal/peer/entry"
 	"fuchsiahoist.example/hoist/internal/peer/exec"
@@ -42,15 +49,21 @@
 	// Clock is the system clock if it is nil.
 	Clock hoist.Clock
 
-	members *member.Manager
-	router  *route.Router
-	tasks   *tasks.Manager
-	entry   net.Listener
-	caller  net.Listener
-	client  *http.Client
-	front   *caller.Server
-	stop    context.CancelFunc
-	running chan struct{}
+	members  *member.Manager
+	router   *route.Router
+	tasks    *tasks.Manager
+	spread   *spread.Keeper
+	recorder *report.Recorder
+	metrics  *metric.Set
+	cost     metric.Cost
+	entry    net.Listener
+	admin    net.Listener
+	certs    *certs.Files
+	caller   net.Listener
+	client   *http.Client
+	front    *caller.Server
+	stop     context.CancelFunc
+	running  chan struct{}
 }
 
 // SystemClock is the clock of the operating system.
@@ -64,17 +77,55 @@
 // Listen opens the host's addresses. The port 0 means any free port; EntryAddr
 // and CallerAddr tell which.
 func (d *Daemon) Listen() error {
-	var err error
+	if d.Clock == nil {
+		d.Clock = SystemClock{}
+	}
 	d.running = make(chan struct{})
-	d.entry, err = net.Listen("tcp", d.Params.EntryAddr)
-	if err != nil {
-		return merry.Prependf(err, "entry-addr %s", d.Params.EntryAddr)
+	if err := d.loadCerts(); err != nil {
+		return err
 	}
-	d.caller, err = net.Listen("tcp", d.Params.CallerAddr)
+	var err error
+	if d.entry, err = d.listen("entry-addr", d.Params.EntryAddr, true); err != nil {
+		return err
+	}
+	if d.caller, err = d.listen("caller-addr", d.Params.CallerAddr, false); err != nil {
+		return err
+	}
+	if d.Params.AdminAddr == "" {
+		return nil
+	}
+	d.admin, err = d.listen("admin-addr", d.Params.AdminAddr, false)
+	return err
+}
+
+func (d *Daemon) loadCerts() error {
+	if d.Params.PlainText {
+		return nil
+	}
+	t := d.Params.TLS
+	d.certs = &certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA, Clock: d.Clock}
+	return d.certs.Load()
+}
+
+// listen opens an address; with mutual, the other side needs a certificate.
+func (d *Daemon) listen(key, addr string, mutual bool) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return merry.Prependf(err, "caller-addr %s", d.Params.CallerAddr)
+		return nil, merry.Prependf(err, "%s %s", key, addr)
+	}
+	if d.certs != nil {
+		l = tls.NewListener(l, d.certs.Server(mutual))
 	}
-	return nil
+	return l, nil
+}
+
+// dialHost returns a client for another host.
+func (d *Daemon) dialHost(addr string) hoist.Peer {
+	c := &entry.Client{Addr: addr}
+	if d.certs != nil {
+		c.TLS = d.certs.Client
+	}
+	return c
 }
 
 // CallerAddr returns the address that callers connect to.
@@ -82,6 +133,15 @@
 	return d.caller.Addr().String()
 }
 
+// AdminAddr returns the address that operators connect to; it is empty if the
+// settings have none.
+func (d *Daemon) AdminAddr() string {
+	if d.admin == nil {
+		return ""
+	}
+	return d.admin.Addr().String()
+}
+
 // Run serves until ctx ends. It then leaves the balancer's health check, hands
 // over its shards, goes on accepting requests for the notice time, and returns
 // when no request is in flight or the drain time has passed.
@@ -101,6 +161,11 @@
 	hosts := start(&g, serving, (&entry.Server{Listener: d.entry, Peer: d}).Run)
 	g.Go(func() error { d.router.Run(serving); return nil })
 	g.Go(func() error { d.tasks.Run(serving); return nil })
+	g.Go(func() error { d.spread.Run(serving); return nil })
+	g.Go(func() error { d.deployLoop(serving); return nil })
+	if d.admin != nil {
+		g.Go(func() error { return d.console().Run(serving) })
+	}
 	g.Go(func() error {
 		defer d.members.Close()
 		defer stop()
@@ -167,9 +232,6 @@
 }
 
 func (d *Daemon) build() {
-	if d.Clock == nil {
-		d.Clock = SystemClock{}
-	}
 	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	d.members = &member.Manager{
 		Member: hoist.Member{
@@ -179,31 +241,61 @@
 			Weight:     d.Params.Cores,
 		},
 		Table:  d.Table,
-		Dial:   func(addr string) hoist.Peer { return &entry.Client{Addr: addr} },
+		Dial:   d.dialHost,
 		Clock:  d.Clock,
 		Log:    d.Log,
 		Beat:   d,
 		Settle: time.Duration(d.Params.Settle),
 	}
+	list := drainedList{d.HostList, d.document}
 	d.router = &route.Router{
-		Own: d.members, HostList: d.HostList, Clock: d.Clock, Log: d.Log, Table: d.Table, Store: d.Store,
+		Own: d.members, HostList: list, Clock: d.Clock, Log: d.Log, Table: d.Table, Store: d.Store,
 		DialExecutor: func(l hoist.Listed) hoist.Executor {
 			return exec.New(l.Addr, hoist.ExecutorID(l.ID))
 		},
 	}
 	d.tasks = &tasks.Manager{
-		Own: d.members, HostList: d.HostList, Table: d.Table, Clock: d.Clock, Log: d.Log,
+		Own: d.members, HostList: list, Table: d.Table, Clock: d.Clock, Log: d.Log,
 		DialWorker: func(l hoist.Listed) hoist.Worker {
 			return &worker.Client{REST: &rest.Client{BaseURL: l.Addr, HTTP: d.client}, ID: hoist.WorkerID(l.ID)}
 		},
 	}
-	d.front = &caller.Server{Listener: d.caller, Requests: d.router, Jobs: d.tasks, IsReady: d.members.IsReady}
+	d.front = &caller.Server{Listener: d.caller, Requests: observedRouter{d.router, d}, Jobs: checkedTasks{d.tasks, d.document}, IsReady: d.isReady, Access: d.Params.Access()}
+	d.spread = &spread.Keeper{
+		Own: d.members, Table: d.Table, Clock: d.Clock, Log: d.Log, Cell: d.tasks.Cell,
+		OnChange: d.applyConfig,
+	}
+	d.buildReports()
 	d.members.Holders = []hoist.ShardHolder{d.router, d.tasks}
 }
 
+// console returns the front for operators.
+func (d *Daemon) console() *admin.Server {
+	return &admin.Server{
+		Listener: d.admin, Service: operator{d}, Access: d.Params.Access(), Metrics: d.metrics.Handler(), Clock: d.Clock,
+	}
+}
+
+// document returns the configuration in force, or the defaults before there is
+// one.
+func (d *Daemon) document() config.Document {
+	if current := d.spread.Current(); current.Version > 0 {
+		return current.Document
+	}
+	return config.Default()
+}
+
+// isReady reports whether callers should be sent here: the host holds its lease
+// and knows the configuration.
+func (d *Daemon) isReady() bool {
+	return d.members.IsReady() && d.spread.IsKnown()
+}
+
 // Beat implements member.Beater.
 func (d *Daemon) Beat(h *hoist.Heartbeat) {
+	h.Config = d.spread.Current().Version
 	h.Workers = d.tasks.Workers()
+	h.Gang = d.tasks.Turn()
 	h.Slots = d.router.Slots()
 }
 
@@ -211,4 +303,5 @@
 func (d *Daemon) Heard(h hoist.Heartbeat) {
 	d.router.Heard(h)
 	d.tasks.Heard(h)
+	d.spread.Heard(h)
 }
--- a/internal/core/daemon/peer.go
+++ b/internal/core/daemon/peer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/ansel1/merry/v2"
-
 	hoist "fuchsiahoist.example/hoist"
 )
 
@@ -33,9 +31,8 @@
 }
 
 // Handover implements hoist.Peer.
-func (d *Daemon) Handover(_ context.Context, h hoist.Handover) error {
-	d.members.Handover(h)
-	return nil
+func (d *Daemon) Handover(ctx context.Context, h hoist.Handover) error {
+	return d.members.Handover(ctx, h)
 }
 
 // Submit implements hoist.Peer.
@@ -53,32 +50,47 @@
 	return d.tasks.Accept(ctx, s)
 }
 
+// CancelJob implements hoist.Peer.
+func (d *Daemon) CancelJob(ctx context.Context, ref hoist.JobRef) error {
+	return d.tasks.CancelOwn(ctx, ref)
+}
+
+// ShowJobs implements hoist.Peer.
+func (d *Daemon) ShowJobs(_ context.Context, team hoist.TeamID) ([]hoist.JobState, error) {
+	return d.tasks.ShowOwn(team)
+}
+
 // Reserve implements hoist.Peer.
-func (d *Daemon) Reserve(_ context.Context, p hoist.Placement) error {
-	return d.tasks.Reserve(p)
+func (d *Daemon) Reserve(ctx context.Context, ps []hoist.Placement) []error {
+	return d.tasks.Reserve(ctx, ps)
 }
 
 // Start implements hoist.Peer.
-func (d *Daemon) Start(ctx context.Context, p hoist.Placement) error {
-	return d.tasks.Start(ctx, p)
+func (d *Daemon) Start(ctx context.Context, ps []hoist.Placement) []error {
+	return d.tasks.Start(ctx, ps)
+}
+
+// Stop implements hoist.Peer.
+func (d *Daemon) Stop(ctx context.Context, ps []hoist.Placement, mode hoist.StopMode) []error {
+	return d.tasks.Stop(ctx, ps, mode)
 }
 
 // Unreserve implements hoist.Peer.
-func (d *Daemon) Unreserve(_ context.Context, p hoist.Placement) error {
-	return d.tasks.Unreserve(p)
+func (d *Daemon) Unreserve(ctx context.Context, ps []hoist.Placement) error {
+	return d.tasks.Unreserve(ctx, ps)
 }
 
 // TaskEnded implements hoist.Peer.
-func (d *Daemon) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
-	return d.tasks.TaskEnded(ctx, t)
+func (d *Daemon) TaskEnded(ctx context.Context, ends []hoist.WorkerTask) []error {
+	return d.tasks.TaskEnded(ctx, ends)
 }
 
 // Survey implements hoist.Peer.
-func (d *Daemon) Survey(_ context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
-	return d.tasks.Survey(shards), nil
+func (d *Daemon) Survey(_ context.Context, shards []hoist.ShardTerm) (hoist.SurveyReply, error) {
+	return d.tasks.Survey(shards)
 }
 
 // Config implements hoist.Peer.
 func (d *Daemon) Config(_ context.Context, version hoist.ConfigVersion) ([]byte, error) {
-	return nil, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("configuration version %d", version))
+	return d.spread.Config(version)
 }
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -40,13 +40,20 @@
 	Fenced         = register(105, slog.LevelError, "fenced by another host; starting a new epoch")
 	MemberLapsed   = register(106, slog.LevelWarn, "lease of a member lapsed")
 	MemberFenced   = register(107, slog.LevelWarn, "fenced a lapsed member")
-	ReleaseRefused = register(108, slog.LevelInfo, "no majority for releasing a lapsed member")
+	ReleaseRefused = register(108, slog.LevelInfo, "too few releases to fence a lapsed member")
 	ShardsClaimed  = register(109, slog.LevelInfo, "claimed shards")
 	ShardsGiven    = register(110, slog.LevelInfo, "handed shards over")
 	ShardsLost     = register(111, slog.LevelWarn, "lost shards")
 	PeerLost       = register(112, slog.LevelWarn, "heartbeat to a member failed")
 	Left           = register(113, slog.LevelInfo, "left the cell")
 	RowUnreadable  = register(114, slog.LevelError, "row of the table cannot be decoded")
+
+	FencedByOperator = register(115, slog.LevelWarn, "fenced a member on the operator's word, without a vote")
+	ClaimFailed      = register(116, slog.LevelWarn, "shards could not be claimed")
+	GiveFailed       = register(117, slog.LevelWarn, "shards could not be handed over")
+	HandoverLost     = register(118, slog.LevelWarn, "handover did not reach the new owner")
+	FenceFailed      = register(119, slog.LevelWarn, "lapsed member could not be fenced")
+	LeaveFailed      = register(120, slog.LevelWarn, "leaving could not be recorded in the table")
 )
 
 // Events of executors and requests: 200 to 299.
@@ -70,6 +77,17 @@
 	TaskFailed    = register(305, slog.LevelWarn, "task failed")
 	JobsRecovered = register(306, slog.LevelInfo, "recovered jobs from the table")
 	ProgressLate  = register(307, slog.LevelWarn, "progress of jobs could not be written")
+	JobLate       = register(308, slog.LevelWarn, "job misses its deadline, or will")
+	JobStuck      = register(309, slog.LevelWarn, "job can never run in this cell")
+	JobCancelled  = register(310, slog.LevelInfo, "cancelled a job")
+	GangHolds     = register(311, slog.LevelInfo, "all-at-once job holds capacity")
+	TaskYields    = register(312, slog.LevelInfo, "stopped a task for urgent work")
+	TaskSlow      = register(313, slog.LevelWarn, "task runs far longer than expected")
+	WorkerSilent  = register(314, slog.LevelWarn, "worker is lost; its tasks wait again")
+	StartUnknown  = register(315, slog.LevelWarn, "outcome of a start is unknown")
+	SurveyWaits   = register(316, slog.LevelWarn, "jobs wait for workers that nobody can look at")
+	TaskStray     = register(317, slog.LevelWarn, "stopped a task that no job expects, or of a gang that did not start as a whole")
+	TaskMissing   = register(318, slog.LevelWarn, "worker does not run a task that was placed on it")
 )
 
 // Events of the daemon: 400 to 499.
@@ -79,6 +97,18 @@
 	Stopped  = register(402, slog.LevelInfo, "daemon stopped")
 )
 
+// DeployFailed is logged for each service of the configuration whose job could
+// not be submitted or cancelled; it is tried again.
+var DeployFailed = register(403, slog.LevelWarn, "job of a configured service could not be changed")
+
+// Events of the configuration: 500 to 599.
+var (
+	ConfigAccepted    = register(500, slog.LevelInfo, "accepted a configuration")
+	ConfigInForce     = register(501, slog.LevelInfo, "configuration is in force on this host")
+	ConfigReadFailed  = register(502, slog.LevelWarn, "configuration could not be read from the table")
+	ConfigFetchFailed = register(503, slog.LevelWarn, "configuration could not be fetched from a host")
+)
+
 var all []Event
 
 // All returns every registered event, in the order of registration.
--- a/internal/fake/local/local.go
+++ b/internal/fake/local/local.go
@@ -90,6 +90,8 @@
 
 func (c *Cell) startHost(i int, o Options) error {
 	p := params.Default()
+	p.OpenAccess = true
+	p.PlainText = true
 	p.Host = hoist.HostID(fmt.Sprintf("h%d", i))
 	p.EntryAddr, p.CallerAddr = "127.0.0.1:0", "127.0.0.1:0"
 	p.Settle, p.DrainTime = params.Duration(time.Second), params.Duration(o.DrainTime)
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	s := &caller.Server{Listener: l, Requests: router, Jobs: tasks, IsReady: ready}
+//	s := &caller.Server{Listener: l, Requests: router, Jobs: tasks, IsReady: ready, Access: list}
 //	err := s.Run(ctx)
 package caller
 
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/semaphore"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/access"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 	"fuchsiahoist.example/hoist/internal/proto/wire"
@@ -87,6 +88,8 @@
 // Jobs accepts jobs.
 type Jobs interface {
 	Submit(ctx context.Context, s hoist.JobSpec) error
+	Cancel(ctx context.Context, ref hoist.JobRef) error
+	Show(ctx context.Context, team hoist.TeamID) ([]hoist.JobState, error)
 }
 
 // Server serves callers. Set the fields before Run.
@@ -94,6 +97,8 @@
 	Listener net.Listener
 	Requests Requests
 	Jobs     Jobs
+	// Access tells who may call.
+	Access *access.List
 	// IsReady tells the balancer whether to send callers here.
 	IsReady func() bool
 
@@ -162,12 +167,14 @@
 	mux.HandleFunc("GET /v1/requests/{key}", s.servePoll)
 	mux.HandleFunc("DELETE /v1/requests/{key}", s.serveCancel)
 	mux.HandleFunc("POST /v1/jobs", s.serveJob)
+	s.handleJobs(mux)
 	mux.HandleFunc("GET /v1/health", s.serveHealth)
+	next := s.identify(mux)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isLeaving.Load() {
 			w.Header().Set("connection", "close")
 		}
-		mux.ServeHTTP(w, r)
+		next.ServeHTTP(w, r)
 	})
 }
 
@@ -349,6 +356,9 @@
 		rest.WriteError(w, invalid("job", err.Error()))
 		return
 	}
+	if !mayCharge(w, r, hoist.TeamID(in.Team)) {
+		return
+	}
 	if err := s.Jobs.Submit(r.Context(), codec.ToJobSpec(in)); err != nil {
 		rest.WriteError(w, err)
 		return
--- a/internal/peer/caller/caller_test.go
+++ b/internal/peer/caller/caller_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/access"
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 )
 
@@ -70,7 +71,7 @@
 				}
 			}
 			w := httptest.NewRecorder()
-			(&caller.Server{Requests: &requests{}}).Handler().ServeHTTP(w, r)
+			(&caller.Server{Requests: &requests{}, Access: access.Open()}).Handler().ServeHTTP(w, r)
 			is.New(t).Equal(w.Code, c.want)
 		})
 	}
@@ -80,7 +81,7 @@
 func TestCutShort(t *testing.T) {
 	is := is.New(t)
 	seen := &requests{}
-	server := httptest.NewServer((&caller.Server{Requests: seen}).Handler())
+	server := httptest.NewServer((&caller.Server{Requests: seen, Access: access.Open()}).Handler())
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	is.NoErr(err)
 	_, err = conn.Write([]byte("POST /v1/requests/s HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n" +
--- a/internal/peer/entry/entry.go
+++ b/internal/peer/entry/entry.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -53,9 +54,13 @@
 	methodReserve   method = "reserve"
 	methodStart     method = "start"
 	methodUnreserve method = "unreserve"
+	methodStop      method = "stop"
 	methodTaskEnded method = "task-ended"
+	methodCancelJob method = "cancel-job"
+	methodShowJobs  method = "show-jobs"
 	methodSurvey    method = "survey"
 	methodConfig    method = "config"
+	methodReport    method = "report"
 )
 
 // errorCode is the JSON-RPC code of all errors of the scheduler; the domain
@@ -83,6 +88,8 @@
 // failure. Its methods may be called concurrently.
 type Client struct {
 	Addr string
+	// TLS returns the settings of a new connection; nil means plain text.
+	TLS func() *tls.Config
 
 	mu     sync.Mutex
 	conn   *jsonrpc2.Conn
@@ -118,8 +125,7 @@
 			return c.conn, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
+	conn, err := c.dial(ctx)
 	if err != nil {
 		return nil, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
 	}
@@ -129,6 +135,18 @@
 	return c.conn, nil
 }
 
+// dial makes a connection, the TLS handshake included.
+func (c *Client) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	if c.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", c.Addr)
+	}
+	tlsDialer := tls.Dialer{NetDialer: &dialer, Config: c.TLS()}
+	return tlsDialer.DialContext(ctx, "tcp", c.Addr)
+}
+
 // boundedConn is a connection whose writes, and reads if silent is set, give up
 // after a time.
 type boundedConn struct {
@@ -279,39 +297,14 @@
 	return err
 }
 
-// Reserve implements hoist.Peer.
-func (c *Client) Reserve(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodReserve, codec.Placement(p))
-	return err
-}
-
-// Start implements hoist.Peer.
-func (c *Client) Start(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodStart, codec.Placement(p))
-	return err
-}
-
-// Unreserve implements hoist.Peer.
-func (c *Client) Unreserve(ctx context.Context, p hoist.Placement) error {
-	_, err := call[wire.Empty](ctx, c, methodUnreserve, codec.Placement(p))
-	return err
-}
-
-// TaskEnded implements hoist.Peer.
-func (c *Client) TaskEnded(ctx context.Context, t hoist.WorkerTask) error {
-	_, err := call[wire.Empty](ctx, c, methodTaskEnded, codec.WorkerTask(t))
-	return err
-}
-
-// Survey implements hoist.Peer.
-func (c *Client) Survey(ctx context.Context, shards []hoist.ShardID) (hoist.SurveyReply, error) {
-	in := wire.Survey{Shards: codec.Map(shards, func(s hoist.ShardID) int { return int(s) })}
-	out, err := call[wire.SurveyReply](ctx, c, methodSurvey, in)
-	return codec.ToSurveyReply(out), err
-}
-
 // Config implements hoist.Peer.
 func (c *Client) Config(ctx context.Context, version hoist.ConfigVersion) ([]byte, error) {
 	out, err := call[wire.ConfigDocument](ctx, c, methodConfig, wire.ConfigRequest{Version: int(version)})
 	return []byte(out.Document), err
 }
+
+// Report implements hoist.Peer.
+func (c *Client) Report(ctx context.Context) (hoist.HostReport, error) {
+	out, err := call[wire.HostReport](ctx, c, methodReport, wire.Empty{})
+	return codec.ToHostReport(out), err
+}
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -13,6 +13,11 @@
 		Rack:       string(c.Rack),
 		Capacity:   Resources(c.Capacity),
 		Free:       Resources(c.Free),
+		State:      optional(string(c.State)),
+		Usage:      optional(Resources(c.Usage)),
+		Lower: Map(c.Lower, func(u hoist.PriorityUse) wire.PriorityUse {
+			return wire.PriorityUse{Priority: int(u.Priority), Used: Resources(u.Used)}
+		}),
 	}
 }
 
@@ -24,6 +29,11 @@
 		Rack:       hoist.RackID(c.Rack),
 		Capacity:   ToResources(c.Capacity),
 		Free:       ToResources(c.Free),
+		State:      hoist.WorkerState(value(c.State)),
+		Usage:      ToResources(value(c.Usage)),
+		Lower: Map(c.Lower, func(u wire.PriorityUse) hoist.PriorityUse {
+			return hoist.PriorityUse{Priority: hoist.Priority(u.Priority), Used: ToResources(u.Used)}
+		}),
 	}
 }
 
@@ -47,6 +57,7 @@
 		TableAgeUs: optional(micros(h.TableAge)),
 		Workers:    Map(h.Workers, Candidate),
 		Slots:      Map(h.Slots, ServiceSlots),
+		Gang:       &wire.GangTurn{Job: string(h.Gang.Job), Since: h.Gang.Since},
 	}
 }
 
@@ -60,6 +71,7 @@
 		TableAge: duration(value(h.TableAgeUs)),
 		Workers:  Map(h.Workers, ToCandidate),
 		Slots:    Map(h.Slots, ToServiceSlots),
+		Gang:     hoist.GangTurn{Job: hoist.JobID(value(h.Gang).Job), Since: value(h.Gang).Since},
 	}
 }
 
@@ -167,6 +179,6 @@
 		Weight:     m.Weight,
 		State:      hoist.MemberState(m.State),
 		Renewals:   uint64(m.Renewals),
-		Electorate: IDs[hoist.HostID](m.Electorate),
+		Electorate: IDs[hoist.ElectorID](m.Electorate),
 	}
 }
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -114,9 +114,18 @@
 	// Free corresponds to the JSON schema field "free".
 	Free Resources `json:"free"`
 
+	// Lower corresponds to the JSON schema field "lower".
+	Lower []PriorityUse `json:"lower,omitempty,omitzero"`
+
 	// Rack corresponds to the JSON schema field "rack".
 	Rack string `json:"rack"`
 
+	// State corresponds to the JSON schema field "state".
+	State *string `json:"state,omitempty,omitzero"`
+
+	// Usage corresponds to the JSON schema field "usage".
+	Usage *Resources `json:"usage,omitempty,omitzero"`
+
 	// Worker corresponds to the JSON schema field "worker".
 	Worker string `json:"worker"`
 }
@@ -151,6 +160,30 @@
 	return nil
 }
 
+// The workers of the cell.
+type Candidates struct {
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []Candidate `json:"workers"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Candidates) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["workers"]; raw != nil && !ok {
+		return fmt.Errorf("field workers in Candidates: required")
+	}
+	type Plain Candidates
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Candidates(plain)
+	return nil
+}
+
 // Requires a row to be at a version.
 type Check struct {
 	// Key corresponds to the JSON schema field "key".
@@ -211,6 +244,132 @@
 	return nil
 }
 
+// A host's record of one class of requests.
+type ClassReport struct {
+	// Class corresponds to the JSON schema field "class".
+	Class string `json:"class"`
+
+	// Waits corresponds to the JSON schema field "waits".
+	Waits []byte `json:"waits"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []Window `json:"windows"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ClassReport) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["class"]; raw != nil && !ok {
+		return fmt.Errorf("field class in ClassReport: required")
+	}
+	if _, ok := raw["waits"]; raw != nil && !ok {
+		return fmt.Errorf("field waits in ClassReport: required")
+	}
+	if _, ok := raw["windows"]; raw != nil && !ok {
+		return fmt.Errorf("field windows in ClassReport: required")
+	}
+	type Plain ClassReport
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ClassReport(plain)
+	return nil
+}
+
+// One accepted change of the configuration.
+type ConfigChange struct {
+	// ChangeId corresponds to the JSON schema field "change-id".
+	ChangeId string `json:"change-id"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigChange) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["change-id"]; raw != nil && !ok {
+		return fmt.Errorf("field change-id in ConfigChange: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in ConfigChange: required")
+	}
+	type Plain ConfigChange
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigChange(plain)
+	return nil
+}
+
+// The table's row that names the accepted configuration.
+type ConfigCurrent struct {
+	// ChangeId corresponds to the JSON schema field "change-id".
+	ChangeId string `json:"change-id"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest string `json:"digest"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigCurrent) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["change-id"]; raw != nil && !ok {
+		return fmt.Errorf("field change-id in ConfigCurrent: required")
+	}
+	if _, ok := raw["digest"]; raw != nil && !ok {
+		return fmt.Errorf("field digest in ConfigCurrent: required")
+	}
+	if _, ok := raw["version"]; raw != nil && !ok {
+		return fmt.Errorf("field version in ConfigCurrent: required")
+	}
+	type Plain ConfigCurrent
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigCurrent(plain)
+	return nil
+}
+
+// What a document would change, a line for each difference.
+type ConfigDiff struct {
+	// Lines corresponds to the JSON schema field "lines".
+	Lines []string `json:"lines"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigDiff) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["lines"]; raw != nil && !ok {
+		return fmt.Errorf("field lines in ConfigDiff: required")
+	}
+	type Plain ConfigDiff
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigDiff(plain)
+	return nil
+}
+
 // A configuration document.
 type ConfigDocument struct {
 	// Document corresponds to the JSON schema field "document".
@@ -241,6 +400,30 @@
 	return nil
 }
 
+// The accepted changes, oldest first.
+type ConfigHistory struct {
+	// Changes corresponds to the JSON schema field "changes".
+	Changes []ConfigChange `json:"changes"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ConfigHistory) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["changes"]; raw != nil && !ok {
+		return fmt.Errorf("field changes in ConfigHistory: required")
+	}
+	type Plain ConfigHistory
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ConfigHistory(plain)
+	return nil
+}
+
 // Asks for a configuration document.
 type ConfigRequest struct {
 	// Version corresponds to the JSON schema field "version".
@@ -265,6 +448,42 @@
 	return nil
 }
 
+// Changes whether a worker or executor takes new work.
+type Drain struct {
+	// Drain corresponds to the JSON schema field "drain".
+	Drain bool `json:"drain"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind string `json:"kind"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Drain) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["drain"]; raw != nil && !ok {
+		return fmt.Errorf("field drain in Drain: required")
+	}
+	if _, ok := raw["id"]; raw != nil && !ok {
+		return fmt.Errorf("field id in Drain: required")
+	}
+	if _, ok := raw["kind"]; raw != nil && !ok {
+		return fmt.Errorf("field kind in Drain: required")
+	}
+	type Plain Drain
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Drain(plain)
+	return nil
+}
+
 // Has no content.
 type Empty map[string]interface{}
 
@@ -316,6 +535,36 @@
 	return nil
 }
 
+// An all-at-once job that waits.
+type GangTurn struct {
+	// Job corresponds to the JSON schema field "job".
+	Job string `json:"job"`
+
+	// Since corresponds to the JSON schema field "since".
+	Since time.Time `json:"since"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *GangTurn) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["job"]; raw != nil && !ok {
+		return fmt.Errorf("field job in GangTurn: required")
+	}
+	if _, ok := raw["since"]; raw != nil && !ok {
+		return fmt.Errorf("field since in GangTurn: required")
+	}
+	type Plain GangTurn
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = GangTurn(plain)
+	return nil
+}
+
 // Allows a worker to run one task under a lease.
 type Grant struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -438,6 +687,9 @@
 	// Epoch corresponds to the JSON schema field "epoch".
 	Epoch int `json:"epoch"`
 
+	// Gang corresponds to the JSON schema field "gang".
+	Gang *GangTurn `json:"gang,omitempty,omitzero"`
+
 	// Host corresponds to the JSON schema field "host".
 	Host string `json:"host"`
 
@@ -502,6 +754,174 @@
 	return nil
 }
 
+// Names one entry host.
+type HostRef struct {
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostRef) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["host"]; raw != nil && !ok {
+		return fmt.Errorf("field host in HostRef: required")
+	}
+	type Plain HostRef
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostRef(plain)
+	return nil
+}
+
+// What one host contributes to the reports of the cell.
+type HostReport struct {
+	// Classes corresponds to the JSON schema field "classes".
+	Classes []ClassReport `json:"classes"`
+
+	// CpuPercent corresponds to the JSON schema field "cpu-percent".
+	CpuPercent float64 `json:"cpu-percent"`
+
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// MemoryMib corresponds to the JSON schema field "memory-mib".
+	MemoryMib int `json:"memory-mib"`
+
+	// MessagesPerS corresponds to the JSON schema field "messages-per-s".
+	MessagesPerS float64 `json:"messages-per-s"`
+
+	// Shards corresponds to the JSON schema field "shards".
+	Shards int `json:"shards"`
+
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []Candidate `json:"workers"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostReport) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["classes"]; raw != nil && !ok {
+		return fmt.Errorf("field classes in HostReport: required")
+	}
+	if _, ok := raw["cpu-percent"]; raw != nil && !ok {
+		return fmt.Errorf("field cpu-percent in HostReport: required")
+	}
+	if _, ok := raw["host"]; raw != nil && !ok {
+		return fmt.Errorf("field host in HostReport: required")
+	}
+	if _, ok := raw["memory-mib"]; raw != nil && !ok {
+		return fmt.Errorf("field memory-mib in HostReport: required")
+	}
+	if _, ok := raw["messages-per-s"]; raw != nil && !ok {
+		return fmt.Errorf("field messages-per-s in HostReport: required")
+	}
+	if _, ok := raw["shards"]; raw != nil && !ok {
+		return fmt.Errorf("field shards in HostReport: required")
+	}
+	if _, ok := raw["workers"]; raw != nil && !ok {
+		return fmt.Errorf("field workers in HostReport: required")
+	}
+	type Plain HostReport
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostReport(plain)
+	return nil
+}
+
+// What operators see of an entry host.
+type HostStatus struct {
+	// Config corresponds to the JSON schema field "config".
+	Config int `json:"config"`
+
+	// Heard corresponds to the JSON schema field "heard".
+	Heard *time.Time `json:"heard,omitempty,omitzero"`
+
+	// Member corresponds to the JSON schema field "member".
+	Member Member `json:"member"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostStatus) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["config"]; raw != nil && !ok {
+		return fmt.Errorf("field config in HostStatus: required")
+	}
+	if _, ok := raw["member"]; raw != nil && !ok {
+		return fmt.Errorf("field member in HostStatus: required")
+	}
+	type Plain HostStatus
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostStatus(plain)
+	return nil
+}
+
+// The entry hosts of the cell.
+type HostStatuses struct {
+	// Hosts corresponds to the JSON schema field "hosts".
+	Hosts []HostStatus `json:"hosts"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *HostStatuses) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["hosts"]; raw != nil && !ok {
+		return fmt.Errorf("field hosts in HostStatuses: required")
+	}
+	type Plain HostStatuses
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = HostStatuses(plain)
+	return nil
+}
+
+// Names one job of a team, or all of them.
+type JobRef struct {
+	// Job corresponds to the JSON schema field "job".
+	Job *string `json:"job,omitempty,omitzero"`
+
+	// Team corresponds to the JSON schema field "team".
+	Team string `json:"team"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobRef) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["team"]; raw != nil && !ok {
+		return fmt.Errorf("field team in JobRef: required")
+	}
+	type Plain JobRef
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobRef(plain)
+	return nil
+}
+
 // The table's row of a job. Done lists the numbers of the tasks that are done.
 type JobRow struct {
 	// Accepted corresponds to the JSON schema field "accepted".
@@ -513,6 +933,9 @@
 	// Done corresponds to the JSON schema field "done".
 	Done []int `json:"done"`
 
+	// Ended corresponds to the JSON schema field "ended".
+	Ended *time.Time `json:"ended,omitempty,omitzero"`
+
 	// Spec corresponds to the JSON schema field "spec".
 	Spec JobSpec `json:"spec"`
 }
@@ -628,6 +1051,90 @@
 	return nil
 }
 
+// What operators see of a job.
+type JobState struct {
+	// Accepted corresponds to the JSON schema field "accepted".
+	Accepted time.Time `json:"accepted"`
+
+	// Done corresponds to the JSON schema field "done".
+	Done int `json:"done"`
+
+	// Late corresponds to the JSON schema field "late".
+	Late *bool `json:"late,omitempty,omitzero"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase string `json:"phase"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason *string `json:"reason,omitempty,omitzero"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running"`
+
+	// Spec corresponds to the JSON schema field "spec".
+	Spec JobSpec `json:"spec"`
+
+	// Waiting corresponds to the JSON schema field "waiting".
+	Waiting int `json:"waiting"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobState) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["accepted"]; raw != nil && !ok {
+		return fmt.Errorf("field accepted in JobState: required")
+	}
+	if _, ok := raw["done"]; raw != nil && !ok {
+		return fmt.Errorf("field done in JobState: required")
+	}
+	if _, ok := raw["phase"]; raw != nil && !ok {
+		return fmt.Errorf("field phase in JobState: required")
+	}
+	if _, ok := raw["running"]; raw != nil && !ok {
+		return fmt.Errorf("field running in JobState: required")
+	}
+	if _, ok := raw["spec"]; raw != nil && !ok {
+		return fmt.Errorf("field spec in JobState: required")
+	}
+	if _, ok := raw["waiting"]; raw != nil && !ok {
+		return fmt.Errorf("field waiting in JobState: required")
+	}
+	type Plain JobState
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobState(plain)
+	return nil
+}
+
+// The jobs of a team.
+type JobStates struct {
+	// Jobs corresponds to the JSON schema field "jobs".
+	Jobs []JobState `json:"jobs"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *JobStates) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["jobs"]; raw != nil && !ok {
+		return fmt.Errorf("field jobs in JobStates: required")
+	}
+	type Plain JobStates
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = JobStates(plain)
+	return nil
+}
+
 // What a coordinator knows about one request key.
 type KeyRecord struct {
 	// Answer corresponds to the JSON schema field "answer".
@@ -879,12 +1386,21 @@
 	// Grant corresponds to the JSON schema field "grant".
 	Grant Grant `json:"grant"`
 
+	// Hold corresponds to the JSON schema field "hold".
+	Hold *bool `json:"hold,omitempty,omitzero"`
+
+	// Preempt corresponds to the JSON schema field "preempt".
+	Preempt *bool `json:"preempt,omitempty,omitzero"`
+
 	// TeamShard corresponds to the JSON schema field "team-shard".
 	TeamShard int `json:"team-shard"`
 
 	// TeamTerm corresponds to the JSON schema field "team-term".
 	TeamTerm int `json:"team-term"`
 
+	// Trial corresponds to the JSON schema field "trial".
+	Trial *bool `json:"trial,omitempty,omitzero"`
+
 	// Worker corresponds to the JSON schema field "worker".
 	Worker string `json:"worker"`
 }
@@ -916,6 +1432,63 @@
 	return nil
 }
 
+// Many placements for one owner of workers. Mode is for stops.
+type Placements struct {
+	// Mode corresponds to the JSON schema field "mode".
+	Mode *string `json:"mode,omitempty,omitzero"`
+
+	// Placements corresponds to the JSON schema field "placements".
+	Placements []Placement `json:"placements"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Placements) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["placements"]; raw != nil && !ok {
+		return fmt.Errorf("field placements in Placements: required")
+	}
+	type Plain Placements
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Placements(plain)
+	return nil
+}
+
+// What the tasks of one priority hold on a worker.
+type PriorityUse struct {
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority"`
+
+	// Used corresponds to the JSON schema field "used".
+	Used Resources `json:"used"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *PriorityUse) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["priority"]; raw != nil && !ok {
+		return fmt.Errorf("field priority in PriorityUse: required")
+	}
+	if _, ok := raw["used"]; raw != nil && !ok {
+		return fmt.Errorf("field used in PriorityUse: required")
+	}
+	type Plain PriorityUse
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = PriorityUse(plain)
+	return nil
+}
+
 // Writes or deletes one row.
 type Put struct {
 	// Delete corresponds to the JSON schema field "delete".
@@ -955,7 +1528,7 @@
 // Extends the leases of the tasks on a worker.
 type Renewal struct {
 	// Acked corresponds to the JSON schema field "acked".
-	Acked []string `json:"acked"`
+	Acked []TaskAttempt `json:"acked"`
 
 	// LeaseUs corresponds to the JSON schema field "lease-us".
 	LeaseUs int `json:"lease-us"`
@@ -988,6 +1561,60 @@
 	return nil
 }
 
+// Asks for a report.
+type ReportRequest struct {
+	// Html corresponds to the JSON schema field "html".
+	Html bool `json:"html"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ReportRequest) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["html"]; raw != nil && !ok {
+		return fmt.Errorf("field html in ReportRequest: required")
+	}
+	if _, ok := raw["name"]; raw != nil && !ok {
+		return fmt.Errorf("field name in ReportRequest: required")
+	}
+	type Plain ReportRequest
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ReportRequest(plain)
+	return nil
+}
+
+// A report in its configured layout.
+type ReportText struct {
+	// Text corresponds to the JSON schema field "text".
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *ReportText) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["text"]; raw != nil && !ok {
+		return fmt.Errorf("field text in ReportText: required")
+	}
+	type Plain ReportText
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = ReportText(plain)
+	return nil
+}
+
 // One request of a caller.
 type Request struct {
 	// Body corresponds to the JSON schema field "body".
@@ -1114,6 +1741,39 @@
 	return nil
 }
 
+// The result of one part of a call; the code is empty for success.
+type Result struct {
+	// Code corresponds to the JSON schema field "code".
+	Code *string `json:"code,omitempty,omitzero"`
+
+	// Message corresponds to the JSON schema field "message".
+	Message *string `json:"message,omitempty,omitzero"`
+}
+
+// One result for each part of a call.
+type Results struct {
+	// Results corresponds to the JSON schema field "results".
+	Results []Result `json:"results"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Results) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["results"]; raw != nil && !ok {
+		return fmt.Errorf("field results in Results: required")
+	}
+	type Plain Results
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Results(plain)
+	return nil
+}
+
 // One row of the table.
 type Row struct {
 	// Key corresponds to the JSON schema field "key".
@@ -1411,7 +2071,7 @@
 // Asks for the tasks of team shards.
 type Survey struct {
 	// Shards corresponds to the JSON schema field "shards".
-	Shards []int `json:"shards"`
+	Shards []ShardTerm `json:"shards"`
 }
 
 // Lists the tasks of team shards on the workers of a host.
@@ -1419,6 +2079,9 @@
 	// Tasks corresponds to the JSON schema field "tasks".
 	Tasks []WorkerTask `json:"tasks"`
 
+	// Unadopted corresponds to the JSON schema field "unadopted".
+	Unadopted []string `json:"unadopted"`
+
 	// Workers corresponds to the JSON schema field "workers".
 	Workers []string `json:"workers"`
 }
@@ -1432,6 +2095,9 @@
 	if _, ok := raw["tasks"]; raw != nil && !ok {
 		return fmt.Errorf("field tasks in SurveyReply: required")
 	}
+	if _, ok := raw["unadopted"]; raw != nil && !ok {
+		return fmt.Errorf("field unadopted in SurveyReply: required")
+	}
 	if _, ok := raw["workers"]; raw != nil && !ok {
 		return fmt.Errorf("field workers in SurveyReply: required")
 	}
@@ -1462,6 +2128,36 @@
 	return nil
 }
 
+// Names one attempt at a task.
+type TaskAttempt struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Task corresponds to the JSON schema field "task".
+	Task string `json:"task"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *TaskAttempt) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["attempt"]; raw != nil && !ok {
+		return fmt.Errorf("field attempt in TaskAttempt: required")
+	}
+	if _, ok := raw["task"]; raw != nil && !ok {
+		return fmt.Errorf("field task in TaskAttempt: required")
+	}
+	type Plain TaskAttempt
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = TaskAttempt(plain)
+	return nil
+}
+
 // A worker's report on one task.
 type TaskStatus struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -1621,6 +2317,36 @@
 	return nil
 }
 
+// Counts the requests of a span of time.
+type Window struct {
+	// Good corresponds to the JSON schema field "good".
+	Good int `json:"good"`
+
+	// Total corresponds to the JSON schema field "total".
+	Total int `json:"total"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Window) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["good"]; raw != nil && !ok {
+		return fmt.Errorf("field good in Window: required")
+	}
+	if _, ok := raw["total"]; raw != nil && !ok {
+		return fmt.Errorf("field total in Window: required")
+	}
+	type Plain Window
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = Window(plain)
+	return nil
+}
+
 // A worker's own account of itself.
 type WorkerReport struct {
 	// Capacity corresponds to the JSON schema field "capacity".
@@ -1710,3 +2436,27 @@
 	*j = WorkerTask(plain)
 	return nil
 }
+
+// Tasks that ended.
+type WorkerTasks struct {
+	// Tasks corresponds to the JSON schema field "tasks".
+	Tasks []WorkerTask `json:"tasks"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *WorkerTasks) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["tasks"]; raw != nil && !ok {
+		return fmt.Errorf("field tasks in WorkerTasks: required")
+	}
+	type Plain WorkerTasks
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = WorkerTasks(plain)
+	return nil
+}
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -14,6 +14,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +33,7 @@
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 	"fuchsiahoist.example/hoist/internal/fake/work"
 	"fuchsiahoist.example/hoist/internal/peer/hosts"
+	"fuchsiahoist.example/hoist/internal/peer/object"
 	"fuchsiahoist.example/hoist/internal/peer/table"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 )
@@ -57,15 +59,23 @@
 	Log *slog.Logger
 	// Seed fixes the service times.
 	Seed uint64
+	// Hosts, Workers and Executors are the sizes of the cell; a zero means the
+	// size of the demonstration, but for Hosts with Serve.
+	Hosts     int
+	Workers   int
+	Executors int
 
 	platform  *plat.Platform
 	executors []*execd.Executor
 	workers   []*work.Worker
 	daemons   []*daemon.Daemon
 	addrs     []string
-	client    *http.Client
-	running   sync.WaitGroup
-	stop      context.CancelFunc
+	consoles  []string
+	// platformURL is where the stand-in of the platform serves.
+	platformURL string
+	client      *http.Client
+	running     sync.WaitGroup
+	stop        context.CancelFunc
 }
 
 // Result is what came of a run.
@@ -74,18 +84,36 @@
 	Violations []string
 }
 
+// Serve starts the cell without input or failures and prints where it can be
+// reached, until ctx ends.
+func (r *Run) Serve(ctx context.Context) error {
+	serving, stop := context.WithCancel(ctx)
+	r.stop = stop
+	defer r.shutdown()
+	if err := r.start(serving); err != nil {
+		return err
+	}
+	fmt.Fprintf(r.Out, "platform  %s\n", r.platformURL)
+	for i, addr := range r.addrs {
+		fmt.Fprintf(r.Out, "host-%d    callers %s, console %s\n", i+1, addr, r.consoles[i])
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // Do starts the cell, feeds the input, injects the failures and checks the
 // outcome. Its error means that the cell could not be run at all.
 func (r *Run) Do(ctx context.Context) (Result, error) {
 	ctx, r.stop = context.WithCancel(ctx)
 	defer r.shutdown()
+	r.Hosts = numHosts
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
 	}
 	if err := r.waitReady(ctx); err != nil {
 		return Result{}, err
 	}
-	fmt.Fprintf(r.Out, "cell: %d hosts, %d executors of %d slots, %d workers\n", numHosts, numExecutors, slots, numWorkers)
+	fmt.Fprintf(r.Out, "cell: %d hosts, %d executors of %d slots, %d workers\n", r.Hosts, r.Executors, slots, r.Workers)
 	failures := r.injectFailures(ctx)
 	answers := r.feed(ctx)
 	<-failures
@@ -112,9 +140,12 @@
 }
 
 func (r *Run) start(ctx context.Context) error {
+	r.Workers = cmp.Or(r.Workers, numWorkers)
+	r.Executors = cmp.Or(r.Executors, numExecutors)
 	r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	r.platform = &plat.Platform{}
-	url, err := r.platform.Start()
+	var err error
+	r.platformURL, err = r.platform.Start()
 	if err != nil {
 		return err
 	}
@@ -124,8 +155,8 @@
 	if err := r.startWorkers(); err != nil {
 		return err
 	}
-	for i := range numHosts {
-		if err := r.startDaemon(ctx, i, url); err != nil {
+	for i := range r.Hosts {
+		if err := r.startDaemon(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -138,7 +169,7 @@
 }
 
 func (r *Run) startExecutors() error {
-	for i := range numExecutors {
+	for i := range r.Executors {
 		base := time.Duration(1+i%3*2) * time.Millisecond
 		e := &execd.Executor{
 			ID:    hoist.ExecutorID(fmt.Sprintf("executor-%d", i+1)),
@@ -171,7 +202,7 @@
 }
 
 func (r *Run) startWorkers() error {
-	for i := range numWorkers {
+	for i := range r.Workers {
 		w := &work.Worker{
 			ID:         hoist.WorkerID(fmt.Sprintf("worker-%d", i+1)),
 			DataCentre: dataCentre(i),
@@ -190,17 +221,21 @@
 	return nil
 }
 
-func (r *Run) startDaemon(ctx context.Context, i int, platformURL string) error {
+func (r *Run) startDaemon(ctx context.Context, i int) error {
 	p := params.Default()
 	p.Host = hoist.HostID(fmt.Sprintf("host-%d", i+1))
 	p.DataCentre = dataCentre(i)
 	p.Cores = 4 + 4*(i%2)
 	p.EntryAddr = "127.0.0.1:0"
 	p.CallerAddr = "127.0.0.1:0"
-	client := &rest.Client{BaseURL: platformURL, HTTP: r.client}
+	p.AdminAddr = "127.0.0.1:0"
+	p.OpenAccess = true
+	p.PlainText = true
+	client := &rest.Client{BaseURL: r.platformURL, HTTP: r.client}
 	d := &daemon.Daemon{
 		Params:   p,
 		Table:    &table.Client{REST: client},
+		Store:    &object.Client{REST: client},
 		HostList: &hosts.Client{REST: client},
 		Log:      r.Log,
 	}
@@ -209,6 +244,7 @@
 	}
 	r.daemons = append(r.daemons, d)
 	r.addrs = append(r.addrs, "http://"+d.CallerAddr())
+	r.consoles = append(r.consoles, "http://"+d.AdminAddr())
 	r.running.Go(func() {
 		if err := d.Run(ctx); err != nil {
 			fmt.Fprintf(r.Out, "%s: %v\n", p.Host, err)
