Test that polling and cancelling need the right customer

Cause: these paths were added beside the check of callers and not tested with it.

Change: two rows in the table of TestAccess.

--- a/internal/peer/caller/access_test.go
+++ b/internal/peer/caller/access_test.go
@@ -47,6 +47,8 @@
 		{"wrong token", secret, "POST", "/v1/requests/matching", "sauce", "", 401},
 		{"own customer", secret + "1", "POST", "/v1/requests/matching", "sauce", "", 200},
 		{"other customer", secret + "1", "POST", "/v1/requests/matching", "jam", "", 403},
+		{"poll for other customer", secret + "1", "GET", "/v1/requests/k", "jam", "", 403},
+		{"cancel for other customer", secret + "1", "DELETE", "/v1/requests/k", "jam", "", 403},
 		{"viewer submits", secret + "3", "POST", "/v1/requests/matching", "sauce", "", 403},
 		{"own team", secret + "2", "POST", "/v1/jobs", "", job, 202},
 		{"other team", secret + "2", "POST", "/v1/jobs", "", strings.Replace(job, "buyers", "floors", 1), 403},
