Tell other hosts only what changed about the workers

Change: internal/decide/delta composes what changed since a heartbeat that certainly arrived, and puts it together on the other side; replies carry no workers. Ruled out: sending less often, as placement needs fresh capacity.

--- a/internal/core/member/bench_test.go
+++ b/internal/core/member/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/delta"
 	"fuchsiahoist.example/hoist/internal/fake/cell"
 	"fuchsiahoist.example/hoist/internal/fake/plat"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -109,8 +110,8 @@
 }
 
 // BenchmarkHeartbeat reports the size of one heartbeat by the number of workers
-// that its sender owns. The daemon's heartbeats carry the free capacity of all
-// of them, and so does each reply.
+// that its sender owns: the first one on a link, one without news, and one
+// after the free capacity of one worker changed.
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, workers := range []int{0, 7, 11, 50} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -123,15 +124,24 @@
 				})
 			}
 			h.Slots = []hoist.ServiceSlots{{Service: "matching", Quick: 30, Patient: 12}}
-			size := 0
-			for range b.N {
+			size := func(s *delta.Sender) float64 {
+				h.Delta = s.Next(h.Workers)
+				s.Answered(true)
 				body, err := json.Marshal(codec.Heartbeat(h))
 				if err != nil {
 					b.Fatal(err)
 				}
-				size = len(body)
+				return float64(len(body))
+			}
+			for range b.N {
+				var s delta.Sender
+				b.ReportMetric(size(&s), "bytes/first")
+				b.ReportMetric(size(&s), "bytes/no-news")
+				if workers > 0 {
+					h.Workers[0].Free.CPU++
+					b.ReportMetric(size(&s), "bytes/one-change")
+				}
 			}
-			b.ReportMetric(float64(size), "bytes/message")
 		})
 	}
 }
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -104,6 +104,7 @@
 	tableOK     time.Time
 	isLeaving   bool
 	peers       map[hoist.HostID]*link
+	workers     map[hoist.HostID]*heardWorkers
 	leftLinks   []*link
 	targets     map[hoist.HostID]bool
 	process     uint64
@@ -177,6 +178,7 @@
 	m.kill = kill
 	m.voter = owner.NewVoter(m.Clock.Now())
 	m.peers = make(map[hoist.HostID]*link)
+	m.workers = make(map[hoist.HostID]*heardWorkers)
 	m.process = rand.Uint64()
 	m.wake = make(chan struct{}, 1)
 	m.reported.lapsed = make(map[hoist.HostID]hoist.LeaseRef)
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -7,6 +7,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/decide/delta"
 )
 
 // link is the connection to one other host.
@@ -38,6 +39,7 @@
 	for host, l := range m.peers {
 		if wanted[host] != l.addr {
 			delete(m.peers, host)
+			delete(m.workers, host)
 			closed = append(closed, l)
 		}
 	}
@@ -117,6 +119,7 @@
 // answering is logged once.
 func (m *Manager) beatLoop(ctx context.Context, host hoist.HostID, l *link) {
 	isLost := false
+	var sender delta.Sender
 	for n := 0; ctx.Err() == nil; n++ {
 		if n%farBeatEvery != 0 && !m.isTarget(host) {
 			sleep(ctx, heartbeatEvery)
@@ -124,10 +127,16 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		m.messages.Add(1)
-		reply, err := l.peer.Heartbeat(callCtx, m.heartbeat())
+		h := m.heartbeat()
+		h.Delta = sender.Next(h.Workers)
+		reply, err := l.peer.Heartbeat(callCtx, h)
 		cancel()
+		sender.Answered(err == nil && !reply.Delta.NeedAll)
 		if err == nil {
 			m.heard(l)
+			// A reply says nothing about workers; the other host's own
+			// heartbeats do.
+			reply.Workers = m.workersOf(reply)
 			m.Beat.Heard(reply)
 		} else if ctx.Err() == nil && !isLost {
 			events.PeerLost.Log(ctx, m.Log, "host", host, "error", err)
@@ -180,8 +189,53 @@
 // Heartbeat answers another host's heartbeat.
 func (m *Manager) Heartbeat(h hoist.Heartbeat) hoist.Heartbeat {
 	m.messages.Add(1)
+	isApplied := m.applyDelta(&h)
 	m.Beat.Heard(h)
-	return m.heartbeat()
+	reply := m.heartbeat()
+	reply.Delta = hoist.WorkerDelta{NeedAll: !isApplied}
+	return reply
+}
+
+// heardWorkers is what another host told about its workers.
+type heardWorkers struct {
+	receiver delta.Receiver
+	epoch    hoist.Epoch
+	workers  []hoist.Candidate
+}
+
+// applyDelta puts the workers of a heartbeat together. It reports false if all
+// workers are needed; the last known ones of the same process stand in until
+// they come.
+func (m *Manager) applyDelta(h *hoist.Heartbeat) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.workers == nil {
+		// A host may call before this one runs.
+		h.Workers = nil
+		return false
+	}
+	known, ok := m.workers[h.Host]
+	if !ok {
+		known = &heardWorkers{}
+		m.workers[h.Host] = known
+	}
+	workers, ok := known.receiver.Apply(h.Epoch, h.Delta)
+	if ok || known.epoch != h.Epoch {
+		known.epoch, known.workers = h.Epoch, workers
+	}
+	h.Workers = known.workers
+	return ok
+}
+
+// workersOf returns the workers that the process of a reply told about.
+func (m *Manager) workersOf(reply hoist.Heartbeat) []hoist.Candidate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.workers[reply.Host]
+	if !ok || known.epoch != reply.Epoch {
+		return nil
+	}
+	return known.workers
 }
 
 // Peer implements hoist.Ownership.
--- a/internal/proto/codec/member.go
+++ b/internal/proto/codec/member.go
@@ -55,12 +55,32 @@
 		Config:     int(h.Config),
 		Leaving:    optional(h.Leaving),
 		TableAgeUs: optional(micros(h.TableAge)),
-		Workers:    Map(h.Workers, Candidate),
+		Delta:      workerDelta(h.Delta),
 		Slots:      Map(h.Slots, ServiceSlots),
 		Gang:       &wire.GangTurn{Job: string(h.Gang.Job), Since: h.Gang.Since},
 	}
 }
 
+func workerDelta(d hoist.WorkerDelta) *wire.WorkerDelta {
+	return &wire.WorkerDelta{
+		Seq:     int(d.Seq),
+		Base:    optional(int(d.Base)),
+		Changed: Map(d.Changed, Candidate),
+		Gone:    Strings(d.Gone),
+		NeedAll: optional(d.NeedAll),
+	}
+}
+
+func toWorkerDelta(d wire.WorkerDelta) hoist.WorkerDelta {
+	return hoist.WorkerDelta{
+		Seq:     hoist.BeatSeq(d.Seq),
+		Base:    hoist.BeatSeq(value(d.Base)),
+		Changed: Map(d.Changed, ToCandidate),
+		Gone:    IDs[hoist.WorkerID](d.Gone),
+		NeedAll: value(d.NeedAll),
+	}
+}
+
 // ToHeartbeat converts h from the wire.
 func ToHeartbeat(h wire.Heartbeat) hoist.Heartbeat {
 	return hoist.Heartbeat{
@@ -69,7 +89,7 @@
 		Config:   hoist.ConfigVersion(h.Config),
 		Leaving:  value(h.Leaving),
 		TableAge: duration(value(h.TableAgeUs)),
-		Workers:  Map(h.Workers, ToCandidate),
+		Delta:    toWorkerDelta(value(h.Delta)),
 		Slots:    Map(h.Slots, ToServiceSlots),
 		Gang:     hoist.GangTurn{Job: hoist.JobID(value(h.Gang).Job), Since: value(h.Gang).Since},
 	}
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -684,6 +684,9 @@
 	// Config corresponds to the JSON schema field "config".
 	Config int `json:"config"`
 
+	// Delta corresponds to the JSON schema field "delta".
+	Delta *WorkerDelta `json:"delta,omitempty,omitzero"`
+
 	// Epoch corresponds to the JSON schema field "epoch".
 	Epoch int `json:"epoch"`
 
@@ -701,9 +704,6 @@
 
 	// TableAgeUs corresponds to the JSON schema field "table-age-us".
 	TableAgeUs *int `json:"table-age-us,omitempty,omitzero"`
-
-	// Workers corresponds to the JSON schema field "workers".
-	Workers []Candidate `json:"workers,omitempty,omitzero"`
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -2347,6 +2347,42 @@
 	return nil
 }
 
+// What changed about a host's workers since an earlier heartbeat.
+type WorkerDelta struct {
+	// Base corresponds to the JSON schema field "base".
+	Base *int `json:"base,omitempty,omitzero"`
+
+	// Changed corresponds to the JSON schema field "changed".
+	Changed []Candidate `json:"changed,omitempty,omitzero"`
+
+	// Gone corresponds to the JSON schema field "gone".
+	Gone []string `json:"gone,omitempty,omitzero"`
+
+	// NeedAll corresponds to the JSON schema field "need-all".
+	NeedAll *bool `json:"need-all,omitempty,omitzero"`
+
+	// Seq corresponds to the JSON schema field "seq".
+	Seq int `json:"seq"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *WorkerDelta) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["seq"]; raw != nil && !ok {
+		return fmt.Errorf("field seq in WorkerDelta: required")
+	}
+	type Plain WorkerDelta
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	*j = WorkerDelta(plain)
+	return nil
+}
+
 // A worker's own account of itself.
 type WorkerReport struct {
 	// Capacity corresponds to the JSON schema field "capacity".
--- a/peer.go
+++ b/peer.go
@@ -66,12 +66,32 @@
 	Leaving bool
 	// TableAge is the time since the last successful answer of the table.
 	TableAge time.Duration
-	Workers  []Candidate
-	Slots    []ServiceSlots
+	// Workers are the workers that the host owns. Between hosts only Delta
+	// travels; the receiver puts Workers together from it.
+	Workers []Candidate
+	Delta   WorkerDelta
+	Slots   []ServiceSlots
 	// Gang is the all-at-once job of the host that has waited longest.
 	Gang GangTurn
 }
 
+// BeatSeq numbers the heartbeats on one link. 0 means that a heartbeat says
+// nothing about workers.
+type BeatSeq uint64
+
+// WorkerDelta is what changed about a host's workers since an earlier heartbeat
+// on the same link.
+type WorkerDelta struct {
+	Seq BeatSeq
+	// Base is the heartbeat that the changes follow; 0 means that Changed
+	// lists all workers.
+	Base    BeatSeq
+	Changed []Candidate
+	Gone    []WorkerID
+	// NeedAll, in a reply, asks for all workers.
+	NeedAll bool
+}
+
 // ServiceSlots summarises the free slots of the executors of one service that
 // a host owns.
 type ServiceSlots struct {
