Count remote slots of quick and patient work apart

Cause: a quick request sent to another host also used up one of the slots that the host had reported as free for patient work, although the reserve had slots for it. Change: takeSlot lowers the patient count only for other classes, and to the number of free slots.

--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -393,7 +393,12 @@
 	}
 	s := r.remote[best][req.Service]
 	s.Quick--
-	s.Patient--
+	if req.Class != hoist.Quick {
+		s.Patient--
+	}
+	// Quick work takes slots that patient work may not have, as long as there
+	// are some.
+	s.Patient = min(s.Patient, s.Quick)
 	r.remote[best][req.Service] = s
 	return slot{host: best}, true
 }
