Read all workers in order of memory for replicas

Cause: decisions for services look at all workers, and a walk with random steps misses the cache at each of them. Change: these decisions start anywhere and go on to the neighbour.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -47,7 +47,7 @@
 
 // Choose implements hoist.PlacementPolicy.
 func (RandomFit) Choose(ask hoist.Ask, candidates []hoist.Candidate, rng *rand.Rand) int {
-	return choose(ask, candidates, randomWalk(len(candidates), rng), 1, same)
+	return choose(ask, candidates, sampleWalk(ask, len(candidates), rng), 1, same)
 }
 
 // Pick implements hoist.PlacementPolicy.
@@ -78,7 +78,7 @@
 
 // Choose implements hoist.PlacementPolicy.
 func (p Aligned) Choose(ask hoist.Ask, candidates []hoist.Candidate, rng *rand.Rand) int {
-	return choose(ask, candidates, randomWalk(len(candidates), rng), max(p.Samples, 1), waste)
+	return choose(ask, candidates, sampleWalk(ask, len(candidates), rng), max(p.Samples, 1), waste)
 }
 
 // Pick implements hoist.PlacementPolicy.
@@ -104,6 +104,16 @@
 	return w
 }
 
+// sampleWalk is randomWalk, but for replicas, for which all candidates are
+// looked at: neighbours in memory are faster to read one after the other.
+func sampleWalk(ask hoist.Ask, n int, rng *rand.Rand) walk {
+	w := randomWalk(n, rng)
+	if ask.Spread {
+		w.step = 1
+	}
+	return w
+}
+
 // divisor returns the greatest common divisor.
 func divisor(a, b int) int {
 	for b != 0 {
