Let the configuration set queue limits, weights and the retry budget

Cause: limits and customer weights were accepted and had no effect; the limits were constants. Change: the router takes the limits of its queues, the weights of customers (the cost of a request in the fair queue is divided by the weight) and the percentage of retries from each configuration that comes into force. Conclusion: every key of the configuration now does something.

--- a/internal/core/daemon/services.go
+++ b/internal/core/daemon/services.go
@@ -10,9 +10,11 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/route"
 	"fuchsiahoist.example/hoist/internal/core/tasks"
 	"fuchsiahoist.example/hoist/internal/decide/config"
 	"fuchsiahoist.example/hoist/internal/decide/deploy"
+	"fuchsiahoist.example/hoist/internal/decide/queue"
 	"fuchsiahoist.example/hoist/internal/decide/quota"
 )
 
@@ -31,6 +33,15 @@
 		fallback = quota.Unlimited
 	}
 	d.tasks.SetQuotas(limits, fallback)
+	weights := make(map[hoist.CustomerID]int, len(doc.Customers))
+	for _, c := range doc.Customers {
+		weights[c.Name] = c.Weight
+	}
+	d.router.SetLimits(route.Limits{
+		Queue:        queue.Limits{PerCustomer: doc.Limits.QueuePerCustomer, Total: doc.Limits.QueueTotal},
+		Weights:      weights,
+		RetryPercent: doc.Limits.RetryPercent,
+	})
 }
 
 // deployLoop keeps the services of the configuration running: each host those
--- a/internal/core/route/call.go
+++ b/internal/core/route/call.go
@@ -259,8 +259,7 @@
 	if _, ok := r.keys[c.shard]; !ok {
 		return merry.Wrap(hoist.ErrNotOwner, merry.PrependMessagef("shard %d is not active", c.shard))
 	}
-	cost := queue.VirtualTime(r.pool.ServiceTime(c.request.Service, c.request.Class).Seconds())
-	pushed, err := r.queueOf(c).Push(c.request, cost, c, r.Clock.Now())
+	pushed, err := r.queueOf(c).Push(c.request, r.costOf(c), c, r.Clock.Now())
 	if err != nil {
 		return err
 	}
@@ -275,7 +274,7 @@
 func (r *Router) queueOf(c *call) *queue.Queue[*call] {
 	q, ok := r.queues[c.request.Service]
 	if !ok {
-		q = queue.New[*call](queue.Limits{PerCustomer: queuePerCustomer})
+		q = queue.New[*call](r.limits.Queue)
 		r.queues[c.request.Service] = q
 	}
 	return q
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -84,6 +84,7 @@
 	// instance names this process in the rows of requests that it started.
 	instance string
 	retries  retry.Budget
+	limits   Limits
 	inFlight int
 	// idle is closed when nothing is in flight any more; nil unless Drain
 	// waits.
@@ -102,6 +103,7 @@
 		r.keys = make(map[hoist.ShardID]*dedup.Table)
 		r.calls = make(map[hoist.RequestKey]*call)
 		r.queues = make(map[hoist.ServiceName]*queue.Queue[*call])
+		r.limits.Queue = queue.Limits{PerCustomer: queuePerCustomer}
 		r.pool = slots.New(r.Policy)
 		r.executors = make(map[hoist.ExecutorID]*handle)
 		r.terms = make(map[hoist.ShardID]hoist.Term)
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -75,6 +75,14 @@
 	return &Queue[T]{limits: limits, classes: make(map[hoist.Class]*lane[T])}
 }
 
+// SetLimits changes the limits. Requests that wait already stay.
+func (q *Queue[T]) SetLimits(limits Limits) {
+	if limits.Total == 0 {
+		limits.Total = defaultTotal
+	}
+	q.limits = limits
+}
+
 // NewFIFO returns an empty queue that serves all classes and customers in the
 // order of arrival, bounded by Limits.Total only, and refuses nothing early. It
 // is a baseline.
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -58,8 +58,8 @@
 	// so this allows one retry a second without requests, on hosts that have
 	// few of them.
 	retryCost = time.Second
-	// requestCredit is the credit that a request adds: one retry in ten.
-	requestCredit = retryCost / 10
+	// defaultPercent allows one retry for ten requests.
+	defaultPercent = 10
 	// maxCredit bounds what is saved up to 20 retries, about what one executor
 	// with all its slots in use and a short queue needs when it fails.
 	maxCredit = 20 * retryCost
@@ -71,12 +71,25 @@
 type Budget struct {
 	credit time.Duration
 	at     time.Time
+	// percent is set if isSet.
+	percent int
+	isSet   bool
+}
+
+// SetPercent changes how many retries 100 requests allow; before the first call
+// it is 10.
+func (b *Budget) SetPercent(percent int) {
+	b.percent, b.isSet = percent, true
 }
 
 // Request counts a request, not a retry.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
-	b.credit = min(b.credit+requestCredit, maxCredit)
+	percent := defaultPercent
+	if b.isSet {
+		percent = b.percent
+	}
+	b.credit = min(b.credit+retryCost*time.Duration(percent)/100, maxCredit)
 }
 
 // Take takes one retry out of the budget. It reports false if none is left.
