--- a/internal/core/tasks/cell_test.go
+++ b/internal/core/tasks/cell_test.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// mayOwn reports whether the host can take shards over.
+func (h *host) mayOwn() bool {
+	h.cell.mu.Lock()
+	defer h.cell.mu.Unlock()
+	return !h.isDead && !h.hasLapse
+}
+
 func (h *host) died() bool {
 	h.cell.mu.Lock()
 	defer h.cell.mu.Unlock()
@@ -203,7 +210,7 @@
 	c.mu.Unlock()
 	for i, shard := range lost {
 		to := i
-		for c.hosts[to%len(c.hosts)] == from || c.hosts[to%len(c.hosts)].died() {
+		for !c.hosts[to%len(c.hosts)].mayOwn() {
 			to++
 		}
 		c.give(shard, c.hosts[to%len(c.hosts)])
@@ -267,7 +274,7 @@
 	c.t.Helper()
 	for range 60 {
 		for _, h := range c.hosts {
-			if !h.died() && h.m.Submit(context.Background(), spec) == nil {
+			if !h.died() && h.submit(spec) == nil {
 				return
 			}
 		}
@@ -276,6 +283,13 @@
 	c.t.Fatalf("job %s was not accepted", spec.ID)
 }
 
+// submit gives up after some time, as the host may die in the middle.
+func (h *host) submit(spec hoist.JobSpec) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return h.m.Submit(ctx, spec)
+}
+
 // state returns what the owner of a job tells about it.
 func (c *cell) state(spec hoist.JobSpec) hoist.JobState {
 	states, _ := c.jobOwner(spec.Team).m.ShowOwn(spec.Team)
