Give TestSetLimits a host of its own

Change: the test router has a stub of the ownership. Figures: go test ./internal/core/route: before, nil pointer in init; after, ok. Conclusion: the fault was in the test.

--- a/internal/core/route/limits_test.go
+++ b/internal/core/route/limits_test.go
@@ -10,6 +10,10 @@
 	"fuchsiahoist.example/hoist/internal/decide/queue"
 )
 
+type limitsOwn struct{ hoist.Ownership }
+
+func (limitsOwn) Self() hoist.HostID { return "h1" }
+
 type limitsClock struct{}
 
 func (limitsClock) Now() time.Time { return time.Unix(1_000_000, 0) }
@@ -18,7 +22,7 @@
 // effect on the requests that arrive after it.
 func TestSetLimits(t *testing.T) {
 	is := is.New(t)
-	r := &Router{Clock: limitsClock{}}
+	r := &Router{Clock: limitsClock{}, Own: limitsOwn{}}
 	r.init()
 	callOf := func(customer hoist.CustomerID) *call {
 		return &call{request: hoist.Request{Service: "s", Class: hoist.Patient, Customer: customer}}
