Make a worker refuse a start before it counts as not arrived

Cause: a start whose answer was lost and that a report did not list counted as not arrived at once; its task started elsewhere. When the start did arrive later, the task ran twice and the worker held more than it has. Change: stop names the attempt, and a worker refuses an attempt that had not arrived. The account keeps the capacity of a missing start, and the job's owner hears of it, only after the worker has refused it. Ruled out: waiting for a fixed time, as a frozen worker can take up a start after any time. TestReconcile is changed with the contract: missing attempts must hold their capacity until they are refused, then the same free capacity is expected. Conclusion: like settle at executors, certainty comes from the worker.

--- a/iface.go
+++ b/iface.go
@@ -117,8 +117,10 @@
 	// Renew extends the leases of all running tasks and acknowledges the end
 	// of the attempts in acked.
 	Renew(ctx context.Context, term Term, lease time.Duration, acked []TaskAttempt) (WorkerReport, error)
-	// Stop ends a task. Stopping a task that does not run is not an error.
-	Stop(ctx context.Context, term Term, task TaskID, mode StopMode) error
+	// Stop ends an attempt at a task. One that does not run is not an error;
+	// the worker refuses it from then on, so that a start which is still on its
+	// way has no effect.
+	Stop(ctx context.Context, term Term, a TaskAttempt, mode StopMode) error
 }
 
 // WorkerState tells whether a worker takes new work.
--- a/internal/core/tasks/faults_test.go
+++ b/internal/core/tasks/faults_test.go
@@ -53,6 +53,11 @@
 			w.SetFault(work.Fault{DropStarts: 3})
 		}
 	}},
+	{name: "starts arrive late at workers", faults: func(c *cell) {
+		for _, w := range c.workers {
+			w.SetFault(work.Fault{LateStarts: 3, LateBy: lateTime})
+		}
+	}},
 	{name: "answers of stops and renewals are lost", faults: func(c *cell) {
 		for _, w := range c.workers {
 			w.SetFault(work.Fault{LoseStops: 2, LoseRenews: 5})
--- a/internal/core/tasks/owned.go
+++ b/internal/core/tasks/owned.go
@@ -128,7 +128,7 @@
 	var wg sync.WaitGroup
 	for i, s := range victims {
 		wg.Go(func() {
-			isStopped[i] = h.worker.Stop(ctx, h.term, s.Task, hoist.StopCheckpoint) == nil
+			isStopped[i] = h.worker.Stop(ctx, h.term, attemptOf(s), hoist.StopCheckpoint) == nil
 		})
 	}
 	wg.Wait()
@@ -307,7 +307,8 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, workerTimeout)
 		defer cancel()
-		if err := h.worker.Stop(callCtx, h.term, p.Grant.Task, mode); err != nil {
+		attempt := hoist.TaskAttempt{Task: p.Grant.Task, Attempt: p.Grant.Attempt}
+		if err := h.worker.Stop(callCtx, h.term, attempt, mode); err != nil {
 			return err
 		}
 		signal(h.renewDue)
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -188,16 +188,45 @@
 		events.WorkerLost.Log(ctx, m.Log, "worker", id, "error", err)
 		return false
 	}
-	for _, task := range m.reconcile(ctx, id, h, report, asked) {
-		events.TaskStray.Log(ctx, m.Log, "worker", id, "task", task)
-		stopCtx, cancel := context.WithTimeout(ctx, workerTimeout)
-		// A stop that fails is repeated with the next report.
-		_ = h.worker.Stop(stopCtx, h.term, task, hoist.StopNow)
-		cancel()
+	strays, missing := m.reconcile(ctx, id, h, report, asked)
+	for _, a := range strays {
+		events.TaskStray.Log(ctx, m.Log, "worker", id, "task", a.Task)
+		m.stopAttempt(ctx, h, a)
+	}
+	for _, g := range missing {
+		if m.stopAttempt(ctx, h, hoist.TaskAttempt{Task: g.Task, Attempt: g.Attempt}) {
+			m.neverStarted(h, g)
+		}
 	}
 	return true
 }
 
+// stopAttempt stops an attempt on a worker, or makes the worker refuse it. A
+// stop that fails is repeated with the next report.
+func (m *Manager) stopAttempt(ctx context.Context, h *handle, a hoist.TaskAttempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	return h.worker.Stop(ctx, h.term, a, hoist.StopNow) == nil
+}
+
+// neverStarted records that the worker refuses an attempt whose start did not
+// arrive.
+func (m *Manager) neverStarted(h *handle, g hoist.Grant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h.account == nil || h.isSilent || h.live[g.Task] != g.Attempt {
+		return
+	}
+	h.account.ReleaseAttempt(g.Task, g.Attempt)
+	if _, ok := h.closing[g.Task]; ok {
+		return
+	}
+	status := stoppedStatus(g, "the start did not arrive")
+	h.ends[attemptOf(status)] = &end{status: status}
+	signal(h.endsDue)
+	m.wake()
+}
+
 // probe sets the term at the worker and reads its report.
 func (m *Manager) probe(ctx context.Context, h *handle) (hoist.WorkerReport, error) {
 	return h.worker.Adopt(ctx, h.term)
@@ -234,11 +263,13 @@
 	return hoist.TaskAttempt{Task: s.Task, Attempt: s.Attempt}
 }
 
-// reconcile brings the account up to date with a report. It returns the tasks
-// to stop: those that
-// run without having been granted, and those of gangs that did not start as a
-// whole.
-func (m *Manager) reconcile(ctx context.Context, id hoist.WorkerID, h *handle, report hoist.WorkerReport, asked time.Time) []hoist.TaskID {
+// reconcile brings the account up to date with a report. It returns the
+// attempts to stop, those that run without having been granted and those of
+// gangs that did not start as a whole, and the grants whose start did not
+// arrive.
+func (m *Manager) reconcile(
+	ctx context.Context, id hoist.WorkerID, h *handle, report hoist.WorkerReport, asked time.Time,
+) (strays []hoist.TaskAttempt, missing []hoist.Grant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h.report.Leaving = report.Leaving
@@ -246,12 +277,7 @@
 	if h.account == nil || h.isSilent {
 		h.open(report)
 	} else {
-		for _, g := range h.account.Reconcile(report, asked) {
-			if _, ok := h.closing[g.Task]; !ok {
-				status := stoppedStatus(g, "the start did not arrive")
-				h.ends[attemptOf(status)] = &end{status: status}
-			}
-		}
+		missing = h.account.Reconcile(report, asked)
 	}
 	h.report = report
 	h.asked = asked
@@ -267,7 +293,7 @@
 		signal(h.endsDue)
 	}
 	m.wake()
-	return append(h.strays(), h.failedTrials(m.Clock.Now())...)
+	return append(h.strays(), h.failedTrials(m.Clock.Now())...), missing
 }
 
 // open opens the account from what the worker runs.
@@ -348,26 +374,26 @@
 
 // failedTrials returns the running tasks of gangs that did not start as a whole
 // in time.
-func (h *handle) failedTrials(now time.Time) []hoist.TaskID {
-	var out []hoist.TaskID
+func (h *handle) failedTrials(now time.Time) []hoist.TaskAttempt {
+	var out []hoist.TaskAttempt
 	for task, trial := range h.trials {
 		switch {
 		case h.live[task] != trial.attempt:
 			delete(h.trials, task)
 		case now.After(trial.at):
-			out = append(out, task)
+			out = append(out, hoist.TaskAttempt{Task: task, Attempt: trial.attempt})
 		}
 	}
 	return out
 }
 
-// strays returns the running tasks that the account does not have.
-func (h *handle) strays() []hoist.TaskID {
-	var out []hoist.TaskID
+// strays returns the running attempts that the account does not have.
+func (h *handle) strays() []hoist.TaskAttempt {
+	var out []hoist.TaskAttempt
 	for _, s := range h.report.Running {
 		_, isClosing := h.closing[s.Task]
 		if attempt, ok := h.live[s.Task]; !isClosing && (!ok || attempt != s.Attempt) {
-			out = append(out, s.Task)
+			out = append(out, attemptOf(s))
 		}
 	}
 	return out
--- a/internal/decide/grant/grant.go
+++ b/internal/decide/grant/grant.go
@@ -9,6 +9,7 @@
 //	a.AnsweredAttempt(g.Task, g.Attempt, now)     // the start was answered
 //	a.ReleaseAttempt(g.Task, g.Attempt)           // it certainly does not run
 //	missing := a.Reconcile(report, asked)         // the worker's own list
+//	// ask the worker to refuse each missing attempt, then ReleaseAttempt
 //
 // A new owner opens the account from the worker's own list, so that tasks of an
 // earlier owner are counted before anything new is granted. A worker whose list
@@ -199,9 +200,12 @@
 
 // Reconcile compares the account with a report that was asked for at the time
 // asked. It counts tasks that the worker runs without being in the account,
-// takes over a changed capacity, releases the tasks that the worker no longer
-// runs and returns those that it did not list as ended either: their starts
-// never arrived. A report that was not asked for after the last one is ignored.
+// takes over a changed capacity, and releases the tasks that the worker lists as
+// ended. It returns those that the worker lists neither as running nor as ended:
+// their starts did not arrive, but may be on their way. They keep their capacity
+// until the worker has refused them and ReleaseAttempt is called; a start that
+// came after its report was one too many on the worker otherwise. A report that
+// was not asked for after the last one is ignored.
 func (a *Account) Reconcile(r hoist.WorkerReport, asked time.Time) []hoist.Grant {
 	if !asked.After(a.asked) {
 		return nil
@@ -220,6 +224,7 @@
 		}
 		if !ended[key] {
 			missing = append(missing, e.grant)
+			continue
 		}
 		a.Release(task)
 	}
--- a/internal/decide/grant/grant_test.go
+++ b/internal/decide/grant/grant_test.go
@@ -141,18 +141,36 @@
 			is := is.New(t)
 			a := committed(t)
 			a.Answered("n", start)
-			is.Equal(len(a.Reconcile(c.report, later)), c.missing)
+			missing := a.Reconcile(c.report, later)
+			is.Equal(len(missing), c.missing)
+			release(t, a, missing)
+			a.Reconcile(c.report, later.Add(time.Second))
 			is.Equal(a.Free(), c.free)
 		})
 	}
 	t.Run("adopted task ends although the worker's clock is ahead", func(t *testing.T) {
 		is := is.New(t)
 		a := grant.NewAccount(report(task("n", 2, small)))
-		is.Equal(len(a.Reconcile(report(), later)), 1)
+		missing := a.Reconcile(report(), later)
+		is.Equal(len(missing), 1)
+		release(t, a, missing)
 		is.Equal(a.Free(), capacity)
 	})
 }
 
+// release gives missing attempts back, as after the worker has refused them.
+// Until then their starts may arrive, so they keep their capacity.
+func release(t *testing.T, a *grant.Account, missing []hoist.Grant) {
+	t.Helper()
+	for _, g := range missing {
+		before := a.Free()
+		a.ReleaseAttempt(g.Task, g.Attempt)
+		if a.Free() == before && before != (hoist.Resources{}) {
+			t.Errorf("task %s held no capacity while its start could arrive", g.Task)
+		}
+	}
+}
+
 // TestExpiry guards against reservations that hold capacity for good, and
 // against starts on a worker that began to leave.
 func TestExpiry(t *testing.T) {
--- a/internal/fake/work/direct.go
+++ b/internal/fake/work/direct.go
@@ -20,6 +20,10 @@
 	LoseStarts, LoseStops, LoseRenews int
 	// DropStarts loses this many starts before they take effect.
 	DropStarts int
+	// LateStarts loses the answers of this many starts, which take effect after
+	// LateBy.
+	LateStarts int
+	LateBy     time.Duration
 	// RefuseStarts refuses this many starts.
 	RefuseStarts int
 	// Delay is added to each call before it takes effect.
@@ -99,6 +103,14 @@
 	if d.take(func(f *Fault) *int { return &f.DropStarts }) {
 		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("dropped by fault injection"))
 	}
+	if d.take(func(f *Fault) *int { return &f.LateStarts }) {
+		d.w.mu.Lock()
+		late := d.w.fault.LateBy
+		d.w.mu.Unlock()
+		// The error of a late start reaches nobody.
+		time.AfterFunc(late, func() { _ = d.w.start(g) })
+		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("delayed by fault injection"))
+	}
 	return d.lose(d.w.start(g), func(f *Fault) *int { return &f.LoseStarts })
 }
 
@@ -112,9 +124,9 @@
 }
 
 // Stop implements hoist.Worker.
-func (d direct) Stop(ctx context.Context, term hoist.Term, task hoist.TaskID, mode hoist.StopMode) error {
+func (d direct) Stop(ctx context.Context, term hoist.Term, a hoist.TaskAttempt, mode hoist.StopMode) error {
 	if err := d.enter(ctx, false); err != nil {
 		return err
 	}
-	return d.lose(d.w.stop(term, task, mode), func(f *Fault) *int { return &f.LoseStops })
+	return d.lose(d.w.stop(term, a, mode), func(f *Fault) *int { return &f.LoseStops })
 }
--- a/internal/fake/work/http.go
+++ b/internal/fake/work/http.go
@@ -36,5 +36,5 @@
 }
 
 func (w *Worker) serveStop(_ context.Context, in wire.Stop) (rest.Empty, error) {
-	return rest.Empty{}, w.stop(hoist.Term(in.Term), hoist.TaskID(in.Task), hoist.StopMode(in.Mode))
+	return rest.Empty{}, w.stop(hoist.Term(in.Term), codec.ToTaskAttempt(in.Attempt), hoist.StopMode(in.Mode))
 }
--- a/internal/fake/work/work.go
+++ b/internal/fake/work/work.go
@@ -57,6 +57,7 @@
 	ended    []hoist.TaskStatus
 	used     hoist.Resources
 	starts   map[hoist.TaskID]int
+	refused  map[hoist.TaskAttempt]struct{}
 	overfull bool
 	succeed  map[hoist.JobID]int
 	server   *http.Server
@@ -79,6 +80,7 @@
 	w.once.Do(func() {
 		w.running = make(map[hoist.TaskID]*task)
 		w.starts = make(map[hoist.TaskID]int)
+		w.refused = make(map[hoist.TaskAttempt]struct{})
 		w.succeed = make(map[hoist.JobID]int)
 	})
 }
@@ -175,6 +177,9 @@
 	if w.hasEnded(g) {
 		return nil
 	}
+	if _, ok := w.refused[hoist.TaskAttempt{Task: g.Task, Attempt: g.Attempt}]; ok {
+		return merry.Wrap(hoist.ErrConflict, merry.PrependMessagef("attempt %d of task %s was stopped", g.Attempt, g.Task))
+	}
 	if w.leaving && !w.TakesWhileLeaving {
 		return merry.Wrap(hoist.ErrLeaving, merry.PrependMessagef("worker %s", w.ID))
 	}
@@ -252,15 +257,16 @@
 	return w.report(), nil
 }
 
-func (w *Worker) stop(term hoist.Term, id hoist.TaskID, mode hoist.StopMode) error {
+func (w *Worker) stop(term hoist.Term, a hoist.TaskAttempt, mode hoist.StopMode) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(term); err != nil {
 		return err
 	}
-	if _, ok := w.running[id]; ok {
-		w.finish(id, hoist.TaskStopped, string(mode))
+	if t, ok := w.running[a.Task]; ok && t.status.Attempt == a.Attempt {
+		w.finish(a.Task, hoist.TaskStopped, string(mode))
 	}
+	w.refused[a] = struct{}{}
 	return nil
 }
 
--- a/internal/peer/worker/worker.go
+++ b/internal/peer/worker/worker.go
@@ -49,8 +49,8 @@
 }
 
 // Stop implements hoist.Worker.
-func (c *Client) Stop(ctx context.Context, term hoist.Term, task hoist.TaskID, mode hoist.StopMode) error {
-	in := wire.Stop{Term: int(term), Task: string(task), Mode: string(mode)}
+func (c *Client) Stop(ctx context.Context, term hoist.Term, a hoist.TaskAttempt, mode hoist.StopMode) error {
+	in := wire.Stop{Term: int(term), Attempt: codec.TaskAttempt(a), Mode: string(mode)}
 	_, err := rest.Call[rest.Empty](ctx, c.REST, http.MethodPost, "/v1/stop", in)
 	return c.wrap(err)
 }
--- a/internal/proto/wire/wire.gen.go
+++ b/internal/proto/wire/wire.gen.go
@@ -2034,12 +2034,12 @@
 
 // Ends a task.
 type Stop struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt TaskAttempt `json:"attempt"`
+
 	// Mode corresponds to the JSON schema field "mode".
 	Mode string `json:"mode"`
 
-	// Task corresponds to the JSON schema field "task".
-	Task string `json:"task"`
-
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term"`
 }
@@ -2050,12 +2050,12 @@
 	if err := json.Unmarshal(value, &raw); err != nil {
 		return err
 	}
+	if _, ok := raw["attempt"]; raw != nil && !ok {
+		return fmt.Errorf("field attempt in Stop: required")
+	}
 	if _, ok := raw["mode"]; raw != nil && !ok {
 		return fmt.Errorf("field mode in Stop: required")
 	}
-	if _, ok := raw["task"]; raw != nil && !ok {
-		return fmt.Errorf("field task in Stop: required")
-	}
 	if _, ok := raw["term"]; raw != nil && !ok {
 		return fmt.Errorf("field term in Stop: required")
 	}
