Move the last interfaces to the root package, and unite the drain commands

Cause: six interfaces had grown outside the root package, where the design wants all of them, and four commands of the client were the same lines. Change: RequestService, JobService, Beater, Closer and Placer are in the root package; Peer embeds Placer. The client has one drain command with four uses. Conclusion: a reader finds every interface in one place.

--- a/cmd/hoist/cell.go
+++ b/cmd/hoist/cell.go
@@ -54,8 +54,8 @@
 // workerCmd groups the commands on workers.
 type workerCmd struct {
 	List    workerListCmd `cmd:"" help:"List the workers."`
-	Drain   workerDrain   `cmd:"" help:"Give a worker no new work and move its services."`
-	Undrain workerUndrain `cmd:"" help:"Give a worker work again."`
+	Drain   drainCmd      `cmd:"" help:"Give a worker no new work and move its services."`
+	Undrain drainCmd      `cmd:"" help:"Give a worker work again."`
 }
 
 type workerListCmd struct{ clientFlags }
@@ -81,40 +81,31 @@
 	return string(c.State)
 }
 
-type workerDrain struct {
+// drainCmd changes whether a worker or executor takes new work.
+type drainCmd struct {
 	clientFlags
-	ID string `arg:"" help:"Worker."`
-}
+	ID string `arg:"" help:"Id in the host list."`
 
-// Run implements the command.
-func (c *workerDrain) Run(ctx context.Context) error {
-	return setDrain(ctx, &c.clientFlags, hoist.ListedWorker, c.ID, true)
-}
-
-type workerUndrain struct {
-	clientFlags
-	ID string `arg:"" help:"Worker."`
+	// kind and isDrain are set by newCLI.
+	kind    hoist.ListedKind
+	isDrain bool
 }
 
 // Run implements the command.
-func (c *workerUndrain) Run(ctx context.Context) error {
-	return setDrain(ctx, &c.clientFlags, hoist.ListedWorker, c.ID, false)
-}
-
-func setDrain(ctx context.Context, c *clientFlags, kind hoist.ListedKind, id string, isDrain bool) error {
+func (c *drainCmd) Run(ctx context.Context) error {
 	text := "gets work again"
-	if isDrain {
+	if c.isDrain {
 		text = "gets no new work"
 	}
-	in := wire.Drain{Kind: string(kind), Id: id, Drain: isDrain}
-	return post(ctx, c, "/drain", in, done("%s %s %s", kind, id, text))
+	in := wire.Drain{Kind: string(c.kind), Id: c.ID, Drain: c.isDrain}
+	return post(ctx, &c.clientFlags, "/drain", in, done("%s %s %s", c.kind, c.ID, text))
 }
 
 // executorCmd groups the commands on executors.
 type executorCmd struct {
 	List    executorListCmd `cmd:"" help:"List the executors."`
-	Drain   executorDrain   `cmd:"" help:"Give an executor no new requests."`
-	Undrain executorUndrain `cmd:"" help:"Give an executor requests again."`
+	Drain   drainCmd        `cmd:"" help:"Give an executor no new requests."`
+	Undrain drainCmd        `cmd:"" help:"Give an executor requests again."`
 }
 
 type executorListCmd struct{ clientFlags }
@@ -134,26 +125,6 @@
 	})
 }
 
-type executorDrain struct {
-	clientFlags
-	ID string `arg:"" help:"Executor."`
-}
-
-// Run implements the command.
-func (c *executorDrain) Run(ctx context.Context) error {
-	return setDrain(ctx, &c.clientFlags, hoist.ListedExecutor, c.ID, true)
-}
-
-type executorUndrain struct {
-	clientFlags
-	ID string `arg:"" help:"Executor."`
-}
-
-// Run implements the command.
-func (c *executorUndrain) Run(ctx context.Context) error {
-	return setDrain(ctx, &c.clientFlags, hoist.ListedExecutor, c.ID, false)
-}
-
 // reportCmd prints a report in its configured layout.
 type reportCmd struct {
 	clientFlags
--- a/cmd/hoist/main.go
+++ b/cmd/hoist/main.go
@@ -40,6 +40,20 @@
 	Load     loadCmd     `cmd:"" help:"Compare policies over seeded loads."`
 }
 
+// newCLI returns the commands with what distinguishes those of one type.
+func newCLI() *cli {
+	return &cli{
+		Worker: workerCmd{
+			Drain:   drainCmd{kind: hoist.ListedWorker, isDrain: true},
+			Undrain: drainCmd{kind: hoist.ListedWorker},
+		},
+		Executor: executorCmd{
+			Drain:   drainCmd{kind: hoist.ListedExecutor, isDrain: true},
+			Undrain: drainCmd{kind: hoist.ListedExecutor},
+		},
+	}
+}
+
 // demoCmd runs the demonstration.
 type demoCmd struct {
 	Input string `help:"JSON Lines file of requests and jobs." type:"path" placeholder:"FILE"`
@@ -95,7 +109,7 @@
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	parser := kong.Must(&cli{}, kong.Name("hoist"), kong.Description("Client of the fuchsiahoist cluster scheduler."),
+	parser := kong.Must(newCLI(), kong.Name("hoist"), kong.Description("Client of the fuchsiahoist cluster scheduler."),
 		kong.BindTo(ctx, (*context.Context)(nil)))
 	parsed, err := parser.Parse(args)
 	if err != nil {
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -291,7 +291,7 @@
 	return d.members.IsReady() && d.spread.IsKnown()
 }
 
-// Beat implements member.Beater.
+// Beat implements hoist.Beater.
 func (d *Daemon) Beat(h *hoist.Heartbeat) {
 	h.Config = d.spread.Current().Version
 	h.Workers = d.tasks.Workers()
@@ -299,7 +299,7 @@
 	h.Slots = d.router.Slots()
 }
 
-// Heard implements member.Beater.
+// Heard implements hoist.Beater.
 func (d *Daemon) Heard(h hoist.Heartbeat) {
 	d.router.Heard(h)
 	d.tasks.Heard(h)
--- a/internal/core/daemon/report.go
+++ b/internal/core/daemon/report.go
@@ -19,7 +19,7 @@
 	daemon *Daemon
 }
 
-// Submit implements caller.Requests.
+// Submit implements hoist.RequestService.
 func (o observedRouter) Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error) {
 	if err := mayUse(o.daemon.document(), r); err != nil {
 		return hoist.Answer{}, err
--- a/internal/core/daemon/services.go
+++ b/internal/core/daemon/services.go
@@ -103,7 +103,7 @@
 	document func() config.Document
 }
 
-// Submit implements caller.Jobs.
+// Submit implements hoist.JobService.
 func (c checkedTasks) Submit(ctx context.Context, s hoist.JobSpec) error {
 	if deploy.IsReserved(s.ID) {
 		return merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("job id %q belongs to the configuration", s.ID))
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -58,14 +58,6 @@
 	shardsPerTxn = 64
 )
 
-// Beater composes and receives heartbeats.
-type Beater interface {
-	// Beat fills in what this host tells the others.
-	Beat(h *hoist.Heartbeat)
-	// Heard receives what another host told.
-	Heard(h hoist.Heartbeat)
-}
-
 // Manager keeps one host in the cell. Set the exported fields before Run.
 type Manager struct {
 	// Member is this host; Epoch, State, Renewals and Electorate are not used.
@@ -76,7 +68,7 @@
 	Clock   hoist.Clock
 	Log     *slog.Logger
 	Holders []hoist.ShardHolder
-	Beat    Beater
+	Beat    hoist.Beater
 	// Settle is how long a host waits after joining before it claims shards,
 	// so that hosts that start together share them at once.
 	Settle time.Duration
--- a/internal/core/member/peers.go
+++ b/internal/core/member/peers.go
@@ -21,11 +21,6 @@
 	leftAt time.Time
 }
 
-// closer is implemented by peers that hold a connection.
-type closer interface {
-	Close()
-}
-
 // connect keeps one link, with one goroutine, to each other member.
 func (m *Manager) connect(ctx context.Context) {
 	m.mu.Lock()
@@ -96,7 +91,7 @@
 func closeLinks(links []*link) {
 	for _, l := range links {
 		l.cancel()
-		if c, ok := l.peer.(closer); ok {
+		if c, ok := l.peer.(hoist.Closer); ok {
 			c.Close()
 		}
 	}
--- a/internal/core/route/execs.go
+++ b/internal/core/route/execs.go
@@ -42,11 +42,6 @@
 	isLeaving bool
 }
 
-// closer is implemented by executors that hold connections.
-type closer interface {
-	Close()
-}
-
 // Run keeps a goroutine for each executor that this host owns, until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	r.init()
@@ -100,7 +95,7 @@
 func (r *Router) drop(id hoist.ExecutorID) {
 	if h, ok := r.executors[id]; ok {
 		h.cancel()
-		if c, ok := h.executor.(closer); ok {
+		if c, ok := h.executor.(hoist.Closer); ok {
 			c.Close()
 		}
 		delete(r.executors, id)
--- a/internal/core/tasks/send.go
+++ b/internal/core/tasks/send.go
@@ -177,7 +177,7 @@
 }
 
 // ownerPeer returns the host as a hoist.Peer; this host is its own.
-func (m *Manager) ownerPeer(host hoist.HostID) (placer, error) {
+func (m *Manager) ownerPeer(host hoist.HostID) (hoist.Placer, error) {
 	if host == m.Own.Self() {
 		return m, nil
 	}
@@ -187,15 +187,7 @@
 	return nil, merry.Wrap(hoist.ErrUnavailable, merry.PrependMessagef("no connection to host %q", host))
 }
 
-// placer is the part of hoist.Peer that owners of workers serve.
-type placer interface {
-	Reserve(ctx context.Context, ps []hoist.Placement) []error
-	Start(ctx context.Context, ps []hoist.Placement) []error
-	Stop(ctx context.Context, ps []hoist.Placement, mode hoist.StopMode) []error
-	Unreserve(ctx context.Context, ps []hoist.Placement) error
-}
-
-func callPeer(ctx context.Context, peer placer, ps []hoist.Placement, kind callKind) []error {
+func callPeer(ctx context.Context, peer hoist.Placer, ps []hoist.Placement, kind callKind) []error {
 	switch kind {
 	case callReserve:
 		return peer.Reserve(ctx, ps)
--- a/internal/fake/cell/cell.go
+++ b/internal/fake/cell/cell.go
@@ -293,10 +293,10 @@
 	return !p.IsDead()
 }
 
-// Beat implements member.Beater.
+// Beat implements hoist.Beater.
 func (p *Process) Beat(*hoist.Heartbeat) {}
 
-// Heard implements member.Beater.
+// Heard implements hoist.Beater.
 func (p *Process) Heard(hoist.Heartbeat) {}
 
 // Acquire implements hoist.ShardHolder.
--- a/internal/peer/caller/access_test.go
+++ b/internal/peer/caller/access_test.go
@@ -13,13 +13,13 @@
 	"fuchsiahoist.example/hoist/internal/peer/caller"
 )
 
-type anyRequests struct{ caller.Requests }
+type anyRequests struct{ hoist.RequestService }
 
 func (anyRequests) Submit(_ context.Context, r hoist.Request) (hoist.Answer, error) {
 	return hoist.Answer{Key: r.Key, Outcome: hoist.Done}, nil
 }
 
-type jobs struct{ caller.Jobs }
+type jobs struct{ hoist.JobService }
 
 func (jobs) Submit(context.Context, hoist.JobSpec) error { return nil }
 
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -72,31 +72,11 @@
 	shutdownTime = 5 * time.Second
 )
 
-// Requests answers requests.
-type Requests interface {
-	// Submit returns the answer, or hoist.ErrInvalid if the key belongs to
-	// another request.
-	Submit(ctx context.Context, r hoist.Request) (hoist.Answer, error)
-	// Poll returns the answer to a request with NoWait: Accepted until it has
-	// ended, or hoist.ErrNotFound if the customer has none of that key.
-	Poll(ctx context.Context, customer hoist.CustomerID, key hoist.RequestKey) (hoist.Answer, error)
-	// Cancel returns nil if a request with NoWait has not started and will not,
-	// hoist.ErrConflict if it has, and hoist.ErrNotFound as Poll.
-	Cancel(ctx context.Context, customer hoist.CustomerID, key hoist.RequestKey) error
-}
-
-// Jobs accepts jobs.
-type Jobs interface {
-	Submit(ctx context.Context, s hoist.JobSpec) error
-	Cancel(ctx context.Context, ref hoist.JobRef) error
-	Show(ctx context.Context, team hoist.TeamID) ([]hoist.JobState, error)
-}
-
 // Server serves callers. Set the fields before Run.
 type Server struct {
 	Listener net.Listener
-	Requests Requests
-	Jobs     Jobs
+	Requests hoist.RequestService
+	Jobs     hoist.JobService
 	// Access tells who may call.
 	Access *access.List
 	// IsReady tells the balancer whether to send callers here.
--- a/peer.go
+++ b/peer.go
@@ -174,6 +174,19 @@
 	Tasks     []WorkerTask
 }
 
+// Placer is what the owner of workers does for the owners of jobs.
+type Placer interface {
+	// Reserve, Start and Stop return one result for each placement. Reserve
+	// holds capacity, Start starts tasks and reserves for those without a
+	// reservation. After Stop returned nil, the attempt does not run and will
+	// not be started.
+	Reserve(ctx context.Context, ps []Placement) []error
+	Start(ctx context.Context, ps []Placement) []error
+	Stop(ctx context.Context, ps []Placement, mode StopMode) []error
+	// Unreserve gives reservations back.
+	Unreserve(ctx context.Context, ps []Placement) error
+}
+
 // Peer is another entry host.
 type Peer interface {
 	Heartbeat(ctx context.Context, h Heartbeat) (Heartbeat, error)
@@ -195,15 +208,7 @@
 	CancelJob(ctx context.Context, ref JobRef) error
 	// ShowJobs returns the jobs of a team.
 	ShowJobs(ctx context.Context, team TeamID) ([]JobState, error)
-	// Reserve, Start and Stop return one result for each placement. Reserve
-	// holds capacity, Start starts tasks and reserves for those without a
-	// reservation. After Stop returned nil, the attempt does not run and will
-	// not be started.
-	Reserve(ctx context.Context, ps []Placement) []error
-	Start(ctx context.Context, ps []Placement) []error
-	Stop(ctx context.Context, ps []Placement, mode StopMode) []error
-	// Unreserve gives reservations back.
-	Unreserve(ctx context.Context, ps []Placement) error
+	Placer
 	// TaskEnded tells a job's owner that tasks ended. It returns one result for
 	// each; nil means that the end is recorded for good.
 	TaskEnded(ctx context.Context, ends []WorkerTask) []error
