Name what writes job rows, and say what the task manager holds

Cause: read as a newcomer, the fields of tasks.Manager needed explaining, and "ledger" stood for the writer of outdated job rows. Conclusion: no behaviour changes.

--- a/internal/core/tasks/accept.go
+++ b/internal/core/tasks/accept.go
@@ -105,7 +105,7 @@
 		m.mu.Unlock()
 		return nil
 	}
-	written := m.ledger.record(j)
+	written := m.rows.record(j)
 	m.mu.Unlock()
 	if err := await(ctx, written); err != nil {
 		return merry.Prependf(err, "job %s", spec.ID)
@@ -146,7 +146,7 @@
 		return nil
 	}
 	j.IsCancelled = true
-	written := m.ledger.record(j)
+	written := m.rows.record(j)
 	m.mu.Unlock()
 	if err := await(ctx, written); err != nil {
 		return merry.Prependf(err, "cancelling job %s", ref.Job)
@@ -257,7 +257,7 @@
 	j := m.book.Ended(e, m.Clock.Now())
 	if known, ok := m.book.Get(status.Job); ok {
 		m.calls.checkOpen(known)
-		if j == nil && status.State == hoist.TaskSucceeded && m.ledger.isDirty(status.Job) {
+		if j == nil && status.State == hoist.TaskSucceeded && m.rows.isDirty(status.Job) {
 			// The end was applied by an earlier report; its write is due.
 			j = known
 		}
@@ -268,5 +268,5 @@
 	if j.IsEnded() {
 		events.JobEnded.Log(ctx, m.Log, "job", status.Job)
 	}
-	return m.ledger.record(j), nil
+	return m.rows.record(j), nil
 }
--- a/internal/core/tasks/pass.go
+++ b/internal/core/tasks/pass.go
@@ -98,8 +98,8 @@
 	m.book.Replace(m.isLeaving, now)
 	m.sweep(now)
 	m.book.Each(func(t *jobs.Task) {
-		if !m.told[t.ID] && m.learned.IsStraggler(learn.KeyOf(t.Job.Spec), now.Sub(t.Since)) {
-			m.told[t.ID] = true
+		if !m.stragglers[t.ID] && m.learned.IsStraggler(learn.KeyOf(t.Job.Spec), now.Sub(t.Since)) {
+			m.stragglers[t.ID] = true
 			events.TaskSlow.Log(ctx, m.Log, "task", t.ID, "worker", t.Worker, "since", t.Since)
 		}
 	})
--- a/internal/core/tasks/ledger.go
+++ b/internal/core/tasks/rows.go
@@ -27,10 +27,10 @@
 	endedKeep = time.Hour
 )
 
-// ledger holds the jobs whose rows in the table are out of date. A row is always
+// rowWriter holds the jobs whose rows in the table are out of date. A row is always
 // written from the state of the book, so a job is written once for any number
 // of changes.
-type ledger struct {
+type rowWriter struct {
 	dirty map[hoist.JobID]*entry
 	// writing are the jobs in the write under way.
 	writing map[hoist.JobID]bool
@@ -49,12 +49,12 @@
 	isDelete bool
 }
 
-func newLedger() *ledger {
-	return &ledger{dirty: make(map[hoist.JobID]*entry), writing: make(map[hoist.JobID]bool), due: make(chan struct{}, 1)}
+func newRowWriter() *rowWriter {
+	return &rowWriter{dirty: make(map[hoist.JobID]*entry), writing: make(map[hoist.JobID]bool), due: make(chan struct{}, 1)}
 }
 
 // mark makes a job one to be written.
-func (l *ledger) mark(j *jobs.Job) *entry {
+func (l *rowWriter) mark(j *jobs.Job) *entry {
 	e, ok := l.dirty[j.Spec.ID]
 	if !ok {
 		e = &entry{job: j}
@@ -66,20 +66,20 @@
 
 // record makes a job one to be written. The channel receives the result of the
 // next write.
-func (l *ledger) record(j *jobs.Job) <-chan error {
+func (l *rowWriter) record(j *jobs.Job) <-chan error {
 	written := make(chan error, 1)
 	e := l.mark(j)
 	e.waiters = append(e.waiters, written)
 	return written
 }
 
-func (l *ledger) isDirty(id hoist.JobID) bool {
+func (l *rowWriter) isDirty(id hoist.JobID) bool {
 	_, ok := l.dirty[id]
 	return ok || l.writing[id]
 }
 
 // drop forgets a job that this host does not keep any more.
-func (l *ledger) drop(id hoist.JobID) {
+func (l *rowWriter) drop(id hoist.JobID) {
 	if e, ok := l.dirty[id]; ok {
 		e.tell(hoist.ErrNotOwner)
 		delete(l.dirty, id)
@@ -119,7 +119,7 @@
 
 // writeLoop writes the jobs that changed, many in one transaction.
 func (m *Manager) writeLoop(ctx context.Context) {
-	for pauseOr(ctx, rewriteAfter, m.ledger.due) && pause(ctx, gatherTime) {
+	for pauseOr(ctx, rewriteAfter, m.rows.due) && pause(ctx, gatherTime) {
 		for m.writeBatch(ctx) {
 			if ctx.Err() != nil {
 				return
@@ -155,7 +155,7 @@
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		clear(m.ledger.writing)
+		clear(m.rows.writing)
 	}()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -171,20 +171,20 @@
 	for _, e := range b.entries {
 		m.written(e, err)
 	}
-	return err == nil && len(m.ledger.dirty) > 0
+	return err == nil && len(m.rows.dirty) > 0
 }
 
 // composeBatch takes up to jobsPerTxn due jobs. The mutex is held.
 func (m *Manager) composeBatch() batch {
 	var b batch
-	for id, e := range m.ledger.dirty {
+	for id, e := range m.rows.dirty {
 		s, ok := m.shards[teamShardOf(e.job.Spec.Team)]
 		if !ok || !m.owns(teamShardOf(e.job.Spec.Team), s.term) {
 			// The lease has lapsed or the shard has moved; whoever waits asks
 			// the next owner.
 			e.tell(hoist.ErrNotOwner)
 			if e.job.Version == 0 && !e.isUnsure {
-				delete(m.ledger.dirty, id)
+				delete(m.rows.dirty, id)
 				m.book.Remove(id)
 			}
 			continue
@@ -197,14 +197,14 @@
 		b.txn.Puts = append(b.txn.Puts, put)
 		b.entries = append(b.entries, batchEntry{e, s.term, e.job.IsCancelled})
 		// A change after this point makes the job due again.
-		delete(m.ledger.dirty, id)
-		m.ledger.writing[id] = true
+		delete(m.rows.dirty, id)
+		m.rows.writing[id] = true
 		if len(b.entries) == jobsPerTxn {
 			break
 		}
 	}
-	m.ledger.n++
-	b.txn.ID = hoist.TxnID(fmt.Sprintf("jobs/%s/%d/%d", m.Own.Self(), m.Clock.Now().UnixNano(), m.ledger.n))
+	m.rows.n++
+	b.txn.ID = hoist.TxnID(fmt.Sprintf("jobs/%s/%d/%d", m.Own.Self(), m.Clock.Now().UnixNano(), m.rows.n))
 	return b
 }
 
@@ -243,9 +243,9 @@
 func (m *Manager) keepDirty(e *entry) {
 	j := e.job
 	if !e.isUnsure && j.Version == 0 {
-		if later, ok := m.ledger.dirty[j.Spec.ID]; ok {
+		if later, ok := m.rows.dirty[j.Spec.ID]; ok {
 			later.tell(hoist.ErrUnavailable)
-			delete(m.ledger.dirty, j.Spec.ID)
+			delete(m.rows.dirty, j.Spec.ID)
 		}
 		m.book.Remove(j.Spec.ID)
 		return
@@ -254,9 +254,9 @@
 		j.IsCancelled = false
 		m.wake()
 	}
-	later, ok := m.ledger.dirty[j.Spec.ID]
+	later, ok := m.rows.dirty[j.Spec.ID]
 	if !ok {
-		m.ledger.dirty[j.Spec.ID] = e
+		m.rows.dirty[j.Spec.ID] = e
 		return
 	}
 	later.isUnsure = later.isUnsure || e.isUnsure
@@ -294,7 +294,7 @@
 			continue
 		}
 		m.merge(ctx, j, byKey[jobKey(j.Spec)])
-		later := m.ledger.mark(j)
+		later := m.rows.mark(j)
 		later.waiters = append(later.waiters, e.entry.waiters...)
 	}
 	return true
@@ -327,8 +327,8 @@
 // is held.
 func (m *Manager) sweep(now time.Time) {
 	for _, j := range m.book.All() {
-		if !j.Ended.IsZero() && now.Sub(j.Ended) > endedKeep && !m.ledger.isDirty(j.Spec.ID) {
-			m.ledger.mark(j).isDelete = true
+		if !j.Ended.IsZero() && now.Sub(j.Ended) > endedKeep && !m.rows.isDirty(j.Spec.ID) {
+			m.rows.mark(j).isDelete = true
 		}
 	}
 }
--- a/internal/core/tasks/send.go
+++ b/internal/core/tasks/send.go
@@ -260,7 +260,7 @@
 	delete(m.calls.unknown, p.Grant.Task)
 	end := hoist.WorkerTask{Worker: p.Worker, Status: stoppedStatus(p.Grant, "stopped")}
 	if j := m.book.Ended(end, m.Clock.Now()); j != nil {
-		m.ledger.mark(j)
+		m.rows.mark(j)
 	}
 }
 
--- a/internal/core/tasks/survey.go
+++ b/internal/core/tasks/survey.go
@@ -187,7 +187,7 @@
 	strays := m.compare(ctx, s)
 	for _, id := range lost {
 		for _, j := range m.book.Lost(id, s.sent, m.Clock.Now()) {
-			m.ledger.mark(j)
+			m.rows.mark(j)
 		}
 	}
 	m.wake()
@@ -352,7 +352,7 @@
 func (m *Manager) recoverEnd(j *jobs.Job, t hoist.WorkerTask, now time.Time) {
 	if task, ok := m.book.Task(t.Status.Task); ok && task.Phase == jobs.Waiting {
 		m.book.MarkDone(j, task.No, now)
-		m.ledger.mark(j)
+		m.rows.mark(j)
 	}
 }
 
@@ -393,7 +393,7 @@
 			events.TaskMissing.Log(ctx, m.Log, "task", t.ID, "worker", id)
 			status := hoist.TaskStatus{Task: t.ID, Job: t.Job.Spec.ID, Attempt: t.Attempt, State: hoist.TaskStopped}
 			if j := m.book.Ended(hoist.WorkerTask{Worker: id, Status: status}, now); j != nil {
-				m.ledger.mark(j)
+				m.rows.mark(j)
 			}
 		}
 	}
--- a/internal/core/tasks/tasks.go
+++ b/internal/core/tasks/tasks.go
@@ -85,19 +85,24 @@
 	learned *learn.Book
 	health  *health.Book
 	shards  map[hoist.ShardID]*teamShard
+	// workers are those that this host owns, listed all of the host list.
 	workers map[hoist.WorkerID]*handle
 	listed  map[hoist.WorkerID]hoist.Listed
-	heard   map[hoist.HostID]heard
-	taken   map[hoist.WorkerID][]taken
+	// heard is what the other hosts reported, taken what was placed since.
+	heard map[hoist.HostID]heard
+	taken map[hoist.WorkerID][]taken
+	// refused is when an owner last refused a placement on a worker.
 	refused map[hoist.WorkerID]time.Time
 	calls   *calls
 	gangs   map[hoist.JobID]*gangTry
-	ledger  *ledger
+	rows    *rowWriter
 	absent  map[hoist.WorkerID]absence
 	audit   audit
+	// kick asks for a placement pass, listDue for reading the host list.
 	kick    chan struct{}
 	listDue chan struct{}
-	told    map[hoist.TaskID]bool
+	// stragglers are the tasks that were reported as such.
+	stragglers map[hoist.TaskID]bool
 }
 
 // teamShard is a shard whose jobs this host keeps.
@@ -133,12 +138,12 @@
 		m.refused = make(map[hoist.WorkerID]time.Time)
 		m.calls = newCalls()
 		m.gangs = make(map[hoist.JobID]*gangTry)
-		m.ledger = newLedger()
+		m.rows = newRowWriter()
 		m.absent = make(map[hoist.WorkerID]absence)
 		m.audit.owners = make(map[hoist.WorkerID]hoist.HostID)
 		m.kick = make(chan struct{}, 1)
 		m.listDue = make(chan struct{}, 1)
-		m.told = make(map[hoist.TaskID]bool)
+		m.stragglers = make(map[hoist.TaskID]bool)
 	})
 }
 
@@ -212,7 +217,7 @@
 	for _, j := range m.book.All() {
 		if teamShardOf(j.Spec.Team) == shard {
 			m.quotas.Drop(j.Spec.Team)
-			m.ledger.drop(j.Spec.ID)
+			m.rows.drop(j.Spec.ID)
 			m.calls.settle(j.Spec.ID)
 			delete(m.gangs, j.Spec.ID)
 			m.book.Remove(j.Spec.ID)
