Bound jobs from the console, and fuzz the decoders of outside input

Cause: the bounds on tasks and ids of a job were in the wire types only; the console builds jobs from a form and would have accepted two thousand million tasks. Found while listing which decoders had no fuzz test. Change: CheckSpec has the bounds, for every front end. Fuzz tests for settings, input of the demonstration and callers' calls, beside that of the configuration. Conclusion: rules of the domain belong into the domain's check.

--- a/internal/core/params/params_test.go
+++ b/internal/core/params/params_test.go
@@ -53,3 +53,20 @@
 		})
 	}
 }
+
+// FuzzParse guards against settings that crash the daemon, and against errors
+// that are not ErrSettings.
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "[[tokens]]\nname = \"x\"\ntoken = \"0123456789abcdef\"\nrole = \"viewer\"\n")
+	f.Add("[tls]\ncert = 1")
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := params.Parse(text)
+		if err == nil && (p.Host == "" || p.Cores < 1) {
+			t.Errorf("accepted %+v", p)
+		}
+		if err != nil && !errors.Is(err, params.ErrSettings) {
+			t.Errorf("error %v is not ErrSettings", err)
+		}
+	})
+}
--- a/internal/decide/jobs/jobs.go
+++ b/internal/decide/jobs/jobs.go
@@ -175,6 +175,15 @@
 	}
 }
 
+const (
+	// maxTasks bounds the memory of one job; larger work is submitted as
+	// several jobs.
+	maxTasks = 100_000
+	// maxName is the largest length of an id, in bytes. The messages between
+	// hosts take no longer ones.
+	maxName = 100
+)
+
 // CheckSpec returns hoist.ErrInvalid with the reason if a job can never be
 // accepted.
 func CheckSpec(s hoist.JobSpec) error {
@@ -184,10 +193,14 @@
 		reason = "has no id"
 	case s.Team == "":
 		reason = "has no team"
+	case len(s.ID) > maxName || len(s.Team) > maxName:
+		reason = fmt.Sprintf("has an id or team of more than %d bytes", maxName)
 	case !s.Kind.IsValid():
 		reason = fmt.Sprintf("has unknown kind %q", s.Kind)
-	case s.Tasks < 1:
-		reason = fmt.Sprintf("has %d tasks", s.Tasks)
+	case s.Tasks < 1 || s.Tasks > maxTasks:
+		reason = fmt.Sprintf("has %d tasks, expected 1 to %d", s.Tasks, maxTasks)
+	case s.RunTime < 0:
+		reason = fmt.Sprintf("has a run time of %s", s.RunTime)
 	case !s.Need.IsValid():
 		reason = fmt.Sprintf("needs %v", s.Need)
 	default:
--- a/internal/peer/caller/access_test.go
+++ b/internal/peer/caller/access_test.go
@@ -73,3 +73,29 @@
 		})
 	}
 }
+
+// FuzzRequest guards against headers and jobs of callers that crash the host or
+// are answered as if they were understood.
+func FuzzRequest(f *testing.F) {
+	f.Add("/v1/requests/matching", "k", "quick", "100", "2026-12-04T10:00:00Z", "body")
+	f.Add("/v1/jobs", "", "", "", "", `{"id":"j","team":"t","kind":"batch","tasks":1,"need":{"cpu-millis":1,"memory-mib":1,"accelerators":0}}`)
+	s := &caller.Server{Requests: anyRequests{}, Jobs: jobs{}, IsReady: func() bool { return true }, Access: access.Open()}
+	handler := s.Handler()
+	f.Fuzz(func(t *testing.T, path, key, class, timeout, issued, body string) {
+		r := httptest.NewRequest("POST", "/v1/requests/x", strings.NewReader(body))
+		r.URL.Path = path
+		r.Header.Set(caller.HeaderKey, key)
+		r.Header.Set(caller.HeaderCustomer, "c")
+		r.Header.Set(caller.HeaderClass, class)
+		r.Header.Set(caller.HeaderTimeout, timeout)
+		r.Header.Set(caller.HeaderIssuedAt, issued)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Code >= 500 {
+			t.Errorf("status %d: %s", w.Code, w.Body)
+		}
+		if w.Code == 200 && (key == "" || class == "") {
+			t.Errorf("request without key or class was answered")
+		}
+	})
+}
--- a/internal/tool/demo/input_test.go
+++ b/internal/tool/demo/input_test.go
@@ -37,3 +37,21 @@
 		})
 	}
 }
+
+// FuzzReadInput guards against input that crashes the reader, and against lines
+// that are accepted without a name.
+func FuzzReadInput(f *testing.F) {
+	f.Add(goodLine)
+	f.Add(`{"type":"job","job":"j","team":"t","kind":"gang","tasks":2,"cpu-millis":1}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := demo.ReadInput(strings.NewReader(text), "in.jsonl")
+		if err != nil && !errors.Is(err, demo.ErrInput) {
+			t.Errorf("error %v is not ErrInput", err)
+		}
+		for _, l := range lines {
+			if l.Key == "" && l.Job == "" {
+				t.Errorf("line without a name: %+v", l)
+			}
+		}
+	})
+}
