Add the domain of plans, and the decisions on them

Cause: the users' platform hands in jobs of several steps, with gangs, copies, occurrences, checkpoints and advisers; the jobs of this project have one kind of task and know none of that. Conclusion: one owner for the cell is the smallest mechanism without a hole.

--- a/errors.go
+++ b/errors.go
@@ -51,6 +51,26 @@
 
 	// ErrNotFound reports that the named entity does not exist.
 	ErrNotFound = merry.Sentinel("not found")
+
+	// ErrNotListening reports that the peer's machine answered that no process
+	// listens at the address. The operation had no effect.
+	ErrNotListening = merry.Sentinel("no process listens there")
+
+	// ErrReplaced reports that another worker answers at the address. The
+	// message had no effect.
+	ErrReplaced = merry.Sentinel("replaced by another worker")
+
+	// ErrLapsed reports that the lease of a message is over. The message had no
+	// effect.
+	ErrLapsed = merry.Sentinel("lease lapsed")
+
+	// ErrTicket reports a ticket that is missing or no longer valid. The task
+	// was not started.
+	ErrTicket = merry.Sentinel("no valid ticket")
+
+	// ErrHistoryLost reports that changes can no longer be listed; the rows must
+	// be read anew.
+	ErrHistoryLost = merry.Sentinel("history lost")
 )
 
 // Turn returns an error of the given kind whose message ends with that of
--- /dev/null
+++ b/internal/decide/sched/advice.go
@@ -0,0 +1,157 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+const (
+	// ticketMargin is how long before its end a ticket is no longer used, for
+	// the recording and sending of the start.
+	ticketMargin = 300 * time.Millisecond
+	// maxAsked is the most workers that one call to an adviser may name.
+	maxAsked = 100
+	// askPatience is when an adviser that has not answered is asked again.
+	askPatience = 4 * time.Second
+	// askPause is the wait after a question without an answer.
+	askPause = 200 * time.Millisecond
+)
+
+// adviceState is what the adviser said about one set.
+type adviceState struct {
+	tickets map[hoist.WorkerID]ticket
+	// isGood holds every worker that was asked about; the answer stays true.
+	isGood map[hoist.WorkerID]bool
+	// asked is when an adviser was asked that has not answered; zero if none is.
+	asked time.Time
+	// notBefore delays the next question after one without an answer.
+	notBefore time.Time
+}
+
+type ticket struct {
+	value hoist.Ticket
+	until time.Time
+}
+
+func newAdviceState() adviceState {
+	return adviceState{tickets: make(map[hoist.WorkerID]ticket), isGood: make(map[hoist.WorkerID]bool)}
+}
+
+// Ask is a question to the adviser of a queue.
+type Ask struct {
+	Step    hoist.StepRef
+	Workers []hoist.WorkerID
+	// Host is the host that puts the question.
+	Host hoist.HostID
+	// Time is how long the answer takes, without waiting for others.
+	Time time.Duration
+}
+
+// Advised takes over the answer of an adviser, or the lack of one.
+func (b *Book) Advised(ask Ask, advice hoist.Advice, err error, now time.Time) {
+	j, ok := b.jobs[ask.Step.Job]
+	if !ok {
+		return
+	}
+	s, ok := j.sets[setKey{ask.Step.Occurrence, ask.Step.Step}]
+	if !ok {
+		return
+	}
+	s.advice.asked = time.Time{}
+	if err != nil {
+		s.advice.notBefore = now.Add(askPause)
+		return
+	}
+	good := 0
+	for _, id := range ask.Workers {
+		value, isGood := advice.Good[id]
+		s.advice.isGood[id] = isGood
+		if isGood {
+			s.advice.tickets[id] = ticket{value, now.Add(advice.Valid)}
+			good++
+		}
+	}
+	b.speeds.noteAdvice(j.Plan.Queue.Name, good, len(ask.Workers))
+}
+
+// mayRun reports whether the set may start on the worker now.
+func (s *Set) mayRun(w *Worker, now time.Time) bool {
+	if !s.Job.Plan.Queue.Advice.IsUsed() {
+		return true
+	}
+	t, ok := s.advice.tickets[w.entry.Worker]
+	return ok && now.Add(ticketMargin).Before(t.until)
+}
+
+// ask asks the adviser about workers that could take waiting tasks of a set. It
+// reports false if there is nothing to ask. isAhead tells that the set cannot
+// start yet, so that the room of today does not count.
+func (b *Book) ask(s *Set, isAhead bool, reserve Reserve, now time.Time) (Ask, bool) {
+	isOpen := !s.advice.asked.IsZero() && now.Sub(s.advice.asked) < askPatience
+	if isOpen || now.Before(s.advice.notBefore) {
+		return Ask{}, false
+	}
+	known, unknown := b.askable(s, isAhead, now)
+	terms := s.Job.Plan.Queue.Advice
+	need := demand(s.Step)
+	var list []hoist.WorkerID
+	places := 0
+	add := func(w *Worker, share float64) {
+		list = append(list, w.entry.Worker)
+		copies := min(s.waiting, w.copies(need, isAhead))
+		if s.Step.MaxPerWorker > 0 {
+			copies = min(copies, s.Step.MaxPerWorker)
+		}
+		places += int(float64(copies) * share * 100)
+	}
+	enough := s.waiting * 100
+	for _, w := range known {
+		if places < enough+enough/2 && len(list) < maxAsked {
+			add(w, 1)
+		}
+	}
+	share := b.speeds.goodShare(s.Job.Plan.Queue.Name)
+	if places < enough {
+		for _, w := range unknown {
+			if places < enough+enough/2 && len(list) < maxAsked {
+				add(w, share)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return Ask{}, false
+	}
+	ask := Ask{Step: s.Ref(), Workers: list, Time: terms.Base + time.Duration(len(list))*terms.PerWorker}
+	var ok bool
+	if ask.Host, ok = reserve(ask.Time, now); !ok {
+		return Ask{}, false
+	}
+	s.advice.asked = now
+	return ask, true
+}
+
+// askable returns the workers that are worth asking about, best first: those
+// known as good whose ticket is over, and those never asked about.
+func (b *Book) askable(s *Set, isAhead bool, now time.Time) (known, unknown []*Worker) {
+	for _, w := range b.workers {
+		if !b.isCandidate(s, w, now) || w.copies(demand(s.Step), isAhead) == 0 || s.mayRun(w, now) {
+			continue
+		}
+		isGood, wasAsked := s.advice.isGood[w.entry.Worker]
+		switch {
+		case !wasAsked:
+			unknown = append(unknown, w)
+		case isGood:
+			known = append(known, w)
+		}
+	}
+	byRank := func(x, y *Worker) int {
+		return cmp.Or(cmp.Compare(b.rank(s, x), b.rank(s, y)), cmp.Compare(x.entry.Worker, y.entry.Worker))
+	}
+	slices.SortFunc(known, byRank)
+	slices.SortFunc(unknown, byRank)
+	return known, unknown
+}
--- /dev/null
+++ b/internal/decide/sched/book.go
@@ -0,0 +1,443 @@
+// Package sched decides which tasks of plans start where. It keeps the plans of
+// a cell, the workers with what they hold, and what is known of each attempt.
+//
+// # Usage
+//
+//	b := sched.NewBook(term, rng)
+//	b.SetWorkers(entries, now)
+//	b.Add(plan, now)
+//	d := b.Pass(now)             // chosen starts are not sent yet
+//	// write b.Record(job) for each job of b.Unrecorded(part), then
+//	orders := b.Recorded(job, change, version, now) // starts to send
+//	b.Started(run, clock, err, now)
+//	b.Viewed(worker, view, asked, now)
+//	b.Tick(now)
+//
+// # Certainty
+//
+// A task is in at most one place. A start is recorded before it is sent, so that
+// a later owner of the cell knows every worker on which an attempt may run. An
+// attempt without an answer keeps its task and its capacity until it was
+// stopped, until the worker was seen without it after the stop, until the
+// worker started a new life, or until its lease has run out on a slow clock.
+// An end may be acknowledged to the worker only after it was recorded.
+//
+// The type is not safe for concurrent use and reads no clock.
+package sched
+
+import (
+	"math/rand/v2"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Phase is the state of a task.
+type Phase uint8
+
+// The phases of a task.
+const (
+	// Waiting tasks run nowhere and may be placed.
+	Waiting Phase = iota
+	// Recording tasks have a worker; the start is not recorded yet.
+	Recording
+	// Sending tasks have a start on its way.
+	Sending
+	// Inherited tasks were started by an earlier owner, as far as is recorded.
+	Inherited
+	Running
+	// Stopping tasks must be ended; it is not certain that they run.
+	Stopping
+	Done
+)
+
+// attemptBits is the part of an attempt number that counts within one term, so
+// that the attempts of a later owner are always higher.
+const attemptBits = 20
+
+// Task is one task of a plan.
+type Task struct {
+	Set     *Set
+	Index   int
+	Phase   Phase
+	Attempt hoist.AttemptNo
+	Worker  *Worker
+	Saved   hoist.Checkpoint
+	// Failed lists the attempts that ended as failed.
+	Failed []hoist.AttemptNo
+
+	since time.Time
+	// notBefore delays the next start after a failure.
+	notBefore time.Time
+	// change is the change of the job that recorded the start.
+	change  uint64
+	ticket  hoist.Ticket
+	stop    stopState
+	figure  float64
+	lastPut *Worker
+}
+
+// stopState is what is known of the stop of an attempt.
+type stopState struct {
+	sent     time.Time
+	isBusy   bool
+	answered time.Time
+}
+
+// Ref returns the name of the task.
+func (t *Task) Ref() hoist.TaskRef {
+	return hoist.TaskRef{StepRef: t.Set.Ref(), Index: t.Index}
+}
+
+// Run returns the name of the task's current attempt.
+func (t *Task) Run() hoist.TaskRun {
+	return hoist.TaskRun{Task: t.Ref(), Attempt: t.Attempt}
+}
+
+// IsPlaced reports whether the task holds capacity on a worker.
+func (t *Task) IsPlaced() bool {
+	return t.Phase != Waiting && t.Phase != Done
+}
+
+// Set is the tasks of one step in one occurrence of a plan.
+type Set struct {
+	Job        *Job
+	Occurrence hoist.Occurrence
+	No         hoist.StepNo
+	Step       *hoist.Step
+	Tasks      []*Task
+	left       int
+	waiting    int
+	// saved is the newest checkpoint of a gang.
+	saved  hoist.Checkpoint
+	advice adviceState
+}
+
+// Ref returns the name of the set.
+func (s *Set) Ref() hoist.StepRef {
+	return hoist.StepRef{Job: s.Job.Plan.ID, Occurrence: s.Occurrence, Step: s.No}
+}
+
+// IsDone reports whether all tasks have succeeded.
+func (s *Set) IsDone() bool {
+	return s.left == 0
+}
+
+// failures counts the failed attempts at a task, or at a gang as a whole.
+func (s *Set) failures(t *Task) int {
+	if !s.Step.IsGang {
+		return len(t.Failed)
+	}
+	attempts := make(map[hoist.AttemptNo]bool)
+	for _, member := range s.Tasks {
+		for _, a := range member.Failed {
+			attempts[a] = true
+		}
+	}
+	return len(attempts)
+}
+
+// Job is an accepted plan and what became of it.
+type Job struct {
+	Plan  hoist.Plan
+	Phase hoist.PlanPhase
+	// Version is the version of the job's state row.
+	Version hoist.RowVersion
+	// Ended is when the job reached its last phase.
+	Ended time.Time
+
+	sets map[setKey]*Set
+	// next is the first occurrence that has not begun, and open the number of
+	// occurrences that have begun and not ended.
+	next     hoist.Occurrence
+	open     map[hoist.Occurrence]int
+	placed   int
+	attempts hoist.AttemptNo
+	due      time.Time
+	gaveUp   time.Time
+	// change counts the changes of the state; those up to recorded are in the
+	// store, and the one up to urgent is waited for.
+	change, recorded, urgent uint64
+}
+
+type setKey struct {
+	occurrence hoist.Occurrence
+	step       hoist.StepNo
+}
+
+// touch notes that the state of the job differs from what is recorded.
+func (j *Job) touch(isUrgent bool) {
+	j.change++
+	if isUrgent {
+		j.urgent = j.change
+	}
+}
+
+// occurrences is how often the steps run in all.
+func (j *Job) occurrences() hoist.Occurrence {
+	return hoist.Occurrence(max(1, j.Plan.Occurrences))
+}
+
+// IsClosed reports whether the job has ended and nothing of it runs.
+func (j *Job) IsClosed() bool {
+	return j.Phase.IsFinal() && j.placed == 0
+}
+
+// Book holds the plans and workers of one cell.
+type Book struct {
+	term    hoist.Term
+	rng     *rand.Rand
+	jobs    map[hoist.JobID]*Job
+	workers map[hoist.WorkerID]*Worker
+	speeds  speeds
+	// began is when this owner began; inherited attempts on workers that stay
+	// unreachable count as lapsed at the time lapse.
+	lapse time.Time
+	// FarFactor is how much slower a task is away from its data.
+	FarFactor float64
+	// waiting counts the jobs that nothing was started of, by queue.
+	waiting map[hoist.QueueName]int
+}
+
+// NewBook returns an empty book of the owner in a term. The leases that earlier
+// owners granted have all run out at lapse.
+func NewBook(term hoist.Term, lapse time.Time, rng *rand.Rand) *Book {
+	return &Book{
+		term: term, rng: rng, lapse: lapse, FarFactor: 2,
+		jobs:    make(map[hoist.JobID]*Job),
+		workers: make(map[hoist.WorkerID]*Worker),
+		speeds:  newSpeeds(),
+		waiting: make(map[hoist.QueueName]int),
+	}
+}
+
+// Job returns a job that has not been forgotten.
+func (b *Book) Job(id hoist.JobID) (*Job, bool) {
+	j, ok := b.jobs[id]
+	return j, ok
+}
+
+// Jobs returns the number of jobs.
+func (b *Book) Jobs() int {
+	return len(b.jobs)
+}
+
+// Waiting returns, for each queue, how many accepted jobs have not begun.
+func (b *Book) Waiting() map[hoist.QueueName]int {
+	counts := make(map[hoist.QueueName]int)
+	for _, j := range b.jobs {
+		if j.Phase == hoist.PlanQueued {
+			counts[j.Plan.Queue.Name]++
+		}
+	}
+	return counts
+}
+
+// Add takes over an accepted plan that has not begun, whose state row has the
+// given version. A plan that is known stays as it is.
+func (b *Book) Add(p hoist.Plan, version hoist.RowVersion, now time.Time) *Job {
+	if j, ok := b.jobs[p.ID]; ok {
+		return j
+	}
+	j := &Job{
+		Plan: p, Phase: hoist.PlanQueued, Version: version,
+		sets: make(map[setKey]*Set),
+		open: make(map[hoist.Occurrence]int),
+	}
+	chain := longestChain(p.Steps)
+	j.due = p.Accepted.Add(p.Queue.Latency + time.Duration(float64(chain)*p.Queue.Stretch))
+	j.gaveUp = p.Accepted.Add(3 * j.due.Sub(p.Accepted))
+	b.jobs[p.ID] = j
+	b.beginOccurrences(j, now)
+	return j
+}
+
+// SetQueue puts the present parameters of a queue in force for its jobs.
+func (b *Book) SetQueue(q hoist.Queue) {
+	for _, j := range b.jobs {
+		if j.Plan.Queue.Name == q.Name {
+			j.Plan.Queue = q
+		}
+	}
+}
+
+// longestChain is the longest declared time of steps that follow each other.
+func longestChain(steps []hoist.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// beginOccurrences makes the sets of the occurrences that are due.
+func (b *Book) beginOccurrences(j *Job, now time.Time) {
+	for j.next < j.occurrences() && !j.Phase.IsFinal() && !now.Before(j.dueAt(j.next)) {
+		for no := range j.Plan.Steps {
+			j.addSet(j.next, hoist.StepNo(no))
+		}
+		j.next++
+		j.touch(false)
+	}
+}
+
+// dueAt is when an occurrence may begin.
+func (j *Job) dueAt(k hoist.Occurrence) time.Time {
+	if j.Plan.Occurrences == 0 {
+		return j.Plan.Accepted.Add(-time.Hour)
+	}
+	return j.Plan.Start.Add(time.Duration(k) * j.Plan.Interval)
+}
+
+func (j *Job) addSet(k hoist.Occurrence, no hoist.StepNo) *Set {
+	step := &j.Plan.Steps[no]
+	s := &Set{Job: j, Occurrence: k, No: no, Step: step, left: step.Count, waiting: step.Count, advice: newAdviceState()}
+	s.Tasks = make([]*Task, step.Count)
+	for i := range s.Tasks {
+		s.Tasks[i] = &Task{Set: s, Index: i}
+	}
+	j.sets[setKey{k, no}] = s
+	if step.Count > 0 {
+		j.open[k]++
+	}
+	return s
+}
+
+// Cancel ends a job: nothing of it starts any more and what runs is stopped. It
+// reports whether the job was not over yet.
+func (b *Book) Cancel(id hoist.JobID, now time.Time) bool {
+	j, ok := b.jobs[id]
+	if !ok || j.Phase.IsFinal() {
+		return false
+	}
+	b.finish(j, hoist.PlanCancelled, now)
+	return true
+}
+
+// finish puts a job into its last phase.
+func (b *Book) finish(j *Job, phase hoist.PlanPhase, now time.Time) {
+	j.Phase = phase
+	j.Ended = now
+	j.touch(true)
+	for _, s := range j.sets {
+		for _, t := range s.Tasks {
+			b.drop(t, now)
+		}
+	}
+}
+
+// drop ends the attempt of a task, wherever it may be.
+func (b *Book) drop(t *Task, now time.Time) {
+	switch t.Phase {
+	case Recording:
+		b.release(t, now)
+	case Running, Inherited, Sending:
+		t.Phase = Stopping
+		t.stop = stopState{}
+	default:
+	}
+}
+
+// task finds a task by its name.
+func (b *Book) task(ref hoist.TaskRef) (*Task, bool) {
+	j, ok := b.jobs[ref.Job]
+	if !ok {
+		return nil, false
+	}
+	s, ok := j.sets[setKey{ref.Occurrence, ref.Step}]
+	if !ok || ref.Index < 0 || ref.Index >= len(s.Tasks) {
+		return nil, false
+	}
+	return s.Tasks[ref.Index], true
+}
+
+// place reserves a worker for an attempt at a waiting task.
+func (b *Book) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
+	t.Phase, t.Worker, t.Attempt, t.since = phase, w, attempt, now
+	t.lastPut = w
+	t.stop = stopState{}
+	t.Set.waiting--
+	t.Set.Job.placed++
+	w.tasks[t] = true
+	w.used = w.used.Add(demand(t.Set.Step))
+}
+
+// release makes a placed task wait again: no attempt at it runs.
+func (b *Book) release(t *Task, now time.Time) {
+	b.free(t)
+	t.Phase = Waiting
+	t.since = now
+	t.Set.waiting++
+	t.Set.Job.touch(false)
+}
+
+// free gives back what a placed task holds on its worker.
+func (b *Book) free(t *Task) {
+	if t.Worker != nil {
+		delete(t.Worker.tasks, t)
+		t.Worker.used = t.Worker.used.Sub(demand(t.Set.Step))
+	}
+	t.Worker = nil
+	t.Set.Job.placed--
+}
+
+// demand is what a task counts against the capacity of a worker.
+func demand(s *hoist.Step) hoist.Resources {
+	need := s.Need
+	if s.IsFiller {
+		need.CPU = 0
+	}
+	return need
+}
+
+// newAttempt numbers the next attempt of a job.
+func (b *Book) newAttempt(j *Job) hoist.AttemptNo {
+	j.attempts++
+	return hoist.AttemptNo(b.term-1)<<attemptBits + j.attempts
+}
+
+// complete records the success of a task.
+func (b *Book) complete(t *Task, now time.Time) {
+	if t.Phase == Done {
+		return
+	}
+	if t.IsPlaced() {
+		b.free(t)
+	} else {
+		t.Set.waiting--
+	}
+	t.Phase = Done
+	s, j := t.Set, t.Set.Job
+	s.left--
+	j.touch(s.left == 0)
+	if s.left > 0 {
+		return
+	}
+	j.open[s.Occurrence]--
+	if j.open[s.Occurrence] == 0 {
+		b.endOccurrence(j, s.Occurrence, now)
+	}
+}
+
+// endOccurrence forgets the tasks of an occurrence that succeeded as a whole.
+func (b *Book) endOccurrence(j *Job, k hoist.Occurrence, now time.Time) {
+	delete(j.open, k)
+	if j.occurrences() > 1 {
+		for no := range j.Plan.Steps {
+			delete(j.sets, setKey{k, hoist.StepNo(no)})
+		}
+	}
+	if len(j.open) == 0 && j.next == j.occurrences() && !j.Phase.IsFinal() {
+		b.finish(j, hoist.PlanDone, now)
+	}
+}
+
+// Forget drops a job whose last state is recorded and of which nothing runs.
+func (b *Book) Forget(id hoist.JobID) {
+	delete(b.jobs, id)
+}
--- /dev/null
+++ b/internal/decide/sched/state.go
@@ -0,0 +1,146 @@
+package sched
+
+import (
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Unrecorded is a state of a job to be written.
+type Unrecorded struct {
+	Job     hoist.JobID
+	Version hoist.RowVersion
+	Change  uint64
+	State   hoist.PlanState
+	// IsClosed tells that nothing of the job runs any more.
+	IsClosed bool
+}
+
+// Unrecorded returns the states to write, of jobs that the filter accepts. If
+// none of them is waited for it returns none, unless isAll is set.
+func (b *Book) Unrecorded(accept func(hoist.JobID) bool, isAll bool) []Unrecorded {
+	var changed []*Job
+	isWaitedFor := isAll
+	for _, j := range b.jobs {
+		if j.change > j.recorded && accept(j.Plan.ID) {
+			changed = append(changed, j)
+			isWaitedFor = isWaitedFor || j.urgent > j.recorded
+		}
+	}
+	if !isWaitedFor {
+		return nil
+	}
+	out := make([]Unrecorded, 0, len(changed))
+	for _, j := range changed {
+		out = append(out, Unrecorded{j.Plan.ID, j.Version, j.change, j.state(), j.IsClosed()})
+	}
+	return out
+}
+
+// IsSettled reports whether a job is closed and recorded as such.
+func (b *Book) IsSettled(id hoist.JobID) bool {
+	j, ok := b.jobs[id]
+	return ok && j.IsClosed() && j.recorded == j.change
+}
+
+func (j *Job) state() hoist.PlanState {
+	s := hoist.PlanState{Queue: j.Plan.Queue.Name, Phase: j.Phase, Next: j.next, Ended: j.Ended}
+	for k := range j.occurrences() {
+		for no := range j.Plan.Steps {
+			if set, ok := j.sets[setKey{k, hoist.StepNo(no)}]; ok {
+				s.Sets = append(s.Sets, set.state())
+			}
+		}
+		if k >= j.next {
+			break
+		}
+	}
+	return s
+}
+
+func (s *Set) state() hoist.StepState {
+	out := hoist.StepState{Occurrence: s.Occurrence, Step: s.No}
+	for _, t := range s.Tasks {
+		if t.Phase == Done {
+			out.Done = append(out.Done, t.Index)
+			continue
+		}
+		if t.IsPlaced() {
+			out.Placed = append(out.Placed, hoist.PlacedRun{Index: t.Index, Attempt: t.Attempt, Worker: t.Worker.entry.Worker})
+		}
+		for _, a := range t.Failed {
+			out.Failed = append(out.Failed, hoist.FailedRun{Index: t.Index, Attempt: a})
+		}
+		if t.Saved != "" && s.Step.SavesProgress {
+			out.Saved = append(out.Saved, hoist.SavedProgress{Index: t.Index, Saved: t.Saved})
+		}
+	}
+	return out
+}
+
+// Restore takes over a job from its recorded state, in a row of the given
+// version. Attempts that may run are looked for on their workers.
+func (b *Book) Restore(p hoist.Plan, s hoist.PlanState, version hoist.RowVersion, now time.Time) {
+	if _, ok := b.jobs[p.ID]; ok {
+		return
+	}
+	j := b.Add(p, version, p.Accepted.Add(-time.Hour))
+	j.Phase, j.Ended, j.next = s.Phase, s.Ended, s.Next
+	clear(j.sets)
+	clear(j.open)
+	for _, set := range s.Sets {
+		if int(set.Step) < len(p.Steps) {
+			b.restoreSet(j.addSet(set.Occurrence, set.Step), set, now)
+		}
+	}
+	for k, n := range j.open {
+		if n == 0 {
+			delete(j.open, k)
+		}
+	}
+	j.change, j.recorded, j.urgent = 1, 1, 0
+	b.beginOccurrences(j, now)
+	if len(j.open) == 0 && j.next == j.occurrences() && !j.Phase.IsFinal() {
+		b.finish(j, hoist.PlanDone, now)
+	}
+}
+
+func (b *Book) restoreSet(set *Set, s hoist.StepState, now time.Time) {
+	isTask := func(i int) bool { return i >= 0 && i < len(set.Tasks) }
+	for _, i := range s.Done {
+		if isTask(i) {
+			set.Tasks[i].Phase = Done
+			set.waiting--
+			set.left--
+		}
+	}
+	if set.left == 0 && len(set.Tasks) > 0 {
+		set.Job.open[set.Occurrence]--
+	}
+	for _, f := range s.Failed {
+		if isTask(f.Index) {
+			set.Tasks[f.Index].Failed = append(set.Tasks[f.Index].Failed, f.Attempt)
+		}
+	}
+	for _, c := range s.Saved {
+		if isTask(c.Index) {
+			set.Tasks[c.Index].Saved = c.Saved
+			set.saved = c.Saved
+		}
+	}
+	for _, p := range s.Placed {
+		if isTask(p.Index) && set.Tasks[p.Index].Phase == Waiting {
+			b.place(set.Tasks[p.Index], b.worker(p.Worker), p.Attempt, Inherited, now)
+			if set.Job.Phase.IsFinal() {
+				b.drop(set.Tasks[p.Index], now)
+			}
+		}
+	}
+}
+
+// SetVersion notes the version of the row that holds the state of a job.
+func (b *Book) SetVersion(id hoist.JobID, version hoist.RowVersion) {
+	if j, ok := b.jobs[id]; ok {
+		j.Version = version
+	}
+}
--- /dev/null
+++ b/planstate.go
@@ -0,0 +1,46 @@
+package hoist
+
+import "time"
+
+// PlanState is what is recorded of a job besides its plan.
+type PlanState struct {
+	Queue QueueName
+	Phase PlanPhase
+	// Next is the first occurrence that has not begun.
+	Next Occurrence
+	// Ended is when the job reached its last phase; zero before.
+	Ended time.Time
+	// Sets are the steps of the occurrences that have begun and not ended.
+	Sets []StepState
+}
+
+// StepState is what is recorded of the tasks of one step.
+type StepState struct {
+	Occurrence Occurrence
+	Step       StepNo
+	// Done lists the tasks that succeeded.
+	Done []int
+	// Placed are the attempts that may run.
+	Placed []PlacedRun
+	Failed []FailedRun
+	Saved  []SavedProgress
+}
+
+// PlacedRun is an attempt that may run on a worker.
+type PlacedRun struct {
+	Index   int
+	Attempt AttemptNo
+	Worker  WorkerID
+}
+
+// FailedRun is an attempt that ended as failed.
+type FailedRun struct {
+	Index   int
+	Attempt AttemptNo
+}
+
+// SavedProgress is the progress of a task.
+type SavedProgress struct {
+	Index int
+	Saved Checkpoint
+}
