Add what an entry host needs to schedule plans

Cause: the decisions need an owner that is unique, plans that last, and orders that are sent once. Conclusion: the state is in the store only, and a host can be replaced any time.

--- /dev/null
+++ b/internal/core/drive/plans.go
@@ -0,0 +1,292 @@
+package drive
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+)
+
+// maxRecorded bounds the states in one transaction: each takes up to four of its
+// 100 entries.
+const maxRecorded = 20
+
+// plansLoop takes over the plans in the store and follows their table.
+func (d *Driver) plansLoop(ctx context.Context) {
+	var after hoist.RowVersion
+	for ctx.Err() == nil {
+		var err error
+		if after == 0 {
+			after, err = d.restore(ctx)
+		} else {
+			after, err = d.followPlans(ctx, after)
+		}
+		if errors.Is(err, hoist.ErrHistoryLost) {
+			after = 0
+		}
+		if err != nil && ctx.Err() == nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// followPlans waits for changes of the table of plans and takes them over.
+func (d *Driver) followPlans(ctx context.Context, after hoist.RowVersion) (hoist.RowVersion, error) {
+	callCtx, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
+	defer cancel()
+	changed, next, err := d.Store.Changes(callCtx, keys.Plans, after, feedWait)
+	if err != nil {
+		return after, err
+	}
+	if len(changed) > 0 {
+		d.takePlans(ctx, changed, nil)
+		d.wake()
+	}
+	return next, nil
+}
+
+// restore reads all plans and what became of them.
+func (d *Driver) restore(ctx context.Context) (hoist.RowVersion, error) {
+	began := d.Clock.Now()
+	var mu sync.Mutex
+	var oldest hoist.RowVersion
+	var plans []hoist.StoredRow
+	states := make(map[hoist.RowKey]hoist.StoredRow)
+	var g errgroup.Group
+	for _, part := range keys.Parts() {
+		g.Go(func() error {
+			some, of, version, err := d.restorePart(ctx, part)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if oldest == 0 || version < oldest {
+				oldest = version
+			}
+			plans = append(plans, some...)
+			for _, row := range of {
+				states[row.Key] = row
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return 0, err
+	}
+	d.takePlans(ctx, plans, states)
+	d.takeEnded(states)
+	d.mu.Lock()
+	if !d.isReady {
+		d.isReady = true
+		close(d.restored)
+	}
+	jobs := d.book.Jobs()
+	d.mu.Unlock()
+	d.wake()
+	events.PlansRestored.Log(ctx, d.Log, "term", d.Own.Term, "plans", jobs, "states", len(states), "version", oldest, "took", d.Clock.Now().Sub(began))
+	return oldest, nil
+}
+
+// restorePart reads the plans of a part and their states. The states are read
+// after the plans, so that no plan lacks its state.
+func (d *Driver) restorePart(ctx context.Context, part hoist.PartName) (plans, states []hoist.StoredRow, version hoist.RowVersion, err error) {
+	plans, version, err = d.scan(ctx, keys.Plans, part)
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	states, _, err = d.scan(ctx, keys.States, part)
+	return plans, states, version, err
+}
+
+func (d *Driver) scan(ctx context.Context, table hoist.TableName, part hoist.PartName) ([]hoist.StoredRow, hoist.RowVersion, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return d.Store.Scan(ctx, table, part)
+}
+
+// takePlans takes over rows of the table of plans. Plans without a state among
+// states have just been accepted, in the same transaction as their state.
+func (d *Driver) takePlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowKey]hoist.StoredRow) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	var cancelled []hoist.JobID
+	for _, row := range changed {
+		if row.IsRemoved {
+			continue
+		}
+		if id, isCancel := keys.CancelOf(row.Key); isCancel {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		d.takePlan(ctx, row, states, now)
+	}
+	for _, id := range cancelled {
+		if d.book.Cancel(id, now) {
+			events.PlanEnded.Log(ctx, d.Log, "plan", id, "phase", hoist.PlanCancelled, "term", d.Own.Term)
+		}
+	}
+}
+
+func (d *Driver) takePlan(ctx context.Context, row hoist.StoredRow, states map[hoist.RowKey]hoist.StoredRow, now time.Time) {
+	id := hoist.JobID(row.Key)
+	if d.over[id] {
+		return
+	}
+	plan, err := codec.DecodePlan(id, row.Value)
+	if err != nil {
+		events.PlanUnreadable.Log(ctx, d.Log, "plan", id, "version", row.Version, "error", err)
+		return
+	}
+	if q, ok := d.Queue(plan.Queue.Name); ok {
+		plan.Queue = q
+	}
+	state, ok := states[row.Key]
+	if !ok {
+		d.book.Add(plan, row.Version, now)
+		return
+	}
+	restored, err := codec.DecodePlanState(state.Value)
+	if err != nil {
+		events.PlanUnreadable.Log(ctx, d.Log, "plan", id, "version", state.Version, "error", err)
+		return
+	}
+	d.book.Restore(plan, restored, state.Version, now)
+}
+
+// takeEnded notes which states must be removed some time.
+func (d *Driver) takeEnded(states map[hoist.RowKey]hoist.StoredRow) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, row := range states {
+		s, err := codec.DecodePlanState(row.Value)
+		if err == nil && s.Phase.IsFinal() {
+			d.ended = append(d.ended, endedPlan{hoist.JobID(key), d.Clock.Now()})
+			// A plan of which something may still run has its row.
+			if _, ok := d.book.Job(hoist.JobID(key)); !ok {
+				d.over[hoist.JobID(key)] = true
+			}
+		}
+	}
+}
+
+// recordLoop records the states of the plans of one part.
+func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
+	lastAll := d.Clock.Now()
+	for pauseOr(ctx, time.Second, due) {
+		for ctx.Err() == nil {
+			now := d.Clock.Now()
+			isAll := now.Sub(lastAll) >= recordEvery
+			if isAll {
+				lastAll = now
+			}
+			list := d.unrecorded(part, isAll)
+			if len(list) == 0 {
+				break
+			}
+			if !d.record(ctx, part, list) {
+				pause(ctx, retryPause)
+			}
+		}
+	}
+}
+
+// recordEvery is how often changes are recorded that nothing waits for. Ends
+// stay listed at their workers until then.
+const recordEvery = 250 * time.Millisecond
+
+func (d *Driver) unrecorded(part hoist.PartName, isAll bool) []sched.Unrecorded {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.book.Unrecorded(func(id hoist.JobID) bool { return keys.PartOf(id) == part }, isAll)
+	return list[:min(len(list), maxRecorded)]
+}
+
+// record writes states and sends the starts that they allow. It reports false
+// if it must be tried again.
+func (d *Driver) record(ctx context.Context, part hoist.PartName, list []sched.Unrecorded) bool {
+	txn := hoist.Transaction{Expect: []hoist.Expected{{RowRef: keys.Fence(part), Version: d.Own.Version}}}
+	for _, u := range list {
+		ref := keys.State(u.Job)
+		txn.Expect = append(txn.Expect, hoist.Expected{RowRef: ref, Version: u.Version})
+		txn.Writes = append(txn.Writes, hoist.Write{RowRef: ref, Value: codec.EncodePlanState(u.State)})
+		if u.IsClosed {
+			txn.Remove = append(txn.Remove, keys.Plan(u.Job), keys.Cancel(u.Job))
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	version, err := d.Store.Commit(callCtx, txn)
+	if err != nil {
+		if ctx.Err() == nil {
+			events.StateLate.Log(ctx, d.Log, "part", part, "plans", len(list), "error", err)
+		}
+		if errors.Is(err, hoist.ErrConflict) {
+			return d.reread(ctx, part, list)
+		}
+		return false
+	}
+	d.recorded(ctx, list, version)
+	return true
+}
+
+// recorded notes what is in the store and sends the starts that waited for it.
+func (d *Driver) recorded(ctx context.Context, list []sched.Unrecorded, version hoist.RowVersion) {
+	d.mu.Lock()
+	now := d.Clock.Now()
+	var starts []sched.Start
+	for _, u := range list {
+		starts = append(starts, d.book.Recorded(u.Job, u.Change, version, now)...)
+		if u.State.Phase.IsFinal() && d.book.IsSettled(u.Job) {
+			d.book.Forget(u.Job)
+			d.ended = append(d.ended, endedPlan{u.Job, now})
+			d.over[u.Job] = true
+			events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
+		}
+	}
+	orders := make([]order, 0, len(starts))
+	for _, s := range starts {
+		orders = append(orders, d.orderOf(s, now))
+	}
+	d.mu.Unlock()
+	for _, o := range orders {
+		d.calls.Go(func() { d.start(ctx, o) })
+	}
+	for _, l := range d.allLinks() {
+		signal(l.recorded)
+	}
+}
+
+// reread learns the versions of states after a conflict: an earlier transaction
+// without an answer took effect after all, or there is a later owner.
+func (d *Driver) reread(ctx context.Context, part hoist.PartName, list []sched.Unrecorded) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	fence, err := d.Store.Get(ctx, keys.Fence(part))
+	if err != nil {
+		return false
+	}
+	if fence.Version != d.Own.Version {
+		d.Own.Lose()
+		return false
+	}
+	for _, u := range list {
+		row, err := d.Store.Get(ctx, keys.State(u.Job))
+		if err != nil {
+			return false
+		}
+		d.mu.Lock()
+		d.book.SetVersion(u.Job, row.Version)
+		d.mu.Unlock()
+	}
+	return true
+}
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -54,6 +54,11 @@
 	HandoverLost     = register(118, slog.LevelWarn, "handover did not reach the new owner")
 	FenceFailed      = register(119, slog.LevelWarn, "lapsed member could not be fenced")
 	LeaveFailed      = register(120, slog.LevelWarn, "leaving could not be recorded in the table")
+	CellClaimed      = register(121, slog.LevelInfo, "claimed the cell")
+	CellLost         = register(122, slog.LevelWarn, "no longer the owner of the cell")
+	StoreLost        = register(123, slog.LevelWarn, "store cannot be reached")
+	StoreBack        = register(124, slog.LevelInfo, "store answers again")
+	HelperLost       = register(125, slog.LevelWarn, "host cannot be asked for help")
 )
 
 // Events of executors and requests: 200 to 299.
@@ -95,12 +100,42 @@
 	Started  = register(400, slog.LevelInfo, "daemon started")
 	Stopping = register(401, slog.LevelInfo, "daemon is stopping")
 	Stopped  = register(402, slog.LevelInfo, "daemon stopped")
+	Reloaded = register(404, slog.LevelInfo, "settings were read again")
+
+	ReloadFailed = register(405, slog.LevelWarn, "settings could not be read again; those before stay in force")
+	LinesDropped = register(408, slog.LevelWarn, "log lines dropped")
+	ReadyOn      = register(406, slog.LevelInfo, "host takes new callers")
+	ReadyOff     = register(407, slog.LevelWarn, "host takes no new callers")
 )
 
 // DeployFailed is logged for each service of the configuration whose job could
 // not be submitted or cancelled; it is tried again.
 var DeployFailed = register(403, slog.LevelWarn, "job of a configured service could not be changed")
 
+// Events of plans: 600 to 699.
+var (
+	PlanAccepted    = register(600, slog.LevelInfo, "accepted a plan")
+	PlanRefused     = register(601, slog.LevelWarn, "plan was not accepted")
+	PlanUnsettled   = register(602, slog.LevelWarn, "it is not known whether a plan was accepted")
+	PlanEnded       = register(603, slog.LevelInfo, "plan ended")
+	PlanCancelAsked = register(604, slog.LevelInfo, "cancellation of a plan is recorded")
+	PlansRestored   = register(605, slog.LevelInfo, "took over the plans of the cell")
+	RunStarted      = register(606, slog.LevelInfo, "worker started a task")
+	RunRefused      = register(607, slog.LevelWarn, "worker refused a start")
+	RunUnknown      = register(608, slog.LevelWarn, "outcome of a start is unknown; the attempt is stopped")
+	RunEnded        = register(609, slog.LevelInfo, "attempt at a task ended")
+	RunStopped      = register(610, slog.LevelInfo, "stop of an attempt was answered")
+	RunStopFailed   = register(611, slog.LevelWarn, "stop of an attempt was not answered")
+	WorkerUnseen    = register(612, slog.LevelWarn, "worker does not answer looks")
+	WorkerSeen      = register(613, slog.LevelInfo, "worker answers looks")
+	AdviceGiven     = register(614, slog.LevelInfo, "adviser named the workers that may run a step")
+	AdviceFailed    = register(615, slog.LevelWarn, "adviser did not answer")
+	StateLate       = register(616, slog.LevelWarn, "states of plans could not be recorded")
+	PlanUnreadable  = register(617, slog.LevelError, "plan cannot be decoded and is left alone")
+	WorkerLeft      = register(619, slog.LevelInfo, "worker has left; its tasks wait again")
+	PlanQuestion    = register(618, slog.LevelWarn, "question about a plan could not be answered")
+)
+
 // Events of the configuration: 500 to 599.
 var (
 	ConfigAccepted    = register(500, slog.LevelInfo, "accepted a configuration")
--- /dev/null
+++ b/internal/core/hostd/hostd.go
@@ -0,0 +1,225 @@
+// Package hostd is one entry host that schedules plans: it joins the intake of
+// plans, the claim to the cell, and the driver that acts for the cell.
+//
+// # Usage
+//
+//	h := &hostd.Host{ID: id, Addr: addr, Epoch: epoch, Store: store, Registry: registry, Source: source, ...}
+//	plans := h.Plans()
+//	err := h.Run(ctx, serving)
+//
+// Every host of a cell runs the same. One of them at a time owns the cell.
+package hostd
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/drive"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/intake"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/core/queues"
+	"fuchsiahoist.example/hoist/internal/peer/helper"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+const (
+	// storeTimeout bounds a call to the store.
+	storeTimeout = 2 * time.Second
+	// retryPause is the wait after a failed call.
+	retryPause = 300 * time.Millisecond
+	// hostsWait is how long the store waits for a change of the hosts.
+	hostsWait = 2 * time.Second
+	// readyAge is how old the last answer of the store may be while the host
+	// takes new callers.
+	readyAge = 2500 * time.Millisecond
+)
+
+// Host is one entry host. Set the exported fields before use.
+type Host struct {
+	ID    hoist.HostID
+	Epoch hoist.Epoch
+	// Addr is where other hosts reach this one.
+	Addr     string
+	Store    hoist.Store
+	Registry hoist.Registry
+	Source   hoist.QueueSource
+	Dial     func(hoist.WorkerEntry) hoist.Runner
+	Adviser  hoist.Adviser
+	Clock    hoist.Clock
+	Log      *slog.Logger
+	Count    drive.Counter
+	// Keep is how long the state of an ended plan can be asked for.
+	Keep time.Duration
+	// FarFactor is how much slower tasks are away from their data.
+	FarFactor float64
+
+	once     sync.Once
+	watched  *watchedStore
+	follower *queues.Follower
+	mu       sync.Mutex
+	driver   *drive.Driver
+}
+
+func (h *Host) init() {
+	h.once.Do(func() {
+		h.watched = &watchedStore{Store: h.Store, clock: h.Clock, log: h.Log}
+		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, Answered: h.watched.note}
+	})
+}
+
+// Plans returns the service that accepts plans.
+func (h *Host) Plans() *intake.Service {
+	h.init()
+	return &intake.Service{Store: h.watched, Find: h.follower.Find, Clock: h.Clock, Log: h.Log}
+}
+
+// IsReady reports whether callers should be sent here: the configuration is
+// known, and the store answers.
+func (h *Host) IsReady() bool {
+	h.init()
+	return h.follower.Version() > 0 && h.watched.age() <= readyAge
+}
+
+// OwnedTerm returns the term in which this host owns the cell, or 0.
+func (h *Host) OwnedTerm() hoist.Term {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.driver == nil {
+		return 0
+	}
+	return h.driver.Own.Term
+}
+
+// Run claims the cell when it is vacant, and acts for it, until ctx ends; it
+// then gives the cell up. It follows the configuration until serving ends.
+func (h *Host) Run(ctx, serving context.Context) error {
+	h.init()
+	var g errgroup.Group
+	g.Go(func() error { h.follower.Run(serving); return nil })
+	g.Go(func() error { h.announce(ctx); return nil })
+	keeper := &claim.Keeper{
+		Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Store: h.watched, Clock: h.Clock, Log: h.Log,
+		Own: h.own, Waiting: h.waiting,
+	}
+	g.Go(func() error { return keeper.Run(ctx) })
+	return g.Wait()
+}
+
+// announce records where other hosts reach this one.
+func (h *Host) announce(ctx context.Context) {
+	row := rows.Host{Addr: h.Addr, Epoch: int(h.Epoch)}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := h.watched.Commit(callCtx, hoist.Transaction{
+			Writes: []hoist.Write{{RowRef: keys.Host(h.ID), Value: codec.EncodeRow(row)}},
+		})
+		cancel()
+		if err == nil {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// own acts for the cell.
+func (h *Host) own(ctx context.Context, o *claim.Ownership) {
+	d := &drive.Driver{
+		Own: o, Store: h.watched, Registry: h.Registry, Dial: h.Dial, Helpers: &drive.Helpers{},
+		Queue: h.follower.Queue, Clock: h.Clock, Log: h.Log, Count: h.Count, Keep: h.Keep, FarFactor: h.FarFactor,
+	}
+	d.Helpers.Set(h.ID, h.Adviser)
+	h.setDriver(d)
+	defer h.setDriver(nil)
+	var wg sync.WaitGroup
+	wg.Go(func() { h.followHosts(ctx, d.Helpers) })
+	d.Run(ctx)
+	wg.Wait()
+}
+
+func (h *Host) setDriver(d *drive.Driver) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.driver = d
+}
+
+func (h *Host) waiting() map[hoist.QueueName]int {
+	h.mu.Lock()
+	d := h.driver
+	h.mu.Unlock()
+	if d == nil {
+		return nil
+	}
+	return d.Waiting()
+}
+
+// followHosts keeps the hosts that can be asked for help up to date.
+func (h *Host) followHosts(ctx context.Context, helpers *drive.Helpers) {
+	clients := make(map[hoist.HostID]*helper.Client)
+	defer func() {
+		for _, c := range clients {
+			c.Close()
+		}
+	}()
+	var after hoist.RowVersion
+	for ctx.Err() == nil {
+		changed, next, err := h.hostRows(ctx, after)
+		if err != nil {
+			if errors.Is(err, hoist.ErrHistoryLost) {
+				after = 0
+			}
+			pause(ctx, retryPause)
+			continue
+		}
+		after = next
+		for _, row := range changed {
+			h.takeHost(row, clients, helpers)
+		}
+	}
+}
+
+func (h *Host) hostRows(ctx context.Context, after hoist.RowVersion) ([]hoist.StoredRow, hoist.RowVersion, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostsWait+storeTimeout)
+	defer cancel()
+	if after == 0 {
+		return h.watched.Scan(ctx, keys.Hosts, "")
+	}
+	return h.watched.Changes(ctx, keys.Hosts, after, hostsWait)
+}
+
+func (h *Host) takeHost(row hoist.StoredRow, clients map[hoist.HostID]*helper.Client, helpers *drive.Helpers) {
+	id := hoist.HostID(row.Key)
+	if id == h.ID {
+		return
+	}
+	if old, ok := clients[id]; ok {
+		old.Close()
+		delete(clients, id)
+		helpers.Set(id, nil)
+	}
+	if row.IsRemoved {
+		return
+	}
+	host, err := codec.DecodeRow[rows.Host](row.Value)
+	if err != nil {
+		events.RowUnreadable.Log(context.Background(), h.Log, "row", row.Key, "error", err)
+		return
+	}
+	clients[id] = &helper.Client{Addr: host.Addr}
+	helpers.Set(id, clients[id])
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/core/keys/keys.go
@@ -0,0 +1,99 @@
+// Package keys lays out the rows that the scheduler of plans keeps in the
+// platform's store.
+//
+// # Usage
+//
+//	ref := keys.State(id)
+//
+// # Layout
+//
+// The plans are spread over parts by their id, so that the store can work on
+// them at the same time. Each part has a fence row, which only a new owner of
+// the cell writes: a transaction that expects the version of the fence has no
+// effect once there is a later owner.
+//
+//	table  part   key          value
+//	cell   ""     owner        who owns the cell, in which term
+//	cell   ""     beat         written by the owner while it lives
+//	cell   <part> fence        the term of the owner
+//	hosts  ""     <host>       where a host serves the others
+//	plans  <part> <id>         an accepted plan, until nothing of it runs
+//	plans  <part> <id>/cancel  the plan is to be cancelled
+//	states <part> <id>         what became of the plan
+package keys
+
+import (
+	"strings"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// The tables.
+const (
+	Cell   hoist.TableName = "cell"
+	Hosts  hoist.TableName = "hosts"
+	Plans  hoist.TableName = "plans"
+	States hoist.TableName = "states"
+)
+
+// The rows of the cell as a whole.
+var (
+	Owner = hoist.RowRef{Table: Cell, Key: "owner"}
+	Beat  = hoist.RowRef{Table: Cell, Key: "beat"}
+)
+
+const cancelSuffix = "/cancel"
+
+// Parts returns the parts that plans are spread over.
+func Parts() []hoist.PartName {
+	const digits = "0123456789abcdef"
+	parts := make([]hoist.PartName, 0, len(digits))
+	for _, d := range digits {
+		parts = append(parts, hoist.PartName(d))
+	}
+	return parts
+}
+
+// PartOf returns the part of a plan: the first digit of its id, or that of its
+// shard for an id that does not begin with a hexadecimal digit.
+func PartOf(id hoist.JobID) hoist.PartName {
+	if id != "" && strings.ContainsRune("0123456789abcdef", rune(id[0])) {
+		return hoist.PartName(id[:1])
+	}
+	parts := Parts()
+	return parts[int(hoist.ShardOf(hoist.KindRequest, string(id)))%len(parts)]
+}
+
+// Fence returns the fence row of a part.
+func Fence(part hoist.PartName) hoist.RowRef {
+	return hoist.RowRef{Table: Cell, Part: part, Key: "fence"}
+}
+
+// Host returns the row of a host.
+func Host(id hoist.HostID) hoist.RowRef {
+	return hoist.RowRef{Table: Hosts, Key: hoist.RowKey(id)}
+}
+
+// Plan returns the row of an accepted plan.
+func Plan(id hoist.JobID) hoist.RowRef {
+	return hoist.RowRef{Table: Plans, Part: PartOf(id), Key: hoist.RowKey(id)}
+}
+
+// Cancel returns the row that asks for the cancellation of a plan.
+func Cancel(id hoist.JobID) hoist.RowRef {
+	ref := Plan(id)
+	ref.Key += cancelSuffix
+	return ref
+}
+
+// CancelOf returns the plan whose cancellation a row of the table of plans asks
+// for.
+func CancelOf(key hoist.RowKey) (hoist.JobID, bool) {
+	id, isCancel := strings.CutSuffix(string(key), cancelSuffix)
+	return hoist.JobID(id), isCancel
+}
+
+// State returns the row of what became of a plan.
+func State(id hoist.JobID) hoist.RowRef {
+	return hoist.RowRef{Table: States, Part: PartOf(id), Key: hoist.RowKey(id)}
+}
--- /dev/null
+++ b/internal/core/queues/queues.go
@@ -0,0 +1,144 @@
+// Package queues follows the operators' configuration of the queues and finds
+// the queue of a submission.
+//
+// # Usage
+//
+//	f := &queues.Follower{Source: source, Log: logger}
+//	go f.Run(ctx)
+//	queue, err := f.Find(hostName, path)
+//
+// A configuration takes effect as a whole, and never an older one after a newer.
+package queues
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+)
+
+const (
+	// feedWait is how long the source waits for a change before it answers.
+	feedWait = 1200 * time.Millisecond
+	// callTimeout is the time for an answer, besides feedWait.
+	callTimeout = 700 * time.Millisecond
+	// retryPause is the wait after a failed call.
+	retryPause = 100 * time.Millisecond
+)
+
+// Follower keeps the newest configuration. Set the exported fields before Run.
+type Follower struct {
+	Source hoist.QueueSource
+	Log    *slog.Logger
+	// Answered is told the outcome of each reading; nil tells no one.
+	Answered func(error)
+
+	mu     sync.RWMutex
+	config hoist.QueueConfig
+	// byHost has the queues of each host name, the longest prefix first.
+	byHost map[string][]hoist.QueueEntry
+	byName map[hoist.QueueName]hoist.Queue
+}
+
+// Run follows the configuration until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var after hoist.RowVersion
+	isLost := false
+	for ctx.Err() == nil {
+		wait := feedWait
+		if after == 0 {
+			wait = 0
+		}
+		callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		config, next, err := f.Source.Config(callCtx, after, wait)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if f.Answered != nil {
+			f.Answered(err)
+		}
+		if err != nil {
+			if errors.Is(err, hoist.ErrHistoryLost) {
+				after = 0
+			}
+			if !isLost {
+				events.ConfigReadFailed.Log(ctx, f.Log, "version", f.Version(), "error", err)
+			}
+			isLost = true
+			pause(ctx, retryPause)
+			continue
+		}
+		isLost = false
+		after = next
+		f.take(ctx, config)
+	}
+}
+
+// take puts a configuration in force if it is newer than the present one.
+func (f *Follower) take(ctx context.Context, c hoist.QueueConfig) {
+	byHost := make(map[string][]hoist.QueueEntry)
+	byName := make(map[hoist.QueueName]hoist.Queue)
+	for _, q := range c.Queues {
+		byHost[q.HostName] = append(byHost[q.HostName], q)
+		byName[q.Name] = q.Queue
+	}
+	for _, list := range byHost {
+		slices.SortStableFunc(list, func(a, b hoist.QueueEntry) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.Version <= f.config.Version {
+		return
+	}
+	events.ConfigInForce.Log(ctx, f.Log, "version", c.Version, "before", f.config.Version, "queues", len(c.Queues))
+	f.config, f.byHost, f.byName = c, byHost, byName
+}
+
+// Version returns the version in force, 0 before there is one.
+func (f *Follower) Version() hoist.ConfigVersion {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.config.Version
+}
+
+// Find returns the queue with the longest prefix that path begins with. It
+// returns hoist.ErrNotFound if there is none, and hoist.ErrUnavailable before
+// there is a configuration.
+func (f *Follower) Find(hostName, path string) (hoist.QueueEntry, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.config.Version == 0 {
+		return hoist.QueueEntry{}, merry.Wrap(hoist.ErrUnavailable, merry.PrependMessage("no configuration yet"))
+	}
+	for _, q := range f.byHost[hostName] {
+		if strings.HasPrefix(path, q.Prefix) {
+			return q, nil
+		}
+	}
+	return hoist.QueueEntry{}, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("queue for host %q and path %q", hostName, path))
+}
+
+// Queue returns the present parameters of a queue.
+func (f *Follower) Queue(name hoist.QueueName) (hoist.Queue, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	q, ok := f.byName[name]
+	return q, ok
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/peer/helper/helper.go
@@ -0,0 +1,204 @@
+// Package helper lets entry hosts put questions to advisers for each other:
+// JSON-RPC 2.0 over one TCP connection for each pair and direction.
+//
+// # Usage
+//
+//	s := &helper.Server{Listener: l, Adviser: adviser}
+//	err := s.Run(ctx)
+//
+//	c := &helper.Client{Addr: "10.0.0.2:7720"}
+//	advice, err := c.Advise(ctx, step, workers)
+package helper
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/jsonrpc2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+const (
+	methodAdvise = "advise"
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// maxCalls bounds the questions in progress on a connection; more would
+	// only wait at the adviser.
+	maxCalls = 32
+	// errorCode is the JSON-RPC code of all errors.
+	errorCode = -32000
+)
+
+// quiet drops the library's own messages; errors reach the caller.
+var quiet = log.New(io.Discard, "", 0)
+
+// Client asks one other host. It connects when first used and again after a
+// failure. Its methods may be called concurrently.
+type Client struct {
+	Addr string
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+var _ hoist.Adviser = (*Client)(nil)
+
+// Advise implements hoist.Adviser. Any failure is hoist.ErrUnavailable: a
+// question has no effect.
+func (c *Client) Advise(ctx context.Context, step hoist.StepRef, workers []hoist.WorkerID) (hoist.Advice, error) {
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return hoist.Advice{}, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	question := rows.Question{
+		Job: string(step.Job), Occurrence: int(step.Occurrence), Step: int(step.Step), Workers: codec.Strings(workers),
+	}
+	var answer rows.Advice
+	if err := conn.Call(ctx, methodAdvise, question, &answer); err != nil {
+		// The connection may have gone silent; the next question makes a new one.
+		c.Close()
+		return hoist.Advice{}, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	advice := hoist.Advice{Good: make(map[hoist.WorkerID]hoist.Ticket), Valid: time.Duration(answer.ValidMs) * time.Millisecond}
+	for id, ticket := range answer.Tickets {
+		advice.Good[hoist.WorkerID(id)] = hoist.Ticket(ticket)
+	}
+	return advice, nil
+}
+
+// Close breaks the connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		// A failed close leaves nothing to do.
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// connection returns the open connection, making one if there is none.
+func (c *Client) connection(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+		default:
+			return c.conn, nil
+		}
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return nil, err
+	}
+	// The connection outlives the call that needed it first.
+	stream := jsonrpc2.NewPlainObjectStream(conn)
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, refuse{}, jsonrpc2.SetLogger(quiet))
+	return c.conn, nil
+}
+
+// refuse answers the calls of a server; servers make none.
+type refuse struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuse) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// Server puts the questions of other hosts.
+type Server struct {
+	Listener net.Listener
+	Adviser  hoist.Adviser
+}
+
+// Run serves until ctx ends, then closes all connections.
+func (s *Server) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer context.AfterFunc(ctx, func() { _ = s.Listener.Close() })()
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return merry.Prepend(err, "accepting connections of other hosts")
+		}
+		wg.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
+	calls := &calls{ctx: ctx, adviser: s.Adviser, slots: make(chan struct{}, maxCalls)}
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), calls, jsonrpc2.SetLogger(quiet))
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+		_ = rpc.Close()
+	}
+	calls.running.Wait()
+}
+
+// calls are the questions in progress on one connection.
+type calls struct {
+	ctx     context.Context
+	adviser hoist.Adviser
+	slots   chan struct{}
+	running sync.WaitGroup
+}
+
+// Handle implements jsonrpc2.Handler.
+func (c *calls) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		reply(conn, req, rows.Advice{}, hoist.ErrOverLimit)
+		return
+	}
+	c.running.Go(func() {
+		defer func() { <-c.slots }()
+		answer, err := c.advise(req)
+		reply(conn, req, answer, err)
+	})
+}
+
+func (c *calls) advise(req *jsonrpc2.Request) (rows.Advice, error) {
+	var q rows.Question
+	if req.Method != methodAdvise || req.Params == nil {
+		return rows.Advice{}, merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("method %q", req.Method))
+	}
+	if err := json.Unmarshal(*req.Params, &q); err != nil {
+		return rows.Advice{}, hoist.Turn(hoist.ErrInvalid, err)
+	}
+	step := hoist.StepRef{Job: hoist.JobID(q.Job), Occurrence: hoist.Occurrence(q.Occurrence), Step: hoist.StepNo(q.Step)}
+	advice, err := c.adviser.Advise(c.ctx, step, codec.IDs[hoist.WorkerID](q.Workers))
+	if err != nil {
+		return rows.Advice{}, err
+	}
+	answer := rows.Advice{Tickets: make(rows.AdviceTickets), ValidMs: int(advice.Valid.Milliseconds())}
+	for id, ticket := range advice.Good {
+		answer.Tickets[string(id)] = string(ticket)
+	}
+	return answer, nil
+}
+
+// reply answers a call. A connection that takes no reply is closed.
+func reply(conn *jsonrpc2.Conn, req *jsonrpc2.Request, answer rows.Advice, err error) {
+	if err != nil {
+		err = conn.ReplyWithError(context.Background(), req.ID, &jsonrpc2.Error{Code: errorCode, Message: err.Error()})
+	} else {
+		err = conn.Reply(context.Background(), req.ID, answer)
+	}
+	if err != nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/proto/codec/plan.go
@@ -0,0 +1,178 @@
+package codec
+
+import (
+	"encoding/json"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+// EncodeRow encodes one of the types of package rows.
+func EncodeRow[T any](v T) []byte {
+	// The types hold nothing that cannot be encoded.
+	value, _ := json.Marshal(v)
+	return value
+}
+
+// DecodeRow decodes the value of a row. Its error is hoist.ErrInvalid.
+func DecodeRow[T any](value []byte) (T, error) {
+	var v T
+	if err := json.Unmarshal(value, &v); err != nil {
+		return v, hoist.Turn(hoist.ErrInvalid, err)
+	}
+	return v, nil
+}
+
+// EncodePlan encodes a plan. Its id is the key of the row.
+func EncodePlan(p hoist.Plan) []byte {
+	return EncodeRow(rows.Plan{
+		Queue:       planQueue(p.Queue),
+		Payload:     p.Payload,
+		Steps:       Map(p.Steps, planStep),
+		Occurrences: p.Occurrences,
+		StartMs:     unixMillis(p.Start),
+		IntervalMs:  millis(p.Interval),
+		AcceptedMs:  unixMillis(p.Accepted),
+	})
+}
+
+// DecodePlan decodes the plan of an id.
+func DecodePlan(id hoist.JobID, value []byte) (hoist.Plan, error) {
+	r, err := DecodeRow[rows.Plan](value)
+	if err != nil {
+		return hoist.Plan{}, err
+	}
+	return hoist.Plan{
+		ID:          id,
+		Queue:       toPlanQueue(r.Queue),
+		Payload:     r.Payload,
+		Steps:       Map(r.Steps, toPlanStep),
+		Occurrences: r.Occurrences,
+		Start:       toUnixMillis(r.StartMs),
+		Interval:    toMillis(r.IntervalMs),
+		Accepted:    toUnixMillis(r.AcceptedMs),
+	}, nil
+}
+
+func millis(d time.Duration) int {
+	return int(d.Milliseconds())
+}
+
+func toMillis(ms int) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+// unixMillis encodes the zero time as 0.
+func unixMillis(t time.Time) int {
+	if t.IsZero() {
+		return 0
+	}
+	return int(t.UnixMilli())
+}
+
+func toUnixMillis(ms int) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(ms))
+}
+
+func planQueue(q hoist.Queue) rows.Queue {
+	return rows.Queue{
+		Name: string(q.Name), Service: string(q.Service), Priority: int(q.Priority),
+		MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, LatencyMs: millis(q.Latency),
+		AdviceBaseUs:      int(q.Advice.Base.Microseconds()),
+		AdvicePerWorkerUs: int(q.Advice.PerWorker.Microseconds()),
+		AdviceValidMs:     millis(q.Advice.Valid),
+	}
+}
+
+func toPlanQueue(r rows.Queue) hoist.Queue {
+	return hoist.Queue{
+		Name: hoist.QueueName(r.Name), Service: hoist.ServiceName(r.Service), Priority: hoist.Priority(r.Priority),
+		MaxAttempts: r.MaxAttempts, Stretch: r.Stretch, Latency: toMillis(r.LatencyMs),
+		Advice: hoist.AdviceTerms{
+			Base:      time.Duration(r.AdviceBaseUs) * time.Microsecond,
+			PerWorker: time.Duration(r.AdvicePerWorkerUs) * time.Microsecond,
+			Valid:     toMillis(r.AdviceValidMs),
+		},
+	}
+}
+
+func planStep(s hoist.Step) rows.Step {
+	return rows.Step{
+		Count: s.Count, CpuMillis: int(s.Need.CPU), MemoryMib: int(s.Need.Memory), Accelerators: int(s.Need.Accel),
+		EstimateMs:    millis(s.Estimate),
+		After:         Map(s.After, func(no hoist.StepNo) int { return int(no) }),
+		SavesProgress: s.SavesProgress, Gang: s.IsGang, SameRack: s.IsSameRack,
+		Requires: string(s.Requires), Near: string(s.Near), MaxPerWorker: s.MaxPerWorker,
+		MayCopy: s.MayCopy, Lasting: s.IsLasting, Image: string(s.Image),
+		TailTargetMs: millis(s.TailTarget), Filler: s.IsFiller, MayMiss: s.MayMiss + 1,
+	}
+}
+
+func toPlanStep(r rows.Step) hoist.Step {
+	return hoist.Step{
+		Count: r.Count,
+		Need: hoist.Resources{
+			CPU: hoist.MilliCPU(r.CpuMillis), Memory: hoist.MiB(r.MemoryMib), Accel: hoist.Accelerators(r.Accelerators),
+		},
+		Estimate:      toMillis(r.EstimateMs),
+		After:         Map(r.After, func(no int) hoist.StepNo { return hoist.StepNo(no) }),
+		SavesProgress: r.SavesProgress, IsGang: r.Gang, IsSameRack: r.SameRack,
+		Requires: hoist.Label(r.Requires), Near: hoist.RackID(r.Near), MaxPerWorker: r.MaxPerWorker,
+		MayCopy: r.MayCopy, IsLasting: r.Lasting, Image: hoist.ImageName(r.Image),
+		TailTarget: toMillis(r.TailTargetMs), IsFiller: r.Filler, MayMiss: r.MayMiss - 1,
+	}
+}
+
+// EncodePlanState encodes what became of a plan.
+func EncodePlanState(s hoist.PlanState) []byte {
+	return EncodeRow(rows.PlanState{
+		Queue: string(s.Queue), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended),
+		Steps: Map(s.Sets, stepState),
+	})
+}
+
+// DecodePlanState decodes what became of a plan.
+func DecodePlanState(value []byte) (hoist.PlanState, error) {
+	r, err := DecodeRow[rows.PlanState](value)
+	if err != nil {
+		return hoist.PlanState{}, err
+	}
+	return hoist.PlanState{
+		Queue: hoist.QueueName(r.Queue), Phase: hoist.PlanPhase(r.Phase), Next: hoist.Occurrence(r.Next),
+		Ended: toUnixMillis(r.EndedMs), Sets: Map(r.Steps, toStepState),
+	}, nil
+}
+
+func stepState(s hoist.StepState) rows.StepState {
+	return rows.StepState{
+		Occurrence: int(s.Occurrence), Step: int(s.Step), Done: s.Done,
+		Placed: Map(s.Placed, func(p hoist.PlacedRun) rows.Placed {
+			return rows.Placed{Index: p.Index, Attempt: int(p.Attempt), Worker: string(p.Worker)}
+		}),
+		Failed: Map(s.Failed, func(f hoist.FailedRun) rows.Failed {
+			return rows.Failed{Index: f.Index, Attempt: int(f.Attempt)}
+		}),
+		Saved: Map(s.Saved, func(c hoist.SavedProgress) rows.Saved {
+			return rows.Saved{Index: c.Index, Checkpoint: string(c.Saved)}
+		}),
+	}
+}
+
+func toStepState(r rows.StepState) hoist.StepState {
+	return hoist.StepState{
+		Occurrence: hoist.Occurrence(r.Occurrence), Step: hoist.StepNo(r.Step), Done: r.Done,
+		Placed: Map(r.Placed, func(p rows.Placed) hoist.PlacedRun {
+			return hoist.PlacedRun{Index: p.Index, Attempt: hoist.AttemptNo(p.Attempt), Worker: hoist.WorkerID(p.Worker)}
+		}),
+		Failed: Map(r.Failed, func(f rows.Failed) hoist.FailedRun {
+			return hoist.FailedRun{Index: f.Index, Attempt: hoist.AttemptNo(f.Attempt)}
+		}),
+		Saved: Map(r.Saved, func(c rows.Saved) hoist.SavedProgress {
+			return hoist.SavedProgress{Index: c.Index, Saved: hoist.Checkpoint(c.Checkpoint)}
+		}),
+	}
+}
