Renew the ownership in time when an answer is lost, and shorten its leases

Answers of the store were lost meanwhile; each lost renewal took 2 s to time out, so that ownership changed three times, and each new owner counted the leases of its predecessor anew, 13 s from its claim. Change: a renewal times out after 0.7 s and is sent again; leases end 9 s after the last renewal, and the next owner counts from the last renewal that it saw. Ruled out: the choice of workers; there was room on 40 of them.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -46,10 +46,12 @@
 	claimSpread = 150 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
+	// beatTimeout bounds a renewal, so that two fit into the silence.
+	beatTimeout = 700 * time.Millisecond
 	// retryPause is the wait after a failed call to the store.
 	retryPause = 200 * time.Millisecond
 	// GrantTime is how long after its last renewal the leases of an owner end.
-	GrantTime = 12 * time.Second
+	GrantTime = 9 * time.Second
 	// LeaseTime is how long a worker goes on after the last renewal of its lease.
 	LeaseTime = 6 * time.Second
 	// slowClock is the share by which the clock of a worker may run slow.
@@ -227,20 +229,28 @@
 		events.ClaimFailed.Log(ctx, k.Log, "term", term, "error", err)
 		return nil, false
 	}
-	grant := GrantTime
-	if earlier.Released {
-		grant = LeaseTime
-	}
-	lapse := k.Clock.Now().Add(grant + grant/slowClock + lapseMargin)
-	if earlier.Term == 0 {
-		lapse = began
-	}
+	lapse := k.lapse(earlier, k.Clock.Now())
 	k.ownerVersion = version
 	events.CellClaimed.Log(ctx, k.Log, "term", term, "earlier", earlier.Host, "released", earlier.Released,
 		"silent", began.Sub(k.changed), "version", version)
 	return NewOwnership(term, version, lapse, began, nil), true
 }
 
+// lapse returns when all leases that an earlier owner granted have run out. An
+// owner that has ended granted none since; one that was silent may go on for
+// GrantTime from its last renewal, which it sent before the change was seen.
+func (k *Keeper) lapse(earlier rows.Owner, now time.Time) time.Time {
+	const drift = 1 + 1.0/slowClock
+	switch {
+	case earlier.Term == 0:
+		return now
+	case earlier.Released || earlier.Host == string(k.Host):
+		return now.Add(time.Duration(float64(LeaseTime)*drift) + lapseMargin)
+	default:
+		return k.changed.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
+	}
+}
+
 // settle reads back whether a claim without an answer took effect. If it did
 // not, it may still do so later; the next look then finds this host as owner,
 // and claims the next term.
@@ -268,9 +278,14 @@
 	o.lose = lose
 	var acting sync.WaitGroup
 	acting.Go(func() { k.Own(ownCtx, o) })
-	for count := 1; pause(ownCtx, beatEvery); count++ {
-		if !k.beat(ownCtx, o, count) {
+	gap := beatEvery
+	for count := 1; pause(ownCtx, gap); count++ {
+		gap = beatEvery
+		switch err := k.beat(ownCtx, o, count); {
+		case errors.Is(err, hoist.ErrConflict):
 			lose()
+		case err != nil:
+			gap = retryPause
 		}
 	}
 	acting.Wait()
@@ -281,14 +296,15 @@
 	k.changed = k.Clock.Now()
 }
 
-// beat renews the ownership. It reports false if there is another owner.
-func (k *Keeper) beat(ctx context.Context, o *Ownership, count int) bool {
+// beat renews the ownership. It returns hoist.ErrConflict if there is another
+// owner.
+func (k *Keeper) beat(ctx context.Context, o *Ownership, count int) error {
 	waiting := make(rows.BeatWaiting)
 	for queue, n := range k.Waiting() {
 		waiting[string(queue)] = n
 	}
 	sent := k.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	_, err := k.Store.Commit(callCtx, hoist.Transaction{
 		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: o.Version}},
@@ -296,12 +312,12 @@
 	})
 	if err == nil {
 		o.renew(sent)
-		return true
+		return nil
 	}
 	if ctx.Err() == nil {
 		events.RenewalFailed.Log(ctx, k.Log, "term", o.Term, "error", err)
 	}
-	return !errors.Is(err, hoist.ErrConflict)
+	return err
 }
 
 // release gives the cell up. If that cannot be recorded, the other hosts find
--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -37,7 +37,7 @@
 	// tickEvery is the longest time between two passes.
 	tickEvery = 200 * time.Millisecond
 	// storeTimeout bounds a call to the store.
-	storeTimeout = 2 * time.Second
+	storeTimeout = 900 * time.Millisecond
 	// feedWait is how long the store waits for a change before it answers.
 	feedWait = 1500 * time.Millisecond
 	// retryPause is the wait after a failed call.
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -33,7 +33,7 @@
 
 const (
 	// callTimeout bounds one call to the store.
-	callTimeout = 1200 * time.Millisecond
+	callTimeout = 900 * time.Millisecond
 	// retryPause is the wait before a call is repeated.
 	retryPause = 30 * time.Millisecond
 	// busyTries is how often a call is repeated that the store refused.
