Let large hosts own the cell, and keep the states that changed in a set

Cause: on the grown sites the hosts are unlike, and one with 0.144 of a core and 10 Mbit/s owned the cell and drowned. Finding the states to write went over all plans for each part of the store. Change: a host waits before it claims, the longer the smaller it is, and one of twice the size replaces a small owner. The book keeps the plans whose state is not recorded. The timeout of a recording follows the store.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -44,6 +44,13 @@
 	silence = 2200 * time.Millisecond
 	// claimSpread keeps the hosts from claiming all at the same moment.
 	claimSpread = 150 * time.Millisecond
+	// smallDelay is for how long a very small host leaves the claim to others;
+	// hosts of fullWeight do not wait.
+	smallDelay = 1500 * time.Millisecond
+	fullWeight = Weight(400)
+	// replaceAfter is how long a small owner is left in place, so that the larger
+	// hosts do not take the cell from each other.
+	replaceAfter = 3 * time.Second
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
 	// beatTimeout bounds a renewal, so that two fit into the silence.
@@ -60,6 +67,9 @@
 	lapseMargin = 300 * time.Millisecond
 )
 
+// Weight is the size of a host in thousandths of a core.
+type Weight int
+
 // Ownership is the right to act for the cell in one term.
 type Ownership struct {
 	Term hoist.Term
@@ -103,9 +113,12 @@
 	Host  hoist.HostID
 	Addr  string
 	Epoch hoist.Epoch
-	Store hoist.Store
-	Clock hoist.Clock
-	Log   *slog.Logger
+	// Weight is the size of the host. Smaller hosts let larger ones claim first,
+	// and a host of twice the weight of the owner replaces it.
+	Weight Weight
+	Store  hoist.Store
+	Clock  hoist.Clock
+	Log    *slog.Logger
 	// Own acts for the cell until ctx ends.
 	Own func(ctx context.Context, o *Ownership)
 	// Waiting returns how many plans wait in each queue, for all hosts to show.
@@ -116,7 +129,9 @@
 	beatVersion  hoist.RowVersion
 	// changed is when the owner was last seen to live.
 	changed time.Time
-	after   hoist.RowVersion
+	// owned is since when the owner has been seen to own the cell.
+	owned time.Time
+	after hoist.RowVersion
 }
 
 // Run works until ctx ends. It then gives the cell up, so that another host can
@@ -150,7 +165,7 @@
 		if !k.isVacant(now) {
 			continue
 		}
-		pause(ctx, time.Duration(rand.Int64N(int64(claimSpread))))
+		pause(ctx, k.claimDelay())
 		if o, ok := k.claim(ctx); ok {
 			return o, true
 		}
@@ -163,7 +178,21 @@
 // up, it is an earlier process of this host, or it has been silent.
 func (k *Keeper) isVacant(now time.Time) bool {
 	isOwn := k.owner.Host == string(k.Host)
-	return k.ownerVersion == 0 || k.owner.Released || isOwn || now.Sub(k.changed) > silence
+	if k.ownerVersion == 0 || k.owner.Released || isOwn || now.Sub(k.changed) > silence {
+		return true
+	}
+	isSmall := 2*k.owner.Weight <= int(k.Weight)
+	return isSmall && now.Sub(k.owned) > replaceAfter
+}
+
+// claimDelay is how long this host leaves the claim to others: the smaller it
+// is, the longer.
+func (k *Keeper) claimDelay() time.Duration {
+	delay := time.Duration(rand.Int64N(int64(claimSpread)))
+	if k.Weight > 0 && k.Weight < fullWeight {
+		delay += smallDelay * time.Duration(fullWeight-k.Weight) / time.Duration(fullWeight)
+	}
+	return delay
 }
 
 // look reads the rows of the owner, or waits for them to change.
@@ -197,6 +226,7 @@
 		}
 		k.owner, k.ownerVersion = owner, row.Version
 		k.changed = k.Clock.Now()
+		k.owned = k.changed
 	case row.RowRef == keys.Beat && row.Version > k.beatVersion:
 		k.beatVersion = row.Version
 		k.changed = k.Clock.Now()
@@ -208,7 +238,7 @@
 	began := k.Clock.Now()
 	earlier := k.owner
 	term := hoist.Term(earlier.Term + 1)
-	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(term)}
+	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(term), Weight: int(k.Weight)}
 	txn := hoist.Transaction{
 		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: k.ownerVersion}},
 		Writes: []hoist.Write{
@@ -325,7 +355,7 @@
 func (k *Keeper) release(o *Ownership) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(o.Term), Released: true}
+	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(o.Term), Weight: int(k.Weight), Released: true}
 	_, err := k.Store.Commit(ctx, hoist.Transaction{
 		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: o.Version}},
 		Writes: []hoist.Write{{RowRef: keys.Owner, Value: codec.EncodeRow(owner)}},
--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -68,6 +68,7 @@
 	mu    sync.Mutex
 	book  *sched.Book
 	links map[hoist.WorkerID]*link
+	// parts has a flag for each part that asks for recording its plans.
 	parts map[hoist.PartName]chan struct{}
 	ended []endedPlan
 	// over holds the plans in ended: a late change must not begin them anew.
--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -15,9 +15,18 @@
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
-// maxRecorded bounds the states in one transaction: each takes up to four of its
-// 100 entries.
-const maxRecorded = 20
+const (
+	// maxRecorded bounds the states in one transaction: each takes up to four of
+	// its 100 entries.
+	maxRecorded = 20
+	// recordEvery is how often changes are recorded that nothing waits for.
+	recordEvery = 250 * time.Millisecond
+	// minTimeout and maxTimeout bound the time of a transaction, and
+	// timeoutFactor is how much longer than the last one the next may take.
+	minTimeout    = 900 * time.Millisecond
+	maxTimeout    = 2500 * time.Millisecond
+	timeoutFactor = 4
+)
 
 // plansLoop takes over the plans in the store and follows their table.
 func (d *Driver) plansLoop(ctx context.Context) {
@@ -179,8 +188,10 @@
 	}
 }
 
-// recordLoop records the states of the plans of one part.
+// recordLoop records the states of the plans of one part as they change. Each
+// part has a loop of its own, as the store may be slow or away for some of them.
 func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
+	timeout := minTimeout
 	lastAll := d.Clock.Now()
 	for pauseOr(ctx, time.Second, due) {
 		for ctx.Err() == nil {
@@ -189,31 +200,46 @@
 			if isAll {
 				lastAll = now
 			}
-			list := d.unrecorded(part, isAll)
+			d.mu.Lock()
+			list := d.book.Unrecorded(func(id hoist.JobID) bool { return keys.PartOf(id) == part }, isAll, maxRecorded)
+			d.mu.Unlock()
 			if len(list) == 0 {
 				break
 			}
-			if !d.record(ctx, part, list) {
-				pause(ctx, retryPause)
-			}
+			timeout = d.record(ctx, part, list, timeout)
 		}
 	}
 }
 
-// recordEvery is how often changes are recorded that nothing waits for. Ends
-// stay listed at their workers until then.
-const recordEvery = 250 * time.Millisecond
-
-func (d *Driver) unrecorded(part hoist.PartName, isAll bool) []sched.Unrecorded {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list := d.book.Unrecorded(func(id hoist.JobID) bool { return keys.PartOf(id) == part }, isAll)
-	return list[:min(len(list), maxRecorded)]
+// record writes states and sends the starts that they allow. States that could
+// not be written stay unrecorded. It returns the timeout for the next
+// transaction, which follows how long the store takes: short enough to notice
+// lost answers soon, and long enough for a slow store.
+func (d *Driver) record(ctx context.Context, part hoist.PartName, list []sched.Unrecorded, timeout time.Duration) time.Duration {
+	began := d.Clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	version, err := d.Store.Commit(callCtx, d.transaction(part, list))
+	cancel()
+	next := d.Clock.Now().Sub(began) * timeoutFactor
+	if err == nil {
+		d.recorded(ctx, list, version)
+		return min(maxTimeout, max(minTimeout, next))
+	}
+	if ctx.Err() != nil {
+		return timeout
+	}
+	events.StateLate.Log(ctx, d.Log, "part", part, "plans", len(list), "timeout", timeout, "error", err)
+	if !errors.Is(err, hoist.ErrConflict) || !d.reread(ctx, part, list) {
+		pause(ctx, retryPause)
+	}
+	if errors.Is(err, hoist.ErrOutcomeUnknown) {
+		return min(maxTimeout, timeout*2)
+	}
+	return timeout
 }
 
-// record writes states and sends the starts that they allow. It reports false
-// if it must be tried again.
-func (d *Driver) record(ctx context.Context, part hoist.PartName, list []sched.Unrecorded) bool {
+// transaction composes the writing of states of one part.
+func (d *Driver) transaction(part hoist.PartName, list []sched.Unrecorded) hoist.Transaction {
 	txn := hoist.Transaction{Expect: []hoist.Expected{{RowRef: keys.Fence(part), Version: d.Own.Version}}}
 	for _, u := range list {
 		ref := keys.State(u.Job)
@@ -223,20 +249,7 @@
 			txn.Remove = append(txn.Remove, keys.Plan(u.Job), keys.Cancel(u.Job))
 		}
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	version, err := d.Store.Commit(callCtx, txn)
-	if err != nil {
-		if ctx.Err() == nil {
-			events.StateLate.Log(ctx, d.Log, "part", part, "plans", len(list), "error", err)
-		}
-		if errors.Is(err, hoist.ErrConflict) {
-			return d.reread(ctx, part, list)
-		}
-		return false
-	}
-	d.recorded(ctx, list, version)
-	return true
+	return txn
 }
 
 // recorded notes what is in the store and sends the starts that waited for it.
--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -18,7 +18,7 @@
 	lookTimeout = 600 * time.Millisecond
 	// lookGap is the shortest time between two looks at a worker, so that ends
 	// which come close together are read together.
-	lookGap = 15 * time.Millisecond
+	lookGap = 20 * time.Millisecond
 	// ackWait is how long a look waits for the recording of ends, so that it can
 	// acknowledge them.
 	ackWait = 300 * time.Millisecond
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -47,6 +47,8 @@
 type Host struct {
 	ID    hoist.HostID
 	Epoch hoist.Epoch
+	// Weight is the size of the host.
+	Weight claim.Weight
 	// Addr is where other hosts reach this one.
 	Addr     string
 	Store    hoist.Store
@@ -107,7 +109,7 @@
 	g.Go(func() error { h.follower.Run(serving); return nil })
 	g.Go(func() error { h.announce(ctx); return nil })
 	keeper := &claim.Keeper{
-		Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Store: h.watched, Clock: h.Clock, Log: h.Log,
+		Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.watched, Clock: h.Clock, Log: h.Log,
 		Own: h.own, Waiting: h.waiting,
 	}
 	g.Go(func() error { return keeper.Run(ctx) })
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -7,7 +7,7 @@
 //	b.SetWorkers(entries, now)
 //	b.Add(plan, now)
 //	d := b.Pass(now)             // chosen starts are not sent yet
-//	// write b.Record(job) for each job of b.Unrecorded(part), then
+//	// write the states of b.Unrecorded(accept, isAll, limit), then
 //	orders := b.Recorded(job, change, version, now) // starts to send
 //	b.Started(run, clock, err, now)
 //	b.Viewed(worker, view, asked, now)
@@ -156,8 +156,13 @@
 	due      time.Time
 	gaveUp   time.Time
 	// change counts the changes of the state; those up to recorded are in the
-	// store, and the one up to urgent is waited for.
-	change, recorded, urgent uint64
+	// store.
+	change, recorded uint64
+	// urgent is the last change that something waits for: starts, and the end of
+	// a step. Ends stay listed at their workers until they are recorded.
+	urgent uint64
+	// changed is the book's set of jobs whose state is not recorded.
+	changed map[hoist.JobID]*Job
 }
 
 type setKey struct {
@@ -166,11 +171,15 @@
 }
 
 // touch notes that the state of the job differs from what is recorded.
-func (j *Job) touch(isUrgent bool) {
+func (j *Job) touch() {
 	j.change++
-	if isUrgent {
-		j.urgent = j.change
-	}
+	j.changed[j.Plan.ID] = j
+}
+
+// touchNow notes a change that must be recorded at once.
+func (j *Job) touchNow() {
+	j.touch()
+	j.urgent = j.change
 }
 
 // occurrences is how often the steps run in all.
@@ -185,9 +194,11 @@
 
 // Book holds the plans and workers of one cell.
 type Book struct {
-	term    hoist.Term
-	rng     *rand.Rand
-	jobs    map[hoist.JobID]*Job
+	term hoist.Term
+	rng  *rand.Rand
+	jobs map[hoist.JobID]*Job
+	// changed are the jobs whose state is not recorded.
+	changed map[hoist.JobID]*Job
 	workers map[hoist.WorkerID]*Worker
 	speeds  speeds
 	// began is when this owner began; inherited attempts on workers that stay
@@ -195,8 +206,6 @@
 	lapse time.Time
 	// FarFactor is how much slower a task is away from its data.
 	FarFactor float64
-	// waiting counts the jobs that nothing was started of, by queue.
-	waiting map[hoist.QueueName]int
 }
 
 // NewBook returns an empty book of the owner in a term. The leases that earlier
@@ -205,9 +214,9 @@
 	return &Book{
 		term: term, rng: rng, lapse: lapse, FarFactor: 2,
 		jobs:    make(map[hoist.JobID]*Job),
+		changed: make(map[hoist.JobID]*Job),
 		workers: make(map[hoist.WorkerID]*Worker),
 		speeds:  newSpeeds(),
-		waiting: make(map[hoist.QueueName]int),
 	}
 }
 
@@ -242,7 +251,7 @@
 	j := &Job{
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		sets: make(map[setKey]*Set),
-		open: make(map[hoist.Occurrence]int),
+		open: make(map[hoist.Occurrence]int), changed: b.changed,
 	}
 	chain := longestChain(p.Steps)
 	j.due = p.Accepted.Add(p.Queue.Latency + time.Duration(float64(chain)*p.Queue.Stretch))
@@ -282,7 +291,7 @@
 			j.addSet(j.next, hoist.StepNo(no))
 		}
 		j.next++
-		j.touch(false)
+		j.touch()
 	}
 }
 
@@ -323,7 +332,7 @@
 func (b *Book) finish(j *Job, phase hoist.PlanPhase, now time.Time) {
 	j.Phase = phase
 	j.Ended = now
-	j.touch(true)
+	j.touchNow()
 	for _, s := range j.sets {
 		for _, t := range s.Tasks {
 			b.drop(t, now)
@@ -373,7 +382,7 @@
 	t.Phase = Waiting
 	t.since = now
 	t.Set.waiting++
-	t.Set.Job.touch(false)
+	t.Set.Job.touch()
 }
 
 // free gives back what a placed task holds on its worker.
@@ -414,10 +423,11 @@
 	t.Phase = Done
 	s, j := t.Set, t.Set.Job
 	s.left--
-	j.touch(s.left == 0)
+	j.touch()
 	if s.left > 0 {
 		return
 	}
+	j.touchNow()
 	j.open[s.Occurrence]--
 	if j.open[s.Occurrence] == 0 {
 		b.endOccurrence(j, s.Occurrence, now)
@@ -440,4 +450,5 @@
 // Forget drops a job whose last state is recorded and of which nothing runs.
 func (b *Book) Forget(id hoist.JobID) {
 	delete(b.jobs, id)
+	delete(b.changed, id)
 }
--- a/internal/decide/sched/look.go
+++ b/internal/decide/sched/look.go
@@ -32,7 +32,7 @@
 		}
 		if j.Phase == hoist.PlanQueued {
 			j.Phase = hoist.PlanRunning
-			j.touch(true)
+			j.touch()
 		}
 		return
 	case errors.Is(err, hoist.ErrOutcomeUnknown):
@@ -199,7 +199,7 @@
 	default:
 	}
 	b.settleGang(s, now)
-	j.touch(false)
+	j.touch()
 	w.ends.open = append(w.ends.open, openEnd{e.No, j, j.change})
 }
 
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -161,7 +161,7 @@
 	b.place(t, w, attempt, Recording, now)
 	t.ticket = t.Set.advice.tickets[w.entry.Worker].value
 	j := t.Set.Job
-	j.touch(true)
+	j.touchNow()
 	t.change = j.change
 }
 
@@ -352,6 +352,9 @@
 	}
 	j.Version = version
 	j.recorded = max(j.recorded, change)
+	if j.recorded == j.change {
+		delete(b.changed, id)
+	}
 	var out []Start
 	for _, s := range j.ordered() {
 		for _, t := range s.Tasks {
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -19,21 +19,22 @@
 	IsClosed bool
 }
 
-// Unrecorded returns the states to write, of jobs that the filter accepts. If
-// none of them is waited for it returns none, unless isAll is set.
-func (b *Book) Unrecorded(accept func(hoist.JobID) bool, isAll bool) []Unrecorded {
+// Unrecorded returns the states to write, of at most limit jobs that the filter
+// accepts. If nothing waits for any of them it returns none, unless isAll is set.
+func (b *Book) Unrecorded(accept func(hoist.JobID) bool, isAll bool, limit int) []Unrecorded {
 	var changed []*Job
-	isWaitedFor := isAll
-	for _, j := range b.jobs {
-		if j.change > j.recorded && accept(j.Plan.ID) {
+	isDue := isAll
+	for id, j := range b.changed {
+		if accept(id) {
 			changed = append(changed, j)
-			isWaitedFor = isWaitedFor || j.urgent > j.recorded
+			isDue = isDue || j.urgent > j.recorded
 		}
 	}
-	if !isWaitedFor {
+	if !isDue {
 		return nil
 	}
 	slices.SortFunc(changed, func(x, y *Job) int { return cmp.Compare(x.Plan.ID, y.Plan.ID) })
+	changed = changed[:min(len(changed), limit)]
 	out := make([]Unrecorded, 0, len(changed))
 	for _, j := range changed {
 		out = append(out, Unrecorded{j.Plan.ID, j.Version, j.change, j.state(), j.IsClosed()})
@@ -102,7 +103,8 @@
 			delete(j.open, k)
 		}
 	}
-	j.change, j.recorded, j.urgent = 1, 1, 0
+	j.change, j.recorded = 1, 1
+	delete(b.changed, p.ID)
 	b.beginOccurrences(j, now)
 	if len(j.open) == 0 && j.next == j.occurrences() && !j.Phase.IsFinal() {
 		b.finish(j, hoist.PlanDone, now)
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -58,6 +58,9 @@
 
 	// Term corresponds to the JSON schema field "term".
 	Term int `json:"term"`
+
+	// The size of the host in thousandths of a core.
+	Weight int `json:"weight"`
 }
 
 // An attempt that may run on a worker.
