Refuse at once while the store is away, and use 32 parts

Cause: a host that the store turned away repeated each call, so that a client heard 503 after up to 0.4 s, or 504 after two time-outs when the store was silent; it could have tried another host at once. While the store is slow, acceptances waited behind recordings on the same part. Change: a refusal is passed on at once; once the store has not answered for 0.8 s, hosts answer 503 without asking it. 32 parts in place of 16. Ruled out: 64 parts.

--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// maxScans bounds the parts that are read at the same time.
+	maxScans = 16
 	// maxRecorded bounds the states in one transaction: each takes up to four of
 	// its 100 entries.
 	maxRecorded = 20
@@ -70,6 +72,7 @@
 	var plans []hoist.StoredRow
 	states := make(map[hoist.RowKey]hoist.StoredRow)
 	var g errgroup.Group
+	g.SetLimit(maxScans)
 	for _, part := range keys.Parts() {
 		g.Go(func() error {
 			some, of, version, err := d.restorePart(ctx, part)
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -81,7 +81,7 @@
 // Plans returns the service that accepts plans.
 func (h *Host) Plans() *intake.Service {
 	h.init()
-	return &intake.Service{Store: h.watched, Find: h.follower.Find, Clock: h.Clock, Log: h.Log}
+	return &intake.Service{Store: promptStore{h.watched}, Find: h.follower.Find, Clock: h.Clock, Log: h.Log}
 }
 
 // IsReady reports whether callers should be sent here: the configuration is
--- a/internal/core/hostd/watched.go
+++ b/internal/core/hostd/watched.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/events"
 )
@@ -63,3 +65,40 @@
 	w.note(err)
 	return row, err
 }
+
+// awayAfter is how long after its last answer a store that has failed since
+// counts as away.
+const awayAfter = 800 * time.Millisecond
+
+// promptStore refuses at once while the store is away, so that clients are not
+// kept waiting for a time-out. The loops of the host go on asking the store, and
+// so find when it is back.
+type promptStore struct {
+	*watchedStore
+}
+
+func (p promptStore) check() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	age := p.clock.Now().Sub(p.answered)
+	if p.isLost && age > awayAfter {
+		return merry.Wrap(hoist.ErrUnavailable, merry.PrependMessagef("store has not answered for %s", age.Round(time.Millisecond)))
+	}
+	return nil
+}
+
+// Commit implements hoist.Store.
+func (p promptStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
+	if err := p.check(); err != nil {
+		return 0, err
+	}
+	return p.watchedStore.Commit(ctx, t)
+}
+
+// Get implements hoist.Store.
+func (p promptStore) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
+	if err := p.check(); err != nil {
+		return hoist.StoredRow{}, err
+	}
+	return p.watchedStore.Get(ctx, ref)
+}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -33,11 +33,9 @@
 
 const (
 	// callTimeout bounds one call to the store.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 1100 * time.Millisecond
 	// retryPause is the wait before a call is repeated.
-	retryPause = 30 * time.Millisecond
-	// busyTries is how often a call is repeated that the store refused.
-	busyTries = 3
+	retryPause = 60 * time.Millisecond
 	// countAge is how old the numbers of waiting plans may be.
 	countAge = 400 * time.Millisecond
 )
@@ -91,31 +89,27 @@
 	return err
 }
 
-// commit sends a transaction until its outcome is known or ctx ends. It returns
-// the number of tries.
+// commit sends a transaction until its outcome is known or ctx ends. A refusal of
+// the store is passed on at once, so that the client can try another host, unless
+// an earlier try may have taken effect. It returns the number of tries.
 func (s *Service) commit(ctx context.Context, txn hoist.Transaction) (hoist.RowVersion, int, error) {
 	var unknown error
-	refused := 0
 	for tries := 1; ; tries++ {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		version, err := s.Store.Commit(callCtx, txn)
 		cancel()
-		if err == nil || errors.Is(err, hoist.ErrConflict) {
+		switch {
+		case err == nil || errors.Is(err, hoist.ErrConflict):
 			return version, tries, err
-		}
-		if errors.Is(err, hoist.ErrUnavailable) {
-			refused++
-		} else {
+		case !errors.Is(err, hoist.ErrUnavailable):
 			unknown = err
+		case unknown == nil:
+			return 0, tries, err
 		}
-		isOver := ctx.Err() != nil || refused >= busyTries
-		if isOver && unknown != nil {
+		if ctx.Err() != nil {
 			return 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
 		}
-		if isOver {
-			return 0, tries, err
-		}
-		pause(ctx, retryPause*time.Duration(tries))
+		pause(ctx, retryPause)
 	}
 }
 
@@ -146,17 +140,11 @@
 	return state, nil
 }
 
-// get reads a row, and again if the store did not answer.
+// get reads a row.
 func (s *Service) get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
-	for tries := 1; ; tries++ {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		row, err := s.Store.Get(callCtx, ref)
-		cancel()
-		if err == nil || ctx.Err() != nil || tries >= busyTries {
-			return row, err
-		}
-		pause(ctx, retryPause*time.Duration(tries))
-	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.Store.Get(ctx, ref)
 }
 
 // Cancel implements hoist.PlanService.
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -23,8 +23,11 @@
 package keys
 
 import (
+	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	hoist "fuchsiahoist.example/hoist"
 )
 
@@ -44,24 +47,26 @@
 
 const cancelSuffix = "/cancel"
 
+// numParts is the number of parts. While the store is slow, each part takes only
+// a few transactions a second.
+const numParts = 32
+
 // Parts returns the parts that plans are spread over.
 func Parts() []hoist.PartName {
-	const digits = "0123456789abcdef"
-	parts := make([]hoist.PartName, 0, len(digits))
-	for _, d := range digits {
-		parts = append(parts, hoist.PartName(d))
+	parts := make([]hoist.PartName, numParts)
+	for i := range parts {
+		parts[i] = partName(i)
 	}
 	return parts
 }
 
-// PartOf returns the part of a plan: the first digit of its id, or that of its
-// shard for an id that does not begin with a hexadecimal digit.
+func partName(i int) hoist.PartName {
+	return hoist.PartName(fmt.Sprintf("%02x", i))
+}
+
+// PartOf returns the part of a plan.
 func PartOf(id hoist.JobID) hoist.PartName {
-	if id != "" && strings.ContainsRune("0123456789abcdef", rune(id[0])) {
-		return hoist.PartName(id[:1])
-	}
-	parts := Parts()
-	return parts[int(hoist.ShardOf(hoist.KindRequest, string(id)))%len(parts)]
+	return partName(int(xxhash.Sum64String(string(id)) % numParts))
 }
 
 // Fence returns the fence row of a part.
