--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -75,6 +75,9 @@
 	stop    stopState
 	figure  float64
 	lastPut *Worker
+	// isSuperseded is set for an attempt that must be stopped because an earlier
+	// one turned out to have succeeded. It stands for itself, not for its task.
+	isSuperseded bool
 }
 
 // stopState is what is known of the stop of an attempt.
@@ -200,7 +203,9 @@
 	// changed are the jobs whose state is not recorded.
 	changed map[hoist.JobID]*Job
 	workers map[hoist.WorkerID]*Worker
-	speeds  speeds
+	// superseded are attempts to stop at tasks that are done.
+	superseded map[hoist.TaskRun]*Task
+	speeds     speeds
 	// began is when this owner began; inherited attempts on workers that stay
 	// unreachable count as lapsed at the time lapse.
 	lapse time.Time
@@ -216,7 +221,9 @@
 		jobs:    make(map[hoist.JobID]*Job),
 		changed: make(map[hoist.JobID]*Job),
 		workers: make(map[hoist.WorkerID]*Worker),
-		speeds:  newSpeeds(),
+
+		superseded: make(map[hoist.TaskRun]*Task),
+		speeds:     newSpeeds(),
 	}
 }
 
@@ -379,6 +386,11 @@
 // release makes a placed task wait again: no attempt at it runs.
 func (b *Book) release(t *Task, now time.Time) {
 	b.free(t)
+	if t.isSuperseded {
+		delete(b.superseded, t.Run())
+		t.Set.Job.touch()
+		return
+	}
 	t.Phase = Waiting
 	t.since = now
 	t.Set.waiting++
@@ -410,15 +422,30 @@
 	return hoist.AttemptNo(b.term-1)<<attemptBits + j.attempts
 }
 
-// complete records the success of a task.
-func (b *Book) complete(t *Task, now time.Time) {
+// supersede parts a task from its present attempt, which may run on and holds its
+// capacity until it has certainly ended.
+func (b *Book) supersede(t *Task) {
+	old := &Task{
+		Set: t.Set, Index: t.Index, Phase: Stopping, Attempt: t.Attempt, Worker: t.Worker, since: t.since, isSuperseded: true,
+	}
+	delete(t.Worker.tasks, t)
+	t.Worker.tasks[old] = true
+	t.Worker = nil
+	b.superseded[old.Run()] = old
+}
+
+// complete records the success of a task in an attempt.
+func (b *Book) complete(t *Task, attempt hoist.AttemptNo, now time.Time) {
 	if t.Phase == Done {
 		return
 	}
-	if t.IsPlaced() {
-		b.free(t)
-	} else {
+	switch {
+	case !t.IsPlaced():
 		t.Set.waiting--
+	case t.Attempt == attempt || t.Phase == Recording:
+		b.free(t)
+	default:
+		b.supersede(t)
 	}
 	t.Phase = Done
 	s, j := t.Set, t.Set.Job
--- a/internal/decide/sched/look.go
+++ b/internal/decide/sched/look.go
@@ -10,6 +10,9 @@
 
 // current returns the task of an attempt that is placed on a worker.
 func (b *Book) current(id hoist.WorkerID, run hoist.TaskRun) (*Task, bool) {
+	if t, ok := b.superseded[run]; ok && t.Worker.entry.Worker == id {
+		return t, true
+	}
 	t, ok := b.task(run.Task)
 	if !ok || !t.IsPlaced() || t.Worker == nil || t.Worker.entry.Worker != id || t.Attempt != run.Attempt {
 		return nil, false
@@ -149,12 +152,12 @@
 // there. It returns the tasks that were found.
 func (b *Book) running(w *Worker, views []hoist.RunView, asked, now time.Time) map[*Task]bool {
 	seen := make(map[*Task]bool, len(views))
-	clear(w.strays)
+	strays := make(map[hoist.TaskRun]time.Time)
 	for _, v := range views {
 		t, ok := b.current(w.entry.Worker, v.Run)
 		if !ok {
 			if known, ok := b.task(v.Run.Task); !ok || asked.After(known.since) {
-				w.strays[v.Run] = true
+				strays[v.Run] = w.strays[v.Run]
 			}
 			continue
 		}
@@ -169,6 +172,7 @@
 			t.since = now
 		}
 	}
+	w.strays = strays
 	return seen
 }
 
@@ -193,7 +197,7 @@
 	switch e.Kind {
 	case hoist.EndDone:
 		w.health.succeeded()
-		b.succeeded(t, now)
+		b.succeeded(t, e.Run.Attempt, now)
 	case hoist.EndFailed:
 		b.failed(w, t, e.Run.Attempt, now)
 	default:
@@ -203,17 +207,17 @@
 	w.ends.open = append(w.ends.open, openEnd{e.No, j, j.change})
 }
 
-// succeeded completes a task, or its whole gang.
-func (b *Book) succeeded(t *Task, now time.Time) {
+// succeeded completes a task in an attempt, or its whole gang.
+func (b *Book) succeeded(t *Task, attempt hoist.AttemptNo, now time.Time) {
 	if t.Set.Job.Phase.IsFinal() || t.Set.Step.IsLasting {
 		return
 	}
 	if !t.Set.Step.IsGang {
-		b.complete(t, now)
+		b.complete(t, attempt, now)
 		return
 	}
 	for _, member := range t.Set.Tasks {
-		b.complete(member, now)
+		b.complete(member, attempt, now)
 	}
 }
 
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -314,10 +314,13 @@
 			t.stop.isBusy = true
 			out = append(out, Stop{id, t.Run()})
 		}
-		for run := range w.strays {
-			out = append(out, Stop{id, run})
-		}
 		// The next view tells whether the strays are gone.
+		for run, sent := range w.strays {
+			if now.Sub(sent) >= stopRetry {
+				w.strays[run] = now
+				out = append(out, Stop{id, run})
+			}
+		}
 	}
 	slices.SortFunc(out, func(x, y Stop) int {
 		return cmp.Or(cmp.Compare(x.Worker, y.Worker), compareRuns(x.Run, y.Run))
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -354,6 +354,32 @@
 	})
 }
 
+// TestLateSuccess guards against giving capacity away twice when a worker that
+// was out of reach lists the success of an attempt after its task was started
+// elsewhere.
+func TestLateSuccess(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	first := c.run()
+	c.now = start.Add(6200 * time.Millisecond)
+	c.list("w2")
+	second := c.run()
+	c.wantStarts(second, 1)
+	c.is.Equal(second[0].Worker, hoist.WorkerID("w2"))
+	c.end(1, first[0], hoist.EndDone)
+	c.wantPhase("p", hoist.PlanDone)
+	c.is.True(!c.book.IsSettled("p")) // the second attempt may run
+	c.entry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = true })
+	c.submit("q", queue, step(8))
+	c.wantStarts(c.pass(), 7)
+	c.is.Equal(c.stops, []sched.Stop{{Worker: "w2", Run: second[0].Run}})
+	c.book.StopAnswered("w2", second[0].Run, nil, c.now)
+	c.view("w2", hoist.WorkerView{Life: 1, Ends: []hoist.RunEnd{{No: 1, Run: second[0].Run, Kind: hoist.EndStopped}}})
+	c.record()
+	c.is.True(c.book.IsSettled("p"))
+	c.wantStarts(c.pass(), 1)
+}
+
 // TestStray guards against capacity that is given twice because something
 // unknown runs on a worker.
 func TestStray(t *testing.T) {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -31,8 +31,9 @@
 	viewed time.Time
 	used   hoist.Resources
 	tasks  map[*Task]bool
-	// strays are attempts that run there and that no task expects.
-	strays map[hoist.TaskRun]bool
+	// strays are attempts that run there and that no task expects, and when a stop
+	// was sent last.
+	strays map[hoist.TaskRun]time.Time
 	// leaseEnd is when everything there has certainly ended unless the lease is
 	// renewed.
 	leaseEnd time.Time
@@ -108,7 +109,7 @@
 	if !ok {
 		w = &Worker{
 			entry: hoist.WorkerEntry{Worker: id},
-			tasks: make(map[*Task]bool), strays: make(map[hoist.TaskRun]bool),
+			tasks: make(map[*Task]bool), strays: make(map[hoist.TaskRun]time.Time),
 			leaseEnd: b.lapse,
 		}
 		w.health.ratio = 1
