--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -232,9 +232,9 @@
 	}
 }
 
-// pause waits and reports false if ctx ended meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
-	return pauseOr(ctx, d, nil)
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	pauseOr(ctx, d, nil)
 }
 
 // pauseOr waits for d or for the flag. It reports false if ctx ended.
--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -320,17 +320,23 @@
 	return err
 }
 
+// sendStop sends a stop over a link, which is nil for a worker without an
+// address.
+func (d *Driver) sendStop(ctx context.Context, l *link, s sched.Stop) error {
+	if l == nil {
+		return hoist.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	return l.runner.Stop(ctx, s.Run, d.Own.Term)
+}
+
 // stop sends a stop and notes its outcome.
 func (d *Driver) stop(ctx context.Context, s sched.Stop) {
 	d.mu.Lock()
 	l := d.links[s.Worker]
 	d.mu.Unlock()
-	err := error(hoist.ErrUnavailable)
-	if l != nil {
-		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
-		defer cancel()
-		err = l.runner.Stop(callCtx, s.Run, d.Own.Term)
-	}
+	err := d.sendStop(ctx, l, s)
 	if errors.Is(err, hoist.ErrStaleTerm) {
 		d.Own.Lose()
 		return
--- /dev/null
+++ b/internal/core/hostd/watched_test.go
@@ -0,0 +1,46 @@
+package hostd
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/fake/shelf"
+)
+
+type clock struct{}
+
+func (clock) Now() time.Time { return time.Now() }
+
+// TestPromptStore guards against clients that wait for a store that is known to
+// be away, and against a store that is never asked again.
+func TestPromptStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		ref := hoist.RowRef{Table: "t", Key: "k"}
+		link := &shelf.Link{Store: &shelf.Store{}}
+		watched := &watchedStore{Store: link, clock: clock{}}
+		prompt := promptStore{watched}
+		_, err := prompt.Get(ctx, ref)
+		is.NoErr(err)
+		link.SetError(hoist.ErrOutcomeUnknown)
+		_, err = prompt.Get(ctx, ref)
+		is.True(errors.Is(err, hoist.ErrOutcomeUnknown)) // asked, as it may be back
+		time.Sleep(awayAfter + time.Millisecond)
+		_, err = prompt.Get(ctx, ref)
+		is.True(errors.Is(err, hoist.ErrUnavailable)) // refused without a call
+		_, err = prompt.Commit(ctx, hoist.Transaction{})
+		is.True(errors.Is(err, hoist.ErrUnavailable))
+		link.SetError(nil)
+		_, err = watched.Get(ctx, ref) // one of the host's loops
+		is.NoErr(err)
+		_, err = prompt.Get(ctx, ref)
+		is.NoErr(err)
+	})
+}
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -135,10 +135,11 @@
 	}
 }
 
-func (c *cell) wantPhase(id hoist.JobID, want hoist.PlanPhase) {
+// wantPhase fails unless the plan p is in a phase.
+func (c *cell) wantPhase(want hoist.PlanPhase) {
 	c.t.Helper()
-	if got := c.phase(id); got != want {
-		c.t.Fatalf("plan %s is %q, expected %q", id, got, want)
+	if got := c.phase("p"); got != want {
+		c.t.Fatalf("plan p is %q, expected %q", got, want)
 	}
 }
 
@@ -217,7 +218,7 @@
 	second := c.run()
 	c.wantStarts(second, 1)
 	c.end(3, second[0], hoist.EndDone)
-	c.wantPhase("p", hoist.PlanDone)
+	c.wantPhase(hoist.PlanDone)
 }
 
 // TestFailures guards against more attempts than a queue allows, and against
@@ -233,7 +234,7 @@
 		two := c.run()
 		c.wantStarts(two, 1)
 		c.end(2, two[0], hoist.EndFailed)
-		c.wantPhase("p", hoist.PlanFailed)
+		c.wantPhase(hoist.PlanFailed)
 	})
 	t.Run("stops do not count", func(t *testing.T) {
 		c := newCell(t, "w1")
@@ -243,7 +244,7 @@
 			c.wantStarts(starts, 1)
 			c.end(hoist.EndNo(no+1), starts[0], hoist.EndLapsed)
 		}
-		c.wantPhase("p", hoist.PlanRunning)
+		c.wantPhase(hoist.PlanRunning)
 	})
 	t.Run("the same end twice counts once", func(t *testing.T) {
 		c := newCell(t, "w1")
@@ -251,7 +252,7 @@
 		one := c.run()
 		c.end(1, one[0], hoist.EndFailed)
 		c.end(1, one[0], hoist.EndFailed)
-		c.wantPhase("p", hoist.PlanRunning)
+		c.wantPhase(hoist.PlanRunning)
 	})
 	t.Run("a gang counts as one", func(t *testing.T) {
 		c := newCell(t, "w1", "w2")
@@ -260,7 +261,7 @@
 		c.view(one[0].Worker, hoist.WorkerView{Life: 1, Ends: []hoist.RunEnd{
 			{No: 1, Run: one[0].Run, Kind: hoist.EndFailed}, {No: 2, Run: one[1].Run, Kind: hoist.EndBroken},
 		}})
-		c.wantPhase("p", hoist.PlanRunning)
+		c.wantPhase(hoist.PlanRunning)
 	})
 	t.Run("lasting tasks start again", func(t *testing.T) {
 		c := newCell(t, "w1")
@@ -367,7 +368,7 @@
 	c.wantStarts(second, 1)
 	c.is.Equal(second[0].Worker, hoist.WorkerID("w2"))
 	c.end(1, first[0], hoist.EndDone)
-	c.wantPhase("p", hoist.PlanDone)
+	c.wantPhase(hoist.PlanDone)
 	c.is.True(!c.book.IsSettled("p")) // the second attempt may run
 	c.entry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = true })
 	c.submit("q", queue, step(8))
@@ -425,7 +426,7 @@
 		{No: 1, Run: starts[0].Run, Kind: hoist.EndStopped}, {No: 2, Run: starts[1].Run, Kind: hoist.EndDone},
 	}})
 	c.wantStarts(c.pass(), 0)
-	c.wantPhase("p", hoist.PlanCancelled)
+	c.wantPhase(hoist.PlanCancelled)
 	c.is.True(c.book.IsSettled("p"))
 }
 
@@ -534,12 +535,12 @@
 	one := c.run()
 	c.wantStarts(one, 1)
 	c.end(1, one[0], hoist.EndDone)
-	c.wantPhase("p", hoist.PlanRunning)
+	c.wantPhase(hoist.PlanRunning)
 	c.now = start.Add(2100 * time.Millisecond)
 	c.view("w1", hoist.WorkerView{Life: 1})
 	two := c.run()
 	c.wantStarts(two, 1)
 	c.is.Equal(two[0].Run.Task.Occurrence, hoist.Occurrence(1))
 	c.end(2, two[0], hoist.EndDone)
-	c.wantPhase("p", hoist.PlanDone)
+	c.wantPhase(hoist.PlanDone)
 }
