--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -23,6 +23,8 @@
 	maxRecorded = 20
 	// recordEvery is how often changes are recorded that nothing waits for.
 	recordEvery = 250 * time.Millisecond
+	// logEvery is how many failures in a row are told in one log line.
+	logEvery = 20
 	// minTimeout and maxTimeout bound the time of a transaction, and
 	// timeoutFactor is how much longer than the last one the next may take.
 	minTimeout    = 900 * time.Millisecond
@@ -194,7 +196,7 @@
 // recordLoop records the states of the plans of one part as they change. Each
 // part has a loop of its own, as the store may be slow or away for some of them.
 func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
-	timeout := minTimeout
+	rec := recorder{part: part, timeout: minTimeout}
 	lastAll := d.Clock.Now()
 	for pauseOr(ctx, time.Second, due) {
 		for ctx.Err() == nil {
@@ -209,36 +211,47 @@
 			if len(list) == 0 {
 				break
 			}
-			timeout = d.record(ctx, part, list, timeout)
+			d.record(ctx, &rec, list)
 		}
 	}
 }
 
+// recorder is what the recording of one part goes by.
+type recorder struct {
+	part hoist.PartName
+	// timeout bounds the next transaction. It follows how long the store takes:
+	// short enough to notice lost answers soon, and long enough for a slow store.
+	timeout time.Duration
+	// failures counts the transactions in a row without success.
+	failures int
+}
+
 // record writes states and sends the starts that they allow. States that could
-// not be written stay unrecorded. It returns the timeout for the next
-// transaction, which follows how long the store takes: short enough to notice
-// lost answers soon, and long enough for a slow store.
-func (d *Driver) record(ctx context.Context, part hoist.PartName, list []sched.Unrecorded, timeout time.Duration) time.Duration {
+// not be written stay unrecorded.
+func (d *Driver) record(ctx context.Context, rec *recorder, list []sched.Unrecorded) {
 	began := d.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	version, err := d.Store.Commit(callCtx, d.transaction(part, list))
+	callCtx, cancel := context.WithTimeout(ctx, rec.timeout)
+	version, err := d.Store.Commit(callCtx, d.transaction(rec.part, list))
 	cancel()
-	next := d.Clock.Now().Sub(began) * timeoutFactor
 	if err == nil {
 		d.recorded(ctx, list, version)
-		return min(maxTimeout, max(minTimeout, next))
+		rec.failures = 0
+		rec.timeout = min(maxTimeout, max(minTimeout, d.Clock.Now().Sub(began)*timeoutFactor))
+		return
 	}
 	if ctx.Err() != nil {
-		return timeout
+		return
+	}
+	if rec.failures%logEvery == 0 {
+		events.StateLate.Log(ctx, d.Log, "part", rec.part, "plans", len(list), "failures", rec.failures, "timeout", rec.timeout, "error", err)
 	}
-	events.StateLate.Log(ctx, d.Log, "part", part, "plans", len(list), "timeout", timeout, "error", err)
-	if !errors.Is(err, hoist.ErrConflict) || !d.reread(ctx, part, list) {
+	rec.failures++
+	if !errors.Is(err, hoist.ErrConflict) || !d.reread(ctx, rec.part, list) {
 		pause(ctx, retryPause)
 	}
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
-		return min(maxTimeout, timeout*2)
+		rec.timeout = min(maxTimeout, rec.timeout*2)
 	}
-	return timeout
 }
 
 // transaction composes the writing of states of one part.
--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -288,9 +288,14 @@
 	if d.Count != nil {
 		d.Count.Start(outcomeOf(err))
 	}
+	now := d.Clock.Now()
 	d.mu.Lock()
-	d.book.Started(o.start.Worker, run, err, d.Clock.Now())
+	queue := d.book.Started(o.start.Worker, run, err, now)
+	job, ok := d.book.Job(run.Task.Job)
 	d.mu.Unlock()
+	if queue != "" && ok && d.Count != nil {
+		d.Count.Waited(queue, now.Sub(job.Plan.Accepted))
+	}
 	if err != nil {
 		d.wake()
 	}
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -70,11 +70,12 @@
 	// notBefore delays the next start after a failure.
 	notBefore time.Time
 	// change is the change of the job that recorded the start.
-	change  uint64
-	ticket  hoist.Ticket
-	stop    stopState
-	figure  float64
-	lastPut *Worker
+	change uint64
+	ticket hoist.Ticket
+	stop   stopState
+	figure float64
+	// failedOn are the workers that the task failed on.
+	failedOn []hoist.WorkerID
 	// isSuperseded is set for an attempt that must be stopped because an earlier
 	// one turned out to have succeeded. It stands for itself, not for its task.
 	isSuperseded bool
@@ -381,7 +382,6 @@
 // place reserves a worker for an attempt at a waiting task.
 func (b *Book) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
 	t.Phase, t.Worker, t.Attempt, t.since = phase, w, attempt, now
-	t.lastPut = w
 	t.stop = stopState{}
 	t.Set.waiting--
 	t.Set.Job.placed++
--- a/internal/decide/sched/look.go
+++ b/internal/decide/sched/look.go
@@ -20,11 +20,12 @@
 	return t, true
 }
 
-// Started notes the outcome of a start.
-func (b *Book) Started(id hoist.WorkerID, run hoist.TaskRun, err error, now time.Time) {
+// Started notes the outcome of a start. If it is the first one of its plan,
+// Started returns the plan's queue, else an empty name.
+func (b *Book) Started(id hoist.WorkerID, run hoist.TaskRun, err error, now time.Time) hoist.QueueName {
 	t, ok := b.current(id, run)
 	if !ok {
-		return
+		return ""
 	}
 	j, w := t.Set.Job, t.Worker
 	switch {
@@ -36,12 +37,13 @@
 		if j.Phase == hoist.PlanQueued {
 			j.Phase = hoist.PlanRunning
 			j.touch()
+			return j.Plan.Queue.Name
 		}
-		return
+		return ""
 	case errors.Is(err, hoist.ErrOutcomeUnknown):
 		b.drop(t, now)
 		b.settleGang(t.Set, now)
-		return
+		return ""
 	case errors.Is(err, hoist.ErrTicket):
 		delete(t.Set.advice.tickets, id)
 	case errors.Is(err, hoist.ErrReplaced):
@@ -53,6 +55,7 @@
 	}
 	b.release(t, now)
 	b.settleGang(t.Set, now)
+	return ""
 }
 
 // StopAnswered notes the outcome of a stop.
@@ -228,6 +231,7 @@
 		return
 	}
 	t.Failed = append(t.Failed, attempt)
+	t.failedOn = append(t.failedOn, w.entry.Worker)
 	t.notBefore = now.Add(failurePause)
 	j := t.Set.Job
 	if t.Set.Step.IsLasting || j.Phase.IsFinal() || t.Phase == Done {
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -236,6 +236,22 @@
 		c.end(2, two[0], hoist.EndFailed)
 		c.wantPhase(hoist.PlanFailed)
 	})
+	t.Run("never again on a worker that it failed on, while there is another", func(t *testing.T) {
+		c := newCell(t, "w1", "w2", "w3")
+		q := queue
+		q.MaxAttempts = 4
+		c.submit("p", q, step(1))
+		var on []hoist.WorkerID
+		for range 3 {
+			starts := c.run()
+			c.wantStarts(starts, 1)
+			on = append(on, starts[0].Worker)
+			c.end(1, starts[0], hoist.EndFailed)
+			c.now = c.now.Add(100 * time.Millisecond)
+		}
+		slices.Sort(on)
+		c.is.Equal(on, []hoist.WorkerID{"w1", "w2", "w3"})
+	})
 	t.Run("stops do not count", func(t *testing.T) {
 		c := newCell(t, "w1")
 		c.submit("p", queue, step(1))
