--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -30,6 +30,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -154,7 +155,7 @@
 		now := k.Clock.Now()
 		if err != nil {
 			hasFailed = true
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 			continue
 		}
 		if hasFailed {
@@ -165,7 +166,7 @@
 		if !k.isVacant(now) {
 			continue
 		}
-		pause(ctx, k.claimDelay())
+		clock.Pause(ctx, k.claimDelay())
 		if o, ok := k.claim(ctx); ok {
 			return o, true
 		}
@@ -309,7 +310,7 @@
 	var acting sync.WaitGroup
 	acting.Go(func() { k.Own(ownCtx, o) })
 	gap := beatEvery
-	for count := 1; pause(ownCtx, gap); count++ {
+	for count := 1; clock.Pause(ownCtx, gap); count++ {
 		gap = beatEvery
 		switch err := k.beat(ownCtx, o, count); {
 		case errors.Is(err, hoist.ErrConflict):
@@ -364,15 +365,3 @@
 		events.LeaveFailed.Log(ctx, k.Log, "term", o.Term, "error", err)
 	}
 }
-
-// pause waits and reports false if ctx ended meanwhile.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -11,13 +11,10 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/fake/shelf"
 )
 
-type clock struct{}
-
-func (clock) Now() time.Time { return time.Now() }
-
 // hosts run keepers on one store and note who acts.
 type hosts struct {
 	t     *testing.T
@@ -37,7 +34,7 @@
 // run starts a keeper and returns what ends it gracefully.
 func (h *hosts) run(id hoist.HostID, epoch hoist.Epoch, weight claim.Weight, store hoist.Store) func() {
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &claim.Keeper{Host: id, Epoch: epoch, Weight: weight, Store: store, Clock: clock{}, Waiting: func() map[hoist.QueueName]int { return nil }}
+	k := &claim.Keeper{Host: id, Epoch: epoch, Weight: weight, Store: store, Clock: clock.System{}, Waiting: func() map[hoist.QueueName]int { return nil }}
 	k.Own = func(ctx context.Context, o *claim.Ownership) {
 		h.note(id, o)
 		<-ctx.Done()
--- /dev/null
+++ b/internal/core/clock/clock.go
@@ -0,0 +1,53 @@
+// Package clock has the system clock, and waits that end with a context.
+//
+// # Usage
+//
+//	for clock.PauseOr(ctx, time.Second, due) {
+//		// due was set, or a second has passed
+//	}
+package clock
+
+import (
+	"context"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// System is the clock of the operating system.
+type System struct{}
+
+var _ hoist.Clock = System{}
+
+// Now implements hoist.Clock.
+func (System) Now() time.Time {
+	return time.Now()
+}
+
+// Signal sets a flag that a goroutine waits for with PauseOr. A flag is a channel
+// with room for one element.
+func Signal(flag chan struct{}) {
+	select {
+	case flag <- struct{}{}:
+	default:
+	}
+}
+
+// Pause waits for d. It reports false if ctx ended.
+func Pause(ctx context.Context, d time.Duration) bool {
+	return PauseOr(ctx, d, nil)
+}
+
+// PauseOr waits for d or for the flag. It reports false if ctx ended.
+func PauseOr(ctx context.Context, d time.Duration, flag <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-flag:
+		return true
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -21,6 +21,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/certs"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/member"
 	"fuchsiahoist.example/hoist/internal/core/metric"
@@ -66,19 +67,11 @@
 	running  chan struct{}
 }
 
-// SystemClock is the clock of the operating system.
-type SystemClock struct{}
-
-// Now implements hoist.Clock.
-func (SystemClock) Now() time.Time {
-	return time.Now()
-}
-
 // Listen opens the host's addresses. The port 0 means any free port; EntryAddr
 // and CallerAddr tell which.
 func (d *Daemon) Listen() error {
 	if d.Clock == nil {
-		d.Clock = SystemClock{}
+		d.Clock = clock.System{}
 	}
 	d.running = make(chan struct{})
 	if err := d.loadCerts(); err != nil {
--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -25,6 +25,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
@@ -138,12 +139,12 @@
 
 // wake asks for a pass.
 func (d *Driver) wake() {
-	signal(d.kick)
+	clock.Signal(d.kick)
 }
 
 // passLoop decides what is due, whenever something happened.
 func (d *Driver) passLoop(ctx context.Context) {
-	for pauseOr(ctx, tickEvery, d.kick) {
+	for clock.PauseOr(ctx, tickEvery, d.kick) {
 		began := d.Clock.Now()
 		d.mu.Lock()
 		now := d.Clock.Now()
@@ -154,7 +155,7 @@
 		}
 		d.mu.Unlock()
 		for _, due := range d.parts {
-			signal(due)
+			clock.Signal(due)
 		}
 		for _, ask := range due.Asks {
 			d.calls.Go(func() { d.ask(ctx, ask) })
@@ -163,7 +164,7 @@
 			d.calls.Go(func() { d.stop(ctx, stop) })
 		}
 		d.dropExpired(ctx)
-		pause(ctx, max(passGap, passShare*d.Clock.Now().Sub(began)))
+		clock.Pause(ctx, max(passGap, passShare*d.Clock.Now().Sub(began)))
 	}
 }
 
@@ -227,30 +228,3 @@
 		events.StateLate.Log(ctx, d.Log, "part", part, "rows", len(refs), "error", err)
 	}
 }
-
-// signal sets a flag that a goroutine waits for.
-func signal(flag chan struct{}) {
-	select {
-	case flag <- struct{}{}:
-	default:
-	}
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	pauseOr(ctx, d, nil)
-}
-
-// pauseOr waits for d or for the flag. It reports false if ctx ended.
-func pauseOr(ctx context.Context, d time.Duration, flag <-chan struct{}) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-flag:
-		return true
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
@@ -46,7 +47,7 @@
 			after = 0
 		}
 		if err != nil && ctx.Err() == nil {
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 		}
 	}
 }
@@ -198,7 +199,7 @@
 func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
 	rec := recorder{part: part, timeout: minTimeout}
 	lastAll := d.Clock.Now()
-	for pauseOr(ctx, time.Second, due) {
+	for clock.PauseOr(ctx, time.Second, due) {
 		for ctx.Err() == nil {
 			now := d.Clock.Now()
 			isAll := now.Sub(lastAll) >= recordEvery
@@ -247,7 +248,7 @@
 	}
 	rec.failures++
 	if !errors.Is(err, hoist.ErrConflict) || !d.reread(ctx, rec.part, list) {
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 	}
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
 		rec.timeout = min(maxTimeout, rec.timeout*2)
@@ -291,7 +292,7 @@
 		d.calls.Go(func() { d.start(ctx, o) })
 	}
 	for _, l := range d.allLinks() {
-		signal(l.recorded)
+		clock.Signal(l.recorded)
 	}
 }
 
--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -7,6 +7,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
@@ -63,7 +64,7 @@
 			if errors.Is(err, hoist.ErrHistoryLost) {
 				after = 0
 			}
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 			continue
 		}
 		after = changes.Next
@@ -77,7 +78,7 @@
 			delete(entries, id)
 		}
 		d.setWorkers(ctx, entries)
-		pause(ctx, registryGap)
+		clock.Pause(ctx, registryGap)
 	}
 }
 
@@ -138,11 +139,11 @@
 		o := d.lookOrder(id, l)
 		if d.look(ctx, id, l, o) {
 			failures = 0
-			pause(ctx, lookGap)
+			clock.Pause(ctx, lookGap)
 			continue
 		}
 		failures++
-		pause(ctx, min(maxUnseenPause, time.Duration(failures)*50*time.Millisecond))
+		clock.Pause(ctx, min(maxUnseenPause, time.Duration(failures)*50*time.Millisecond))
 	}
 }
 
@@ -158,7 +159,7 @@
 		if !isOpen || left <= 0 {
 			return
 		}
-		pauseOr(ctx, left, l.recorded)
+		clock.PauseOr(ctx, left, l.recorded)
 	}
 }
 
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -21,6 +21,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/drive"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/intake"
@@ -128,7 +129,7 @@
 		if err == nil {
 			return
 		}
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 	}
 }
 
@@ -178,7 +179,7 @@
 			if errors.Is(err, hoist.ErrHistoryLost) {
 				after = 0
 			}
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 			continue
 		}
 		after = next
@@ -218,10 +219,3 @@
 	clients[id] = &helper.Client{Addr: host.Addr}
 	helpers.Set(id, clients[id])
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/core/hostd/watched_test.go
+++ b/internal/core/hostd/watched_test.go
@@ -10,13 +10,10 @@
 	"github.com/matryer/is"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/fake/shelf"
 )
 
-type clock struct{}
-
-func (clock) Now() time.Time { return time.Now() }
-
 // TestPromptStore guards against clients that wait for a store that is known to
 // be away, and against a store that is never asked again.
 func TestPromptStore(t *testing.T) {
@@ -25,7 +22,7 @@
 		ctx := context.Background()
 		ref := hoist.RowRef{Table: "t", Key: "k"}
 		link := &shelf.Link{Store: &shelf.Store{}}
-		watched := &watchedStore{Store: link, clock: clock{}}
+		watched := &watchedStore{Store: link, clock: clock.System{}}
 		prompt := promptStore{watched}
 		_, err := prompt.Get(ctx, ref)
 		is.NoErr(err)
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -25,6 +25,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -109,7 +110,7 @@
 		if ctx.Err() != nil {
 			return 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
 		}
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 	}
 }
 
@@ -186,10 +187,3 @@
 	s.read = asked
 	return s.counts[queue], nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -10,16 +10,13 @@
 	"github.com/matryer/is"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/intake"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/fake/shelf"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
-type clock struct{}
-
-func (clock) Now() time.Time { return time.Now() }
-
 // desk is a service with its store.
 type desk struct {
 	t    *testing.T
@@ -29,7 +26,7 @@
 
 func newDesk(t *testing.T) *desk {
 	link := &shelf.Link{Store: &shelf.Store{}}
-	return &desk{t, link, &intake.Service{Store: link, Clock: clock{}}}
+	return &desk{t, link, &intake.Service{Store: link, Clock: clock.System{}}}
 }
 
 var plan = hoist.Plan{
--- a/internal/core/queues/queues.go
+++ b/internal/core/queues/queues.go
@@ -23,6 +23,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 )
 
@@ -75,7 +76,7 @@
 				events.ConfigReadFailed.Log(ctx, f.Log, "version", f.Version(), "error", err)
 			}
 			isLost = true
-			pause(ctx, retryPause)
+			clock.Pause(ctx, retryPause)
 			continue
 		}
 		isLost = false
@@ -135,10 +136,3 @@
 	q, ok := f.byName[name]
 	return q, ok
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/core/tasks/accept.go
+++ b/internal/core/tasks/accept.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/decide/learn"
@@ -54,7 +55,7 @@
 		if !errors.Is(err, hoist.ErrNotOwner) {
 			return err
 		}
-		if !pause(ctx, forwardPause) {
+		if !clock.Pause(ctx, forwardPause) {
 			break
 		}
 	}
--- a/internal/core/tasks/ends.go
+++ b/internal/core/tasks/ends.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 )
 
 const (
@@ -29,7 +30,7 @@
 func (m *Manager) endLoop(ctx context.Context, id hoist.WorkerID, h *handle) {
 	wait := renewEvery
 	var retried time.Time
-	for pauseOr(ctx, renewEvery, h.endsDue) {
+	for clock.PauseOr(ctx, renewEvery, h.endsDue) {
 		now := m.Clock.Now()
 		ends := m.untold(h, id, now.Sub(retried) >= wait)
 		if len(ends) == 0 {
@@ -38,7 +39,7 @@
 		if m.tell(ctx, h, ends) {
 			wait = renewEvery
 			if len(ends) == endsPerCall {
-				signal(h.endsDue)
+				clock.Signal(h.endsDue)
 			}
 			continue
 		}
--- a/internal/core/tasks/owned.go
+++ b/internal/core/tasks/owned.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/grant"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
@@ -92,7 +93,7 @@
 		h.closing[s.Task] = closing{s.Attempt, m.Clock.Now()}
 		events.TaskYields.Log(ctx, m.Log, "task", s.Task, "worker", p.Worker, "for", p.Grant.Task)
 	}
-	signal(h.renewDue)
+	clock.Signal(h.renewDue)
 	if h, err = m.owned(p); err != nil {
 		return err
 	}
@@ -311,7 +312,7 @@
 		if err := h.worker.Stop(callCtx, h.term, attempt, mode); err != nil {
 			return err
 		}
-		signal(h.renewDue)
+		clock.Signal(h.renewDue)
 		return endFollows
 	})
 }
--- a/internal/core/tasks/pass.go
+++ b/internal/core/tasks/pass.go
@@ -8,6 +8,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/decide/learn"
@@ -76,7 +77,7 @@
 // placeLoop places waiting tasks whenever something changed.
 func (m *Manager) placeLoop(ctx context.Context) {
 	var ticked time.Time
-	for pauseOr(ctx, passEvery, m.kick) && pause(ctx, passGap) {
+	for clock.PauseOr(ctx, passEvery, m.kick) && clock.Pause(ctx, passGap) {
 		if now := m.Clock.Now(); now.Sub(ticked) >= tickEvery {
 			ticked = now
 			m.tick(ctx, now)
--- a/internal/core/tasks/rows.go
+++ b/internal/core/tasks/rows.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/peer/table"
@@ -60,7 +61,7 @@
 		e = &entry{job: j}
 		l.dirty[j.Spec.ID] = e
 	}
-	signal(l.due)
+	clock.Signal(l.due)
 	return e
 }
 
@@ -119,7 +120,7 @@
 
 // writeLoop writes the jobs that changed, many in one transaction.
 func (m *Manager) writeLoop(ctx context.Context) {
-	for pauseOr(ctx, rewriteAfter, m.rows.due) && pause(ctx, gatherTime) {
+	for clock.PauseOr(ctx, rewriteAfter, m.rows.due) && clock.Pause(ctx, gatherTime) {
 		for m.writeBatch(ctx) {
 			if ctx.Err() != nil {
 				return
--- a/internal/core/tasks/survey.go
+++ b/internal/core/tasks/survey.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -80,7 +81,7 @@
 			m.survey(ctx, shards)
 			wait = m.surveyWait()
 		}
-		if !pause(ctx, wait) {
+		if !clock.Pause(ctx, wait) {
 			return
 		}
 	}
--- a/internal/core/tasks/tasks.go
+++ b/internal/core/tasks/tasks.go
@@ -26,6 +26,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/decide/health"
 	"fuchsiahoist.example/hoist/internal/decide/jobs"
 	"fuchsiahoist.example/hoist/internal/decide/learn"
@@ -171,15 +172,7 @@
 
 // wake starts a placement pass soon.
 func (m *Manager) wake() {
-	signal(m.kick)
-}
-
-// signal sets a flag that a goroutine waits for.
-func signal(flag chan struct{}) {
-	select {
-	case flag <- struct{}{}:
-	default:
-	}
+	clock.Signal(m.kick)
 }
 
 // Acquire implements hoist.ShardHolder. The jobs of the shards are recovered
@@ -194,7 +187,7 @@
 	}
 	m.audit.ask()
 	m.audit.rounds = 0
-	signal(m.listDue)
+	clock.Signal(m.listDue)
 }
 
 // Release implements hoist.ShardHolder.
@@ -245,26 +238,3 @@
 func workerShardOf(worker hoist.WorkerID) hoist.ShardID {
 	return hoist.ShardOf(hoist.KindWorker, string(worker))
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// pauseOr waits for d or for the flag. It reports false if ctx ended.
-func pauseOr(ctx context.Context, d time.Duration, flag <-chan struct{}) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-flag:
-		return true
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/decide/grant"
 	"fuchsiahoist.example/hoist/internal/decide/health"
@@ -98,7 +99,7 @@
 		if err == nil {
 			m.sync(ctx, listed)
 		}
-		if !pauseOr(ctx, renewEvery, m.listDue) {
+		if !clock.PauseOr(ctx, renewEvery, m.listDue) {
 			return
 		}
 	}
@@ -152,14 +153,14 @@
 // the leases of a lost worker lapse.
 func (m *Manager) watch(ctx context.Context, id hoist.WorkerID, h *handle) {
 	for !m.ask(ctx, id, h, m.probe) {
-		if !pause(ctx, renewEvery) {
+		if !clock.Pause(ctx, renewEvery) {
 			return
 		}
 	}
 	events.WorkerAdopted.Log(ctx, m.Log, "worker", id, "term", h.term)
 	call := m.renew
 	renewed := m.Clock.Now()
-	for pauseOr(ctx, renewEvery, h.renewDue) {
+	for clock.PauseOr(ctx, renewEvery, h.renewDue) {
 		if !m.owns(workerShardOf(id), h.term) {
 			continue
 		}
@@ -223,7 +224,7 @@
 	}
 	status := stoppedStatus(g, "the start did not arrive")
 	h.ends[attemptOf(status)] = &end{status: status}
-	signal(h.endsDue)
+	clock.Signal(h.endsDue)
 	m.wake()
 }
 
@@ -290,7 +291,7 @@
 	}
 	h.wasLeft = report.Leaving
 	if len(h.ends) > 0 {
-		signal(h.endsDue)
+		clock.Signal(h.endsDue)
 	}
 	m.wake()
 	return append(h.strays(), h.failedTrials(m.Clock.Now())...), missing
@@ -418,7 +419,7 @@
 	clear(h.live)
 	h.report.Running = nil
 	h.account = grant.NewAccount(hoist.WorkerReport{Worker: id, Leaving: true})
-	signal(h.endsDue)
+	clock.Signal(h.endsDue)
 }
 
 // Workers returns what this host tells the others about its workers.
