Ask advisers only about workers that may take a task of the step

A lasting task failed, and its step had as many tasks as it may on the workers that were known as good; the adviser was asked about the same two of them every 0.6 s, and never about others. Change: the places that a worker has for a step count the bound on tasks of the step there, also for the question. Ruled out: an answer that got lost; the log shows every answer with good 2.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -104,11 +104,7 @@
 	places := 0
 	add := func(w *Worker, share float64) {
 		list = append(list, w.entry.Worker)
-		copies := min(s.waiting, w.copies(need, isAhead))
-		if s.Step.MaxPerWorker > 0 {
-			copies = min(copies, s.Step.MaxPerWorker)
-		}
-		places += int(float64(copies) * share * 100)
+		places += int(float64(min(s.waiting, s.places(w, isAhead))) * share * 100)
 	}
 	enough := s.waiting * 100
 	for _, w := range known {
@@ -136,11 +132,21 @@
 	return ask, true
 }
 
+// places is how many more tasks of the set a worker could take, now or once it is
+// empty.
+func (s *Set) places(w *Worker, isAhead bool) int {
+	n := w.copies(demand(s.Step), isAhead)
+	if s.Step.MaxPerWorker > 0 {
+		n = min(n, s.Step.MaxPerWorker-s.on(w))
+	}
+	return max(0, n)
+}
+
 // askable returns the workers that are worth asking about, best first: those
 // known as good whose ticket is over, and those never asked about.
 func (b *Book) askable(s *Set, isAhead bool, now time.Time) (known, unknown []*Worker) {
 	for _, w := range b.open {
-		if !b.isCandidate(s, w) || w.copies(demand(s.Step), isAhead) == 0 || s.mayRun(w, now) {
+		if !b.isCandidate(s, w) || s.places(w, isAhead) == 0 || s.mayRun(w, now) {
 			continue
 		}
 		isGood, wasAsked := s.advice.isGood[w.entry.Worker]
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -515,6 +515,22 @@
 		c.pass()
 		c.is.Equal(len(c.asks), 1)
 	})
+	t.Run("not about workers that have as many tasks as they may", func(t *testing.T) {
+		c := newCell(t, "w1", "w2")
+		c.submit("p", advised, step(2, func(s *hoist.Step) { s.MaxPerWorker = 1 }))
+		c.pass()
+		first := c.asks[0]
+		c.book.Advised(first, answer, nil, c.now)
+		starts := c.run()
+		c.wantStarts(starts, 1)
+		c.now = c.now.Add(2 * time.Second) // the ticket is over
+		c.view("w1", hoist.WorkerView{Life: 1, Running: []hoist.RunView{{Run: starts[0].Run}}})
+		c.view("w2", hoist.WorkerView{Life: 1})
+		c.list("w3")
+		c.pass()
+		c.is.Equal(len(c.asks), 1)
+		c.is.Equal(c.asks[0].Workers, []hoist.WorkerID{"w3"})
+	})
 	t.Run("no host is free", func(t *testing.T) {
 		c := newCell(t, "w1")
 		c.submit("p", advised, step(1))
