Guard the book of a new driver, and drop what it did not use

Cause: read as a newcomer. The host may ask a driver for its waiting plans while the driver sets its book; the book took random numbers that it did not use; the counter was an interface outside the root package. Change: the book is set under the mutex; no random numbers; hoist.PlanCounter.

--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,7 +62,7 @@
 	Clock hoist.Clock
 	Log   *slog.Logger
 	// Count counts what was done; nil counts nothing.
-	Count Counter
+	Count hoist.PlanCounter
 	// Keep is how long the state of an ended plan can be asked for.
 	Keep time.Duration
 	// FarFactor is how much slower tasks are away from their data.
@@ -84,14 +83,6 @@
 	restored chan struct{}
 }
 
-// Counter counts what a driver does.
-type Counter interface {
-	Start(outcome string)
-	End(kind hoist.EndKind)
-	// Waited is the time from the acceptance of a plan to its first start.
-	Waited(queue hoist.QueueName, d time.Duration)
-}
-
 type endedPlan struct {
 	id hoist.JobID
 	at time.Time
@@ -112,8 +103,10 @@
 }
 
 func (d *Driver) build() {
-	seed := uint64(d.Clock.Now().UnixNano())
-	d.book = sched.NewBook(d.Own.Term, d.Own.Lapse, rand.New(rand.NewPCG(seed, uint64(d.Own.Term))))
+	// The host may ask for the waiting plans already.
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book = sched.NewBook(d.Own.Term, d.Own.Lapse)
 	if d.FarFactor > 0 {
 		d.book.FarFactor = d.FarFactor
 	}
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -59,7 +59,7 @@
 	Adviser  hoist.Adviser
 	Clock    hoist.Clock
 	Log      *slog.Logger
-	Count    drive.Counter
+	Count    hoist.PlanCounter
 	// Keep is how long the state of an ended plan can be asked for.
 	Keep time.Duration
 	// FarFactor is how much slower tasks are away from their data.
--- a/internal/decide/sched/bench_test.go
+++ b/internal/decide/sched/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,7 +14,7 @@
 func BenchmarkPass(b *testing.B) {
 	for _, size := range []struct{ workers, plans int }{{48, 100}, {350, 600}, {1300, 2000}} {
 		b.Run(fmt.Sprintf("%d workers %d plans", size.workers, size.plans), func(b *testing.B) {
-			book := sched.NewBook(1, start, rand.New(rand.NewPCG(1, 2)))
+			book := sched.NewBook(1, start)
 			var entries []hoist.WorkerEntry
 			for i := range size.workers {
 				entries = append(entries, hoist.WorkerEntry{
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	b := sched.NewBook(term, rng)
+//	b := sched.NewBook(term, lapse)
 //	b.SetWorkers(entries, now)
 //	b.Add(plan, now)
 //	d := b.Pass(now)             // chosen starts are not sent yet
@@ -26,7 +26,6 @@
 package sched
 
 import (
-	"math/rand/v2"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -199,7 +198,6 @@
 // Book holds the plans and workers of one cell.
 type Book struct {
 	term hoist.Term
-	rng  *rand.Rand
 	jobs map[hoist.JobID]*Job
 	// changed are the jobs whose state is not recorded.
 	changed map[hoist.JobID]*Job
@@ -222,9 +220,9 @@
 
 // NewBook returns an empty book of the owner in a term. The leases that earlier
 // owners granted have all run out at lapse.
-func NewBook(term hoist.Term, lapse time.Time, rng *rand.Rand) *Book {
+func NewBook(term hoist.Term, lapse time.Time) *Book {
 	return &Book{
-		term: term, rng: rng, lapse: lapse, FarFactor: 2,
+		term: term, lapse: lapse, FarFactor: 2,
 		jobs:    make(map[hoist.JobID]*Job),
 		changed: make(map[hoist.JobID]*Job),
 		workers: make(map[hoist.WorkerID]*Worker),
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -40,7 +39,7 @@
 
 func newCell(t *testing.T, workers ...hoist.WorkerID) *cell {
 	c := &cell{t: t, is: is.New(t), now: start}
-	c.book = sched.NewBook(1, start, rand.New(rand.NewPCG(1, 2)))
+	c.book = sched.NewBook(1, start)
 	c.list(workers...)
 	return c
 }
@@ -457,7 +456,7 @@
 		state = u.State
 	}
 	next := newCell(t)
-	next.book = sched.NewBook(2, start.Add(20*time.Second), rand.New(rand.NewPCG(3, 4)))
+	next.book = sched.NewBook(2, start.Add(20*time.Second))
 	next.known = c.known
 	next.book.SetWorkers(next.known, next.now)
 	next.book.Restore(plan, state, 7, next.now)
--- a/internal/decide/sched/world_test.go
+++ b/internal/decide/sched/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -94,7 +93,7 @@
 		lapse = w.renewed.Add(grantTime + grantTime/50)
 	}
 	w.renewed = w.now
-	w.book = sched.NewBook(w.term, lapse, rand.New(rand.NewPCG(uint64(w.term), 1)))
+	w.book = sched.NewBook(w.term, lapse)
 	var entries []hoist.WorkerEntry
 	for _, fake := range w.workers {
 		entries = append(entries, fake.entry)
--- a/runner.go
+++ b/runner.go
@@ -115,3 +115,13 @@
 	// Waiting returns how many plans of a queue have not begun.
 	Waiting(ctx context.Context, queue QueueName) (int, error)
 }
+
+// PlanCounter counts what the owner of a cell does. Its methods may be called
+// concurrently.
+type PlanCounter interface {
+	// Start counts a start by its outcome: started, refused or unknown.
+	Start(outcome string)
+	End(kind EndKind)
+	// Waited is the time from the acceptance of a plan to its first start.
+	Waited(queue QueueName, d time.Duration)
+}
