--- /dev/null
+++ b/internal/decide/sched/cell_test.go
@@ -0,0 +1,155 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
+)
+
+var (
+	start    = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+	size     = hoist.Resources{CPU: 8000, Memory: 8000}
+	need     = hoist.Resources{CPU: 1000, Memory: 1000}
+	queue    = hoist.Queue{Name: "checks", Service: "lids", MaxAttempts: 2, Stretch: 1.5, Latency: time.Second}
+	advised  = withAdvice(queue)
+	firstAsk = hoist.HostID("host-1")
+)
+
+func withAdvice(q hoist.Queue) hoist.Queue {
+	q.Advice = hoist.AdviceTerms{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, Valid: 2 * time.Second}
+	return q
+}
+
+// cell is a book with a clock, and what its owner does around it.
+type cell struct {
+	t     *testing.T
+	is    *is.I
+	book  *sched.Book
+	now   time.Time
+	known []hoist.WorkerEntry
+	asks  []sched.Ask
+	stops []sched.Stop
+}
+
+func newCell(t *testing.T, workers ...hoist.WorkerID) *cell {
+	c := &cell{t: t, is: is.New(t), now: start}
+	c.book = sched.NewBook(1, start)
+	c.list(workers...)
+	return c
+}
+
+// list lists workers that were looked at and run nothing.
+func (c *cell) list(workers ...hoist.WorkerID) {
+	for i, id := range workers {
+		c.known = append(c.known, hoist.WorkerEntry{
+			Worker: id, Service: "lids", Addr: string(id), Capacity: size, Class: "a",
+			Rack: hoist.RackID(fmt.Sprintf("r%d", i/2)), Labels: []hoist.Label{"a", hoist.Label(fmt.Sprintf("r%d", i/2))},
+		})
+	}
+	c.book.SetWorkers(c.known, c.now)
+	for _, id := range workers {
+		c.view(id, hoist.WorkerView{Life: 1})
+		c.book.Granted(id, hoist.WorkerClock(6*time.Second), 0, c.now)
+	}
+}
+
+func (c *cell) entry(id hoist.WorkerID, change func(*hoist.WorkerEntry)) {
+	for i := range c.known {
+		if c.known[i].Worker == id {
+			change(&c.known[i])
+		}
+	}
+	c.book.SetWorkers(c.known, c.now)
+}
+
+// view shows the owner what a worker runs, as of now.
+func (c *cell) view(id hoist.WorkerID, v hoist.WorkerView) {
+	c.now = c.now.Add(time.Millisecond)
+	c.book.Viewed(id, v, c.now, c.now)
+}
+
+// submit adds a plan of the given steps.
+func (c *cell) submit(id hoist.JobID, q hoist.Queue, steps ...hoist.Step) hoist.Plan {
+	p := hoist.Plan{ID: id, Queue: q, Steps: steps, Accepted: c.now}
+	c.book.Add(p, 1, c.now)
+	return p
+}
+
+// pass decides, records all states, and returns the starts to send.
+func (c *cell) pass() []sched.Start {
+	c.now = c.now.Add(time.Millisecond)
+	c.book.Tick(c.now)
+	d := c.book.Pass(c.now, func(time.Duration, time.Time) (hoist.HostID, bool) { return firstAsk, true })
+	c.asks, c.stops = d.Asks, d.Stops
+	return c.record()
+}
+
+func (c *cell) record() []sched.Start {
+	var out []sched.Start
+	for _, u := range c.book.Unrecorded(func(hoist.JobID) bool { return true }, true, 1000) {
+		out = append(out, c.book.Recorded(u.Job, u.Change, u.Version+1, c.now)...)
+	}
+	return out
+}
+
+// run passes and confirms all starts.
+func (c *cell) run() []sched.Start {
+	starts := c.pass()
+	for _, s := range starts {
+		c.book.Started(s.Worker, s.Run, nil, c.now)
+	}
+	c.now = c.now.Add(time.Millisecond)
+	return starts
+}
+
+// end shows an end of a run, and nothing running besides the others.
+func (c *cell) end(no hoist.EndNo, s sched.Start, kind hoist.EndKind, others ...sched.Start) {
+	v := hoist.WorkerView{Life: 1, Ends: []hoist.RunEnd{{No: no, Run: s.Run, Kind: kind}}}
+	for _, o := range others {
+		if o.Worker == s.Worker {
+			v.Running = append(v.Running, hoist.RunView{Run: o.Run})
+		}
+	}
+	c.view(s.Worker, v)
+}
+
+func (c *cell) phase(id hoist.JobID) hoist.PlanPhase {
+	j, ok := c.book.Job(id)
+	if !ok {
+		return ""
+	}
+	return j.Phase
+}
+
+func (c *cell) wantStarts(starts []sched.Start, n int) {
+	c.t.Helper()
+	if len(starts) != n {
+		c.t.Fatalf("%d starts, expected %d: %v", len(starts), n, starts)
+	}
+}
+
+// wantPhase fails unless the plan p is in a phase.
+func (c *cell) wantPhase(want hoist.PlanPhase) {
+	c.t.Helper()
+	if got := c.phase("p"); got != want {
+		c.t.Fatalf("plan p is %q, expected %q", got, want)
+	}
+}
+
+func step(count int, change ...func(*hoist.Step)) hoist.Step {
+	s := hoist.Step{Count: count, Need: need, Estimate: time.Second, MayMiss: -1}
+	for _, f := range change {
+		f(&s)
+	}
+	return s
+}
+
+func gang(s *hoist.Step)    { s.IsGang = true }
+func lasting(s *hoist.Step) { s.IsLasting = true }
+func after(s *hoist.Step)   { s.After = []hoist.StepNo{0} }
+
