--- a/internal/decide/sched/cell_test.go
+++ b/internal/decide/sched/cell_test.go
@@ -152,4 +152,3 @@
 func gang(s *hoist.Step)    { s.IsGang = true }
 func lasting(s *hoist.Step) { s.IsLasting = true }
 func after(s *hoist.Step)   { s.After = []hoist.StepNo{0} }
-
