Let a host of the test cell hear of its terms in rising order

Cause: two faults of a pair that kill the same host ran its takeover twice at the same time, and a survivor was told term 3 of a shard before term 2. It then held the older term for good and refused as not the owner. hoist.ShardHolder hears of terms in rising order (member holds a lock over each notice, and TestWorld of member asserts it); the cell of the tests did not keep to that.

Ruled out: a lost job row (the row was there), a slow table (the shard is never ready however long one waits).

--- a/internal/core/tasks/cell_test.go
+++ b/internal/core/tasks/cell_test.go
@@ -44,6 +44,9 @@
 	// late counts the calls of each method that are still to arrive late.
 	late map[string]int
 	log  *slog.Logger
+
+	// giving is held while a host hears of a term.
+	giving sync.Mutex
 }
 
 // isVerbose writes the log of the hosts to standard error.
@@ -187,8 +190,11 @@
 	}
 }
 
-// give makes a host the owner of a shard in the next term.
+// give makes a host the owner of a shard in the next term. As with members of a
+// cell, a host hears of its terms in rising order.
 func (c *cell) give(shard hoist.ShardID, to *host) {
+	c.giving.Lock()
+	defer c.giving.Unlock()
 	c.mu.Lock()
 	c.owner[shard] = to
 	c.terms[shard]++
