Let a new owner see most workers before it places tasks

The first look at a worker also waited for the recovery of the plans, though it only raises the term.

Change: looks begin at once, and their views are applied when the plans are known; a pass places nothing until 90% of the listed workers were seen or 400 ms have passed. Questions name workers for 2.5 places for each waiting task, and as many more as cost a fifth of the fixed time: half of the steps needed a second question before.

Ruled out: the time of the recovery itself (124 ms).

--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -46,14 +46,8 @@
 	isLost bool
 }
 
-// registryLoop follows the platform's registry of workers, once the plans are
-// known: the ends of unknown plans would be acknowledged and lost.
+// registryLoop follows the platform's registry of workers.
 func (d *Driver) registryLoop(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-d.restored:
-	}
 	entries := make(map[hoist.WorkerID]hoist.WorkerEntry)
 	var after hoist.RowVersion
 	for ctx.Err() == nil {
@@ -211,8 +205,14 @@
 		d.unseen(ctx, id, l, err)
 		return false
 	}
-	d.mu.Lock()
 	now := d.Clock.Now()
+	// The ends of plans that are not known yet would be acknowledged and lost.
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.restored:
+	}
+	d.mu.Lock()
 	if l.isLost {
 		events.WorkerSeen.Log(ctx, d.Log, "worker", id, "life", view.Life)
 	}
--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -18,6 +18,13 @@
 	askPatience = 4 * time.Second
 	// askPause is the wait after a question without an answer.
 	askPause = 200 * time.Millisecond
+	// spareFactor is how many places a question is to yield for each waiting
+	// task. Other steps take some of them before the answer is there, and a
+	// second question takes longer than more workers in the first one.
+	spareFactor = 2.5
+	// baseShare is the share of the fixed time of an answer that may be spent
+	// on workers beyond those needed.
+	baseShare = 0.2
 )
 
 // adviceState is what the adviser said about one set.
@@ -101,25 +108,22 @@
 	}
 	known, unknown := b.askable(s, isAhead, now)
 	var list []hoist.WorkerID
-	places := 0
-	add := func(w *Worker, share float64) {
-		list = append(list, w.entry.Worker)
-		places += int(float64(min(s.waiting, s.places(w, isAhead))) * share * 100)
-	}
-	enough := s.waiting * 100
-	for _, w := range known {
-		if places < enough+enough/2 && len(list) < maxAsked {
-			add(w, 1)
-		}
-	}
-	share := b.speeds.goodShare(s.Job.Plan.Queue.Name)
-	if places < enough {
-		for _, w := range unknown {
-			if places < enough+enough/2 && len(list) < maxAsked {
-				add(w, share)
+	places := 0.0
+	wanted := spareFactor * float64(s.waiting)
+	least := min(maxAsked, cheapWorkers(terms))
+	add := func(workers []*Worker, share float64) {
+		for _, w := range workers {
+			if len(list) == maxAsked || (places >= wanted && len(list) >= least) {
+				return
 			}
+			list = append(list, w.entry.Worker)
+			places += float64(min(s.waiting, s.places(w, isAhead))) * share
 		}
 	}
+	add(known, 1)
+	if places < float64(s.waiting) {
+		add(unknown, b.speeds.goodShare(s.Job.Plan.Queue.Name))
+	}
 	if len(list) == 0 {
 		return Ask{}, false
 	}
@@ -132,6 +136,15 @@
 	return ask, true
 }
 
+// cheapWorkers is how many workers a question may name at little cost beside the
+// fixed time of its answer.
+func cheapWorkers(terms hoist.AdviceTerms) int {
+	if terms.PerWorker <= 0 {
+		return maxAsked
+	}
+	return int(baseShare * float64(terms.Base) / float64(terms.PerWorker))
+}
+
 // places is how many more tasks of the set a worker could take, now or once it is
 // empty.
 func (s *Set) places(w *Worker, isAhead bool) int {
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -210,6 +210,10 @@
 	lapse time.Time
 	// FarFactor is how much slower a task is away from its data.
 	FarFactor float64
+	// listedAt is when the registry was taken over first, and isOpen is set once
+	// most of its workers were seen.
+	listedAt time.Time
+	isOpen   bool
 	// open, mostFree and refused hold for one pass: the usable workers, the most
 	// that one of them has free, and the shortest question that no host was free
 	// for.
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -19,6 +19,10 @@
 	// askAhead is how long before the likely end of a step the adviser is asked
 	// about the next one, besides the time of the answer.
 	askAhead = 100 * time.Millisecond
+	// surveyShare is the share of the workers that a new owner sees before it
+	// places anything, and surveyTime the longest wait for them.
+	surveyShare = 0.9
+	surveyTime  = 400 * time.Millisecond
 )
 
 // Stop is an attempt to end on a worker.
@@ -42,6 +46,10 @@
 // no host is free for are left to a later pass.
 func (b *Book) Pass(now time.Time, reserve Reserve) Decisions {
 	var d Decisions
+	d.Stops = b.stops(now)
+	if !b.isSurveyed(now) {
+		return d
+	}
 	b.survey(now)
 	reserve = b.once(reserve)
 	for _, j := range b.due(now) {
@@ -55,10 +63,30 @@
 		}
 		d.Asks = append(d.Asks, b.asksAhead(j, reserve, now)...)
 	}
-	d.Stops = b.stops(now)
 	return d
 }
 
+// isSurveyed reports whether a new owner has seen most workers, or has waited
+// long enough for the others. Before, tasks would be placed on the few workers
+// that answered first, and advisers asked about no others.
+func (b *Book) isSurveyed(now time.Time) bool {
+	if b.isOpen {
+		return true
+	}
+	listed, seen := 0, 0
+	for _, w := range b.workers {
+		if w.isListed {
+			listed++
+		}
+		if w.isListed && w.isSeen {
+			seen++
+		}
+	}
+	isMost := listed > 0 && float64(seen) >= surveyShare*float64(listed)
+	b.isOpen = isMost || (!b.listedAt.IsZero() && now.Sub(b.listedAt) >= surveyTime)
+	return b.isOpen
+}
+
 // survey lists the workers that may take tasks in this pass, and the most that
 // any of them has free of each resource.
 func (b *Book) survey(now time.Time) {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -68,6 +68,9 @@
 // SetWorkers takes over the platform's registry. A worker that is no longer
 // listed is kept while something may run there.
 func (b *Book) SetWorkers(entries []hoist.WorkerEntry, now time.Time) {
+	if b.listedAt.IsZero() {
+		b.listedAt = now
+	}
 	listed := make(map[hoist.WorkerID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Worker] = true
