Learn no speeds from attempts that an earlier owner started

Cause: an attempt that was taken over counted as started when the new owner saw it.

Change: such attempts teach nothing, a run counts at least a tenth of its estimate, and the first values of an average all weigh the same, so that a new owner learns within its first runs.

Tried and dropped: speeds by class and data centre. The class alone tells them.

--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -73,6 +73,8 @@
 	ticket hoist.Ticket
 	stop   stopState
 	figure float64
+	// isInherited is set for an attempt that an earlier owner started.
+	isInherited bool
 	// failedOn are the workers that the task failed on.
 	failedOn []hoist.WorkerID
 	// isSuperseded is set for an attempt that must be stopped because an earlier
@@ -384,6 +386,7 @@
 // place reserves a worker for an attempt at a waiting task.
 func (b *Book) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
 	t.Phase, t.Worker, t.Attempt, t.since = phase, w, attempt, now
+	t.isInherited = phase == Inherited
 	t.stop = stopState{}
 	t.Set.waiting--
 	t.Set.Job.placed++
--- a/internal/decide/sched/look.go
+++ b/internal/decide/sched/look.go
@@ -193,7 +193,7 @@
 			s.saved = e.Saved
 		}
 		if e.Kind == hoist.EndDone {
-			b.noteRun(t, now.Sub(t.since))
+			b.noteRun(t, now)
 		}
 		b.release(current, now)
 	}
--- a/internal/decide/sched/speeds.go
+++ b/internal/decide/sched/speeds.go
@@ -7,72 +7,90 @@
 )
 
 const (
-	// classWeight and workerWeight are the weights of one run in the learned
-	// speeds of a class of hardware and of a worker.
+	// classWeight, queueWeight and workerWeight are the least weights of one run
+	// in the learned speeds of a class of hardware, a queue and a worker.
 	classWeight  = 0.03
+	queueWeight  = 0.03
 	workerWeight = 0.15
 	adviceWeight = 0.1
-	// maxRatio bounds what one run can tell, as a few run many times longer.
+	// maxRatio and minRatio bound what one run can tell: a few run many times
+	// longer, and none takes no time.
 	maxRatio = 8.0
-	// firstGoodShare is the share of good workers assumed before any answer.
+	minRatio = 0.1
+	// leastOfWorker bounds how fast a single worker can seem.
+	leastOfWorker = 0.5
+	// firstGoodShare and leastGoodShare are the share of good workers assumed
+	// before any answer, and the least one.
 	firstGoodShare = 0.4
+	leastGoodShare = 0.05
 )
 
+// average is a mean in which later values weigh more.
+type average struct {
+	value float64
+	count int
+}
+
+// add takes a value into the average. The first values all weigh the same, and
+// later ones at least as much as weight.
+func (a average) add(value, weight float64) average {
+	a.count++
+	a.value += max(weight, 1/float64(a.count)) * (value - a.value)
+	return a
+}
+
+// or returns the average, or what is assumed before there is a value.
+func (a average) or(first float64) float64 {
+	if a.count == 0 {
+		return first
+	}
+	return a.value
+}
+
 // speeds is what was learned about run times: how long tasks take against their
 // estimate, by class of hardware and by queue.
 type speeds struct {
-	class map[hoist.Label]float64
-	queue map[hoist.QueueName]float64
-	good  map[hoist.QueueName]float64
+	class map[hoist.Label]average
+	queue map[hoist.QueueName]average
+	good  map[hoist.QueueName]average
 }
 
 func newSpeeds() speeds {
 	return speeds{
-		class: make(map[hoist.Label]float64),
-		queue: make(map[hoist.QueueName]float64),
-		good:  make(map[hoist.QueueName]float64),
-	}
-}
-
-// of returns a learned value, or the first one.
-func of[K comparable](m map[K]float64, key K, first float64) float64 {
-	if v, ok := m[key]; ok {
-		return v
+		class: make(map[hoist.Label]average),
+		queue: make(map[hoist.QueueName]average),
+		good:  make(map[hoist.QueueName]average),
 	}
-	return first
-}
-
-// move brings a learned value closer to what was seen.
-func move(old, seen, weight float64) float64 {
-	return old + weight*(seen-old)
 }
 
-// noteRun learns from a successful run.
-func (b *Book) noteRun(t *Task, took time.Duration) {
+// noteRun learns from a successful run. It is not known when one began that an
+// earlier owner started.
+func (b *Book) noteRun(t *Task, now time.Time) {
 	s, w := t.Set, t.Worker
-	if s.Step.Estimate <= 0 || s.Step.IsLasting || w == nil {
+	if s.Step.Estimate <= 0 || s.Step.IsLasting || w == nil || t.isInherited {
 		return
 	}
-	seen := min(maxRatio, float64(took)/float64(s.Step.Estimate))
+	took := max(0, now.Sub(t.since))
+	seen := max(minRatio, min(maxRatio, float64(took)/float64(s.Step.Estimate)))
 	if b.isFar(s, w) {
 		seen /= b.FarFactor
 	}
 	queue, class := s.Job.Plan.Queue.Name, w.entry.Class
-	ofQueue := of(b.speeds.queue, queue, 1)
-	ofClass := of(b.speeds.class, class, 1)
-	b.speeds.queue[queue] = move(ofQueue, min(maxRatio, seen/(ofClass*w.health.ratio)), classWeight)
-	b.speeds.class[class] = move(ofClass, min(maxRatio, seen/(ofQueue*w.health.ratio)), classWeight)
-	w.health.ratio = max(0.5, move(w.health.ratio, min(maxRatio, seen/(ofQueue*ofClass)), workerWeight))
+	ofQueue, ofClass := b.speeds.queue[queue].or(1), b.speeds.class[class].or(1)
+	b.speeds.queue[queue] = b.speeds.queue[queue].add(min(maxRatio, seen/ofClass), queueWeight)
+	b.speeds.class[class] = b.speeds.class[class].add(min(maxRatio, seen/ofQueue), classWeight)
+	w.health.ratio += workerWeight * (min(maxRatio, seen/(ofQueue*ofClass)) - w.health.ratio)
+	w.health.ratio = max(leastOfWorker, w.health.ratio)
 }
 
 // expected is how long a task of the set is likely to take on the worker.
 func (b *Book) expected(s *Set, w *Worker) time.Duration {
-	return time.Duration(float64(s.Step.Estimate) * of(b.speeds.queue, s.Job.Plan.Queue.Name, 1) * b.slowness(s, w))
+	return time.Duration(float64(s.Step.Estimate) * b.speeds.queue[s.Job.Plan.Queue.Name].or(1) * b.slowness(s, w))
 }
 
 // slowness is how much slower than the mean the worker runs the set.
 func (b *Book) slowness(s *Set, w *Worker) float64 {
-	x := of(b.speeds.class, w.entry.Class, 1) * w.health.ratio
+	x := b.speeds.class[w.entry.Class].or(1) * w.health.ratio
 	if b.isFar(s, w) {
 		x *= b.FarFactor
 	}
@@ -96,11 +114,11 @@
 
 func (v *speeds) noteAdvice(queue hoist.QueueName, good, asked int) {
 	if asked > 0 {
-		v.good[queue] = move(v.goodShare(queue), float64(good)/float64(asked), adviceWeight)
+		v.good[queue] = v.good[queue].add(float64(good)/float64(asked), adviceWeight)
 	}
 }
 
 // goodShare is the share of workers that the adviser of a queue allows.
 func (v *speeds) goodShare(queue hoist.QueueName) float64 {
-	return max(0.05, of(v.good, queue, firstGoodShare))
+	return max(leastGoodShare, v.good[queue].or(firstGoodShare))
 }
--- a/internal/decide/sched/takeover_test.go
+++ b/internal/decide/sched/takeover_test.go
@@ -47,3 +47,25 @@
 		c.wantStarts(c.pass(), 4)
 	})
 }
+
+// TestInheritedSpeed guards against a new owner that learns from attempts whose
+// start it did not see: they seem to take no time, so that it prefers the
+// workers on which they ran.
+func TestInheritedSpeed(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.entry("w2", func(e *hoist.WorkerEntry) { e.Class = "b" })
+	state := hoist.PlanState{Queue: queue.Name, Phase: hoist.PlanRunning, Next: 1, Sets: []hoist.StepState{{}}}
+	var view hoist.WorkerView
+	for i := range 8 {
+		state.Sets[0].Placed = append(state.Sets[0].Placed, hoist.PlacedRun{Index: i, Attempt: 1, Worker: "w2"})
+		run := hoist.TaskRun{Task: hoist.TaskRef{StepRef: hoist.StepRef{Job: "old"}, Index: i}, Attempt: 1}
+		view.Ends = append(view.Ends, hoist.RunEnd{No: hoist.EndNo(i + 1), Run: run, Kind: hoist.EndDone})
+	}
+	view.Life = 1
+	c.book.Restore(hoist.Plan{ID: "old", Queue: queue, Steps: []hoist.Step{step(8)}, Accepted: c.now}, state, 1, c.now)
+	c.view("w2", view)
+	c.submit("p", queue, step(1))
+	starts := c.run()
+	c.wantStarts(starts, 1)
+	c.is.Equal(starts[0].Worker, hoist.WorkerID("w1"))
+}
