Watch the owner of the cell by pulses, and let its deputies take over

Cause: every takeover took 2.2 s of silence at the store and more (2.45 s traced), in which nothing starts.

Change: the owner names up to four deputies, the largest hosts, which ask it for a pulse every 200 ms. They claim the cell at once when nothing listens at its address, after 0.3 s when it tells that it has lost the store and they have not, and after 1.3 s without a renewal when it does not answer. The others read its rows every 2 s. A claim from an owner that may live expects the row of its last renewal, so that one that renews keeps the cell. All of this only makes the takeover sooner: what makes it safe are the fences, as before.

Ruled out: shorter silence for all hosts, as a slow store renews every 1.4 s.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -1,13 +1,17 @@
 // Package claim decides which host owns the cell. The owner is named in a row of
-// the platform's store; it writes a second row regularly, and another host
-// claims the cell once that row has not changed for a while.
+// the platform's store, and writes a second row regularly. A few other hosts, its
+// deputies, also ask it for pulses; one of them claims the cell when the owner's
+// process has ended, when it has lost the store, or when it neither answers nor
+// renews. The other hosts read the rows now and then, and claim when they have
+// not changed for a while.
 //
 // # Usage
 //
 //	k := &claim.Keeper{Host: id, Addr: addr, Epoch: epoch, Store: store, Clock: clock, Log: logger, Own: own}
 //	err := k.Run(ctx)
 //
-// Own runs while the host owns the cell.
+// Own runs while the host owns the cell. SetHost names the hosts that can be
+// deputies, and Pulse answers them.
 //
 // # Safety
 //
@@ -25,12 +29,10 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
-	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
@@ -40,24 +42,14 @@
 const (
 	// beatEvery is the period of renewing the ownership at the store.
 	beatEvery = 600 * time.Millisecond
-	// silence is how long the owner's row stays unchanged before another host
-	// claims the cell: three renewals, and some time for a slow store.
-	silence = 2200 * time.Millisecond
-	// claimSpread keeps the hosts from claiming all at the same moment.
-	claimSpread = 150 * time.Millisecond
-	// smallDelay is for how long a very small host leaves the claim to others;
-	// hosts of fullWeight do not wait.
-	smallDelay = 1500 * time.Millisecond
-	fullWeight = Weight(400)
-	// replaceAfter is how long a small owner is left in place, so that the larger
-	// hosts do not take the cell from each other.
-	replaceAfter = 3 * time.Second
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
 	// beatTimeout bounds a renewal, so that two fit into the silence.
 	beatTimeout = 700 * time.Millisecond
-	// retryPause is the wait after a failed call to the store.
+	// retryPause is the wait after a failed call to the store, and claimPause the
+	// one after a claim that failed.
 	retryPause = 200 * time.Millisecond
+	claimPause = 100 * time.Millisecond
 	// GrantTime is how long after its last renewal the leases of an owner end.
 	GrantTime = 9 * time.Second
 	// LeaseTime is how long a worker goes on after the last renewal of its lease.
@@ -71,43 +63,6 @@
 // Weight is the size of a host in thousandths of a core.
 type Weight int
 
-// Ownership is the right to act for the cell in one term.
-type Ownership struct {
-	Term hoist.Term
-	// Version is the version of the fence rows, which transactions expect.
-	Version hoist.RowVersion
-	// Lapse is when all leases of earlier owners have run out.
-	Lapse time.Time
-
-	mu      sync.Mutex
-	renewed time.Time
-	lose    context.CancelFunc
-}
-
-// NewOwnership returns an ownership that was renewed at the given time. lose is
-// called when it turns out to be over.
-func NewOwnership(term hoist.Term, version hoist.RowVersion, lapse, renewed time.Time, lose context.CancelFunc) *Ownership {
-	return &Ownership{Term: term, Version: version, Lapse: lapse, renewed: renewed, lose: lose}
-}
-
-// GrantUntil returns the time until which leases may be granted.
-func (o *Ownership) GrantUntil() time.Time {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.renewed.Add(GrantTime)
-}
-
-// Lose ends the ownership, because there is a later owner.
-func (o *Ownership) Lose() {
-	o.lose()
-}
-
-func (o *Ownership) renew(at time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.renewed = at
-}
-
 // Keeper claims the cell when it has no owner, and keeps it. Set the exported
 // fields before Run.
 type Keeper struct {
@@ -124,15 +79,35 @@
 	Own func(ctx context.Context, o *Ownership)
 	// Waiting returns how many plans wait in each queue, for all hosts to show.
 	Waiting func() map[hoist.QueueName]int
+	// Dial returns a client for watching the owner at an address; nil leaves
+	// only the store to watch.
+	Dial func(addr string) hoist.Watched
+	// StoreAge returns the time since the store answered this host, and whether
+	// calls have failed since.
+	StoreAge func() (time.Duration, bool)
+
+	deputies deputies
+	acting   atomic.Pointer[Ownership]
+	seen     observed
+}
+
+// SetHost takes over another host that can watch this one when it owns the cell;
+// a weight of 0 removes it.
+func (k *Keeper) SetHost(id hoist.HostID, weight Weight) {
+	k.deputies.set(id, weight)
+}
 
-	owner        rows.Owner
-	ownerVersion hoist.RowVersion
-	beatVersion  hoist.RowVersion
-	// changed is when the owner was last seen to live.
-	changed time.Time
-	// owned is since when the owner has been seen to own the cell.
-	owned time.Time
-	after hoist.RowVersion
+// Pulse answers a host that watches this one.
+func (k *Keeper) Pulse(from hoist.HostID) hoist.Pulse {
+	now := k.Clock.Now()
+	k.deputies.pulsed(from, now)
+	o := k.acting.Load()
+	if o == nil {
+		return hoist.Pulse{}
+	}
+	p := hoist.Pulse{Term: o.Term, Renewed: now.Sub(o.lastRenewal())}
+	p.StoreAge, p.IsStoreLost = k.StoreAge()
+	return p
 }
 
 // Run works until ctx ends. It then gives the cell up, so that another host can
@@ -146,107 +121,23 @@
 	return nil
 }
 
-// follow watches the owner until this host has claimed the cell.
-func (k *Keeper) follow(ctx context.Context) (*Ownership, bool) {
-	k.after = 0
-	hasFailed := true
-	for ctx.Err() == nil {
-		err := k.look(ctx)
-		now := k.Clock.Now()
-		if err != nil {
-			hasFailed = true
-			clock.Pause(ctx, retryPause)
-			continue
-		}
-		if hasFailed {
-			// The owner could not renew either while the store was away.
-			k.changed = now
-			hasFailed = false
-		}
-		if !k.isVacant(now) {
-			continue
-		}
-		clock.Pause(ctx, k.claimDelay())
-		if o, ok := k.claim(ctx); ok {
-			return o, true
-		}
-		k.after = 0
-	}
-	return nil, false
-}
-
-// isVacant reports whether the cell has no owner that lives: it gave the cell
-// up, it is an earlier process of this host, or it has been silent.
-func (k *Keeper) isVacant(now time.Time) bool {
-	isOwn := k.owner.Host == string(k.Host)
-	if k.ownerVersion == 0 || k.owner.Released || isOwn || now.Sub(k.changed) > silence {
-		return true
-	}
-	isSmall := 2*k.owner.Weight <= int(k.Weight)
-	return isSmall && now.Sub(k.owned) > replaceAfter
-}
-
-// claimDelay is how long this host leaves the claim to others: the smaller it
-// is, the longer.
-func (k *Keeper) claimDelay() time.Duration {
-	delay := time.Duration(rand.Int64N(int64(claimSpread)))
-	if k.Weight > 0 && k.Weight < fullWeight {
-		delay += smallDelay * time.Duration(fullWeight-k.Weight) / time.Duration(fullWeight)
-	}
-	return delay
-}
-
-// look reads the rows of the owner, or waits for them to change.
-func (k *Keeper) look(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var changed []hoist.StoredRow
-	var err error
-	if k.after == 0 {
-		changed, k.after, err = k.Store.Scan(ctx, keys.Cell, "")
-	} else {
-		changed, k.after, err = k.Store.Changes(ctx, keys.Cell, k.after, beatEvery)
-	}
-	if err != nil {
-		k.after = 0
-		return err
-	}
-	for _, row := range changed {
-		k.take(row)
-	}
-	return nil
-}
-
-func (k *Keeper) take(row hoist.StoredRow) {
-	switch {
-	case row.RowRef == keys.Owner && row.Version > k.ownerVersion:
-		owner, err := codec.DecodeRow[rows.Owner](row.Value)
-		if err != nil {
-			events.RowUnreadable.Log(context.Background(), k.Log, "row", row.Key, "error", err)
-			return
-		}
-		k.owner, k.ownerVersion = owner, row.Version
-		k.changed = k.Clock.Now()
-		k.owned = k.changed
-	case row.RowRef == keys.Beat && row.Version > k.beatVersion:
-		k.beatVersion = row.Version
-		k.changed = k.Clock.Now()
-	}
-}
-
 // claim writes this host as the owner in the next term.
-func (k *Keeper) claim(ctx context.Context) (*Ownership, bool) {
+func (k *Keeper) claim(ctx context.Context, why vacancy) (*Ownership, bool) {
 	began := k.Clock.Now()
-	earlier := k.owner
+	earlier := k.seen.owner
 	term := hoist.Term(earlier.Term + 1)
 	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(term), Weight: int(k.Weight)}
 	txn := hoist.Transaction{
-		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: k.ownerVersion}},
+		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: k.seen.ownerVersion}},
 		Writes: []hoist.Write{
 			{RowRef: keys.Owner, Value: codec.EncodeRow(owner)},
 			{RowRef: keys.Beat, Value: codec.EncodeRow(rows.Beat{})},
 		},
 	}
+	if why != isFree && why != isSmall {
+		// An owner that has renewed in the meantime keeps the cell.
+		txn.Expect = append(txn.Expect, hoist.Expected{RowRef: keys.Beat, Version: k.seen.beatVersion})
+	}
 	for _, part := range keys.Parts() {
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.Fence(part), Value: codec.EncodeRow(owner)})
 	}
@@ -257,28 +148,30 @@
 		version, err = k.settle(ctx, owner)
 	}
 	if err != nil {
-		events.ClaimFailed.Log(ctx, k.Log, "term", term, "error", err)
+		events.ClaimFailed.Log(ctx, k.Log, "term", term, "why", why, "error", err)
 		return nil, false
 	}
-	lapse := k.lapse(earlier, k.Clock.Now())
-	k.ownerVersion = version
-	events.CellClaimed.Log(ctx, k.Log, "term", term, "earlier", earlier.Host, "released", earlier.Released,
-		"silent", began.Sub(k.changed), "version", version)
+	lapse := k.lapse(why, earlier, k.Clock.Now())
+	events.CellClaimed.Log(ctx, k.Log, "term", term, "why", why, "earlier", earlier.Host, "released", earlier.Released,
+		"silent", began.Sub(k.seen.renewed), "version", version)
+	k.seen.owner, k.seen.ownerVersion = owner, version
 	return NewOwnership(term, version, lapse, began, nil), true
 }
 
 // lapse returns when all leases that an earlier owner granted have run out. An
-// owner that has ended granted none since; one that was silent may go on for
-// GrantTime from its last renewal, which it sent before the change was seen.
-func (k *Keeper) lapse(earlier rows.Owner, now time.Time) time.Time {
+// owner that has ended granted none since; any other may go on for GrantTime from
+// its last renewal.
+func (k *Keeper) lapse(why vacancy, earlier rows.Owner, now time.Time) time.Time {
 	const drift = 1 + 1.0/slowClock
 	switch {
 	case earlier.Term == 0:
 		return now
-	case earlier.Released || earlier.Host == string(k.Host):
+	case earlier.Released || earlier.Host == string(k.Host) || why == isGone:
 		return now.Add(time.Duration(float64(LeaseTime)*drift) + lapseMargin)
+	case why == isSmall:
+		return now.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
 	default:
-		return k.changed.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
+		return k.seen.renewed.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
 	}
 }
 
@@ -301,67 +194,3 @@
 	}
 	return row.Version, nil
 }
-
-// keep acts as the owner until the ownership is lost or ctx ends.
-func (k *Keeper) keep(ctx context.Context, o *Ownership) {
-	ownCtx, lose := context.WithCancel(ctx)
-	defer lose()
-	o.lose = lose
-	var acting sync.WaitGroup
-	acting.Go(func() { k.Own(ownCtx, o) })
-	gap := beatEvery
-	for count := 1; clock.Pause(ownCtx, gap); count++ {
-		gap = beatEvery
-		switch err := k.beat(ownCtx, o, count); {
-		case errors.Is(err, hoist.ErrConflict):
-			lose()
-		case err != nil:
-			gap = retryPause
-		}
-	}
-	acting.Wait()
-	if ctx.Err() != nil {
-		k.release(o)
-	}
-	events.CellLost.Log(ctx, k.Log, "term", o.Term, "stopping", ctx.Err() != nil)
-	k.changed = k.Clock.Now()
-}
-
-// beat renews the ownership. It returns hoist.ErrConflict if there is another
-// owner.
-func (k *Keeper) beat(ctx context.Context, o *Ownership, count int) error {
-	waiting := make(rows.BeatWaiting)
-	for queue, n := range k.Waiting() {
-		waiting[string(queue)] = n
-	}
-	sent := k.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
-	defer cancel()
-	_, err := k.Store.Commit(callCtx, hoist.Transaction{
-		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: o.Version}},
-		Writes: []hoist.Write{{RowRef: keys.Beat, Value: codec.EncodeRow(rows.Beat{Count: count, Waiting: waiting})}},
-	})
-	if err == nil {
-		o.renew(sent)
-		return nil
-	}
-	if ctx.Err() == nil {
-		events.RenewalFailed.Log(ctx, k.Log, "term", o.Term, "error", err)
-	}
-	return err
-}
-
-// release gives the cell up. If that cannot be recorded, the other hosts find
-// the owner silent.
-func (k *Keeper) release(o *Ownership) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	owner := rows.Owner{Host: string(k.Host), Epoch: int(k.Epoch), Addr: k.Addr, Term: int(o.Term), Weight: int(k.Weight), Released: true}
-	_, err := k.Store.Commit(ctx, hoist.Transaction{
-		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: o.Version}},
-		Writes: []hoist.Write{{RowRef: keys.Owner, Value: codec.EncodeRow(owner)}},
-	})
-	if err != nil {
-		events.LeaveFailed.Log(ctx, k.Log, "term", o.Term, "error", err)
-	}
-}
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -12,7 +12,10 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/claim"
 	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/fake/shelf"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
 
 // hosts run keepers on one store and note who acts.
@@ -23,18 +26,33 @@
 	mu     sync.Mutex
 	acting map[hoist.HostID]*claim.Ownership
 	lapses map[hoist.HostID]time.Duration
+	// keepers are those that can be watched; peers tells how they answer.
+	keepers map[hoist.HostID]*claim.Keeper
+	peers   map[hoist.HostID]error
 }
 
 func newHosts(t *testing.T) *hosts {
 	return &hosts{
 		t: t, store: &shelf.Store{}, acting: make(map[hoist.HostID]*claim.Ownership), lapses: make(map[hoist.HostID]time.Duration),
+		keepers: make(map[hoist.HostID]*claim.Keeper), peers: make(map[hoist.HostID]error),
 	}
 }
 
 // run starts a keeper and returns what ends it gracefully.
 func (h *hosts) run(id hoist.HostID, epoch hoist.Epoch, weight claim.Weight, store hoist.Store) func() {
+	return h.start(h.keeper(id, epoch, weight, store))
+}
+
+func (h *hosts) keeper(id hoist.HostID, epoch hoist.Epoch, weight claim.Weight, store hoist.Store) *claim.Keeper {
+	return &claim.Keeper{
+		Host: id, Epoch: epoch, Weight: weight, Store: store, Clock: clock.System{},
+		Waiting: func() map[hoist.QueueName]int { return nil },
+	}
+}
+
+func (h *hosts) start(k *claim.Keeper) func() {
 	ctx, cancel := context.WithCancel(context.Background())
-	k := &claim.Keeper{Host: id, Epoch: epoch, Weight: weight, Store: store, Clock: clock.System{}, Waiting: func() map[hoist.QueueName]int { return nil }}
+	id := k.Host
 	k.Own = func(ctx context.Context, o *claim.Ownership) {
 		h.note(id, o)
 		<-ctx.Done()
@@ -81,6 +99,16 @@
 	return o, ok
 }
 
+// deputies returns the hosts that the owner has named.
+func (h *hosts) deputies(t *testing.T) []hoist.HostID {
+	t.Helper()
+	row, err := h.store.Get(context.Background(), keys.Beat)
+	is.New(t).NoErr(err)
+	beat, err := codec.DecodeRow[rows.Beat](row.Value)
+	is.New(t).NoErr(err)
+	return codec.IDs[hoist.HostID](beat.Deputies)
+}
+
 // count returns how many hosts act.
 func (h *hosts) count() int {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/core/claim/owner.go
@@ -0,0 +1,51 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// Ownership is the right to act for the cell in one term.
+type Ownership struct {
+	Term hoist.Term
+	// Version is the version of the fence rows, which transactions expect.
+	Version hoist.RowVersion
+	// Lapse is when all leases of earlier owners have run out.
+	Lapse time.Time
+
+	mu      sync.Mutex
+	renewed time.Time
+	lose    context.CancelFunc
+}
+
+// NewOwnership returns an ownership that was renewed at the given time. lose is
+// called when it turns out to be over.
+func NewOwnership(term hoist.Term, version hoist.RowVersion, lapse, renewed time.Time, lose context.CancelFunc) *Ownership {
+	return &Ownership{Term: term, Version: version, Lapse: lapse, renewed: renewed, lose: lose}
+}
+
+// GrantUntil returns the time until which leases may be granted.
+func (o *Ownership) GrantUntil() time.Time {
+	return o.lastRenewal().Add(GrantTime)
+}
+
+// Lose ends the ownership, because there is a later owner.
+func (o *Ownership) Lose() {
+	o.lose()
+}
+
+func (o *Ownership) renew(at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.renewed = at
+}
+
+// lastRenewal is when the last renewal that succeeded was sent.
+func (o *Ownership) lastRenewal() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.renewed
+}
--- /dev/null
+++ b/internal/core/claim/watch.go
@@ -0,0 +1,131 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+const (
+	// pulseEvery is the period of asking the owner whether it lives, and
+	// pulseTimeout the time for its answer.
+	pulseEvery   = 200 * time.Millisecond
+	pulseTimeout = 300 * time.Millisecond
+	// missedPulses is how many pulses in a row must stay without an answer before
+	// a short silence at the store counts.
+	missedPulses = 2
+	// shortSilence is how old the owner's last renewal is then, and silence how
+	// old it is otherwise: three renewals, and some time for a slow store.
+	shortSilence = 1300 * time.Millisecond
+	silence      = 2200 * time.Millisecond
+	// lostFor is how long the owner has been without the store, by its own word,
+	// when another host claims the cell, and unheardFor how long if no call has
+	// failed. An owner that lives hears of the store at each renewal.
+	lostFor    = 300 * time.Millisecond
+	unheardFor = 1500 * time.Millisecond
+)
+
+// watcher asks the owner of the cell for pulses over a connection of its own.
+type watcher struct {
+	keeper *Keeper
+	owner  rows.Owner
+	peer   hoist.Watched
+	// missed counts the pulses in a row without an answer, and isRefused tells
+	// that nothing listens at the owner's address.
+	missed    int
+	isRefused bool
+	hasPulse  bool
+	last      hoist.Pulse
+}
+
+// watch asks for pulses until one is a reason to read the owner's rows, or until
+// that is due anyhow.
+func (w *watcher) watch(ctx context.Context) {
+	w.turnTo(w.keeper.seen.owner)
+	if w.peer == nil {
+		clock.Pause(ctx, nearLook)
+		return
+	}
+	for began := w.keeper.Clock.Now(); w.keeper.Clock.Now().Sub(began) < farLook; {
+		if !clock.Pause(ctx, pulseEvery) || !w.pulse(ctx) {
+			return
+		}
+	}
+}
+
+// turnTo watches another owner.
+func (w *watcher) turnTo(owner rows.Owner) {
+	if w.owner == owner {
+		return
+	}
+	w.close()
+	*w = watcher{keeper: w.keeper, owner: owner}
+	if w.keeper.Dial != nil {
+		w.peer = w.keeper.Dial(owner.Addr)
+	}
+}
+
+func (w *watcher) close() {
+	if w.peer != nil {
+		w.peer.Close()
+		w.peer = nil
+	}
+}
+
+// pulse asks for one pulse. It reports whether all is well.
+func (w *watcher) pulse(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, pulseTimeout)
+	defer cancel()
+	p, err := w.peer.Pulse(callCtx, w.keeper.Host)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		if w.missed == 0 {
+			events.OwnerUnseen.Log(ctx, w.keeper.Log, "owner", w.owner.Host, "term", w.owner.Term, "error", err)
+		}
+		w.missed++
+		w.isRefused = errors.Is(err, hoist.ErrNotListening)
+		return false
+	}
+	w.missed, w.isRefused, w.hasPulse, w.last = 0, false, true, p
+	if int(p.Term) == w.owner.Term {
+		w.keeper.seen.heard(w.keeper.Clock.Now().Add(-p.Renewed))
+	}
+	return !w.isCut(w.owner)
+}
+
+// heard notes that the owner had sent a renewal at a time.
+func (s *observed) heard(renewed time.Time) {
+	if renewed.After(s.renewed) {
+		s.renewed = renewed
+	}
+}
+
+// isGone reports whether the process of the owner has ended.
+func (w *watcher) isGone(owner rows.Owner) bool {
+	return w.owner == owner && w.isRefused
+}
+
+// isCut reports whether the owner answers and cannot act for the cell.
+func (w *watcher) isCut(owner rows.Owner) bool {
+	if w.owner != owner || !w.hasPulse || w.missed > 0 {
+		return false
+	}
+	p := w.last
+	return int(p.Term) != owner.Term || p.StoreAge > unheardFor || (p.IsStoreLost && p.StoreAge > lostFor)
+}
+
+// silence returns how old the owner's last renewal must be before another host
+// claims the cell.
+func (w *watcher) silence() time.Duration {
+	if w.missed >= missedPulses {
+		return shortSilence
+	}
+	return silence
+}
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -55,6 +55,7 @@
 	FenceFailed      = register(119, slog.LevelWarn, "lapsed member could not be fenced")
 	LeaveFailed      = register(120, slog.LevelWarn, "leaving could not be recorded in the table")
 	CellClaimed      = register(121, slog.LevelInfo, "claimed the cell")
+	OwnerUnseen      = register(126, slog.LevelWarn, "owner of the cell does not answer")
 	CellLost         = register(122, slog.LevelWarn, "no longer the owner of the cell")
 	StoreLost        = register(123, slog.LevelWarn, "store cannot be reached")
 	StoreBack        = register(124, slog.LevelInfo, "store answers again")
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -68,6 +68,7 @@
 	once     sync.Once
 	watched  *watchedStore
 	follower *queues.Follower
+	keeper   *claim.Keeper
 	mu       sync.Mutex
 	driver   *drive.Driver
 }
@@ -76,6 +77,10 @@
 	h.once.Do(func() {
 		h.watched = &watchedStore{Store: h.Store, clock: h.Clock, log: h.Log}
 		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, Answered: h.watched.note}
+		h.keeper = &claim.Keeper{
+			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.watched, Clock: h.Clock, Log: h.Log,
+			Own: h.own, Waiting: h.waiting, Dial: h.watch, StoreAge: h.watched.lost,
+		}
 	})
 }
 
@@ -109,17 +114,24 @@
 	var g errgroup.Group
 	g.Go(func() error { h.follower.Run(serving); return nil })
 	g.Go(func() error { h.announce(ctx); return nil })
-	keeper := &claim.Keeper{
-		Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.watched, Clock: h.Clock, Log: h.Log,
-		Own: h.own, Waiting: h.waiting,
-	}
-	g.Go(func() error { return keeper.Run(ctx) })
+	g.Go(func() error { return h.keeper.Run(ctx) })
 	return g.Wait()
 }
 
+// Pulse answers a host that watches this one.
+func (h *Host) Pulse(from hoist.HostID) hoist.Pulse {
+	h.init()
+	return h.keeper.Pulse(from)
+}
+
+// watch returns a client for watching the owner of the cell.
+func (h *Host) watch(addr string) hoist.Watched {
+	return &helper.Client{Addr: addr}
+}
+
 // announce records where other hosts reach this one.
 func (h *Host) announce(ctx context.Context) {
-	row := rows.Host{Addr: h.Addr, Epoch: int(h.Epoch)}
+	row := rows.Host{Addr: h.Addr, Epoch: int(h.Epoch), Weight: int(h.Weight)}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := h.watched.Commit(callCtx, hoist.Transaction{
@@ -207,6 +219,7 @@
 		old.Close()
 		delete(clients, id)
 		helpers.Set(id, nil)
+		h.keeper.SetHost(id, 0)
 	}
 	if row.IsRemoved {
 		return
@@ -218,4 +231,5 @@
 	}
 	clients[id] = &helper.Client{Addr: host.Addr}
 	helpers.Set(id, clients[id])
+	h.keeper.SetHost(id, claim.Weight(host.Weight))
 }
--- a/internal/core/hostd/watched.go
+++ b/internal/core/hostd/watched.go
@@ -52,6 +52,13 @@
 	return w.clock.Now().Sub(w.answered)
 }
 
+// lost returns the time since the last answer, and whether calls have failed since.
+func (w *watchedStore) lost() (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clock.Now().Sub(w.answered), w.isLost
+}
+
 // Commit implements hoist.Store.
 func (w *watchedStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
 	version, err := w.Store.Commit(ctx, t)
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -1,22 +1,26 @@
-// Package helper lets entry hosts put questions to advisers for each other:
-// JSON-RPC 2.0 over one TCP connection for each pair and direction.
+// Package helper lets entry hosts put questions to advisers for each other, and
+// watch the one that owns the cell: JSON-RPC 2.0 over TCP connections. Pulses have
+// a connection of their own, so that no answer of an adviser delays them.
 //
 // # Usage
 //
-//	s := &helper.Server{Listener: l, Adviser: adviser}
+//	s := &helper.Server{Listener: l, Adviser: adviser, Pulse: keeper.Pulse}
 //	err := s.Run(ctx)
 //
 //	c := &helper.Client{Addr: "10.0.0.2:7720"}
 //	advice, err := c.Advise(ctx, step, workers)
+//	pulse, err := c.Pulse(ctx, id)
 package helper
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,6 +33,7 @@
 
 const (
 	methodAdvise = "advise"
+	methodPulse  = "pulse"
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = 500 * time.Millisecond
 	// maxCalls bounds the questions in progress on a connection; more would
@@ -50,7 +55,10 @@
 	conn *jsonrpc2.Conn
 }
 
-var _ hoist.Adviser = (*Client)(nil)
+var (
+	_ hoist.Adviser = (*Client)(nil)
+	_ hoist.Watched = (*Client)(nil)
+)
 
 // Advise implements hoist.Adviser. Any failure is hoist.ErrUnavailable: a
 // question has no effect.
@@ -75,6 +83,41 @@
 	return advice, nil
 }
 
+// Pulse implements hoist.Watched. A connection that breaks is made anew once, to
+// find out whether a process still listens at the address.
+func (c *Client) Pulse(ctx context.Context, from hoist.HostID) (hoist.Pulse, error) {
+	var answer rows.Pulse
+	call := func() error {
+		conn, err := c.connection(ctx)
+		if err != nil {
+			return err
+		}
+		if err := conn.Call(ctx, methodPulse, rows.PulseQuestion{Host: string(from)}, &answer); err != nil {
+			c.Close()
+			return err
+		}
+		return nil
+	}
+	err := call()
+	if err != nil && ctx.Err() == nil {
+		err = call()
+	}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return hoist.Pulse{}, hoist.Turnf(hoist.ErrNotListening, err, "host at %s", c.Addr)
+	case err != nil:
+		return hoist.Pulse{}, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	return hoist.Pulse{
+		Term: hoist.Term(answer.Term), Renewed: micros(answer.RenewedUs),
+		StoreAge: micros(answer.StoreAgeUs), IsStoreLost: answer.StoreLost,
+	}, nil
+}
+
+func micros(n int) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
+
 // Close breaks the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -114,10 +157,12 @@
 // Handle implements jsonrpc2.Handler.
 func (refuse) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
 
-// Server puts the questions of other hosts.
+// Server serves the calls of other hosts.
 type Server struct {
 	Listener net.Listener
 	Adviser  hoist.Adviser
+	// Pulse answers a host that watches this one.
+	Pulse func(from hoist.HostID) hoist.Pulse
 }
 
 // Run serves until ctx ends, then closes all connections.
@@ -138,7 +183,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	calls := &calls{ctx: ctx, adviser: s.Adviser, slots: make(chan struct{}, maxCalls)}
+	calls := &calls{ctx: ctx, server: s, slots: make(chan struct{}, maxCalls)}
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), calls, jsonrpc2.SetLogger(quiet))
 	select {
 	case <-rpc.DisconnectNotify():
@@ -148,16 +193,21 @@
 	calls.running.Wait()
 }
 
-// calls are the questions in progress on one connection.
+// calls are those in progress on one connection.
 type calls struct {
 	ctx     context.Context
-	adviser hoist.Adviser
+	server  *Server
 	slots   chan struct{}
 	running sync.WaitGroup
 }
 
 // Handle implements jsonrpc2.Handler.
 func (c *calls) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == methodPulse {
+		answer, err := c.pulse(req)
+		reply(conn, req, answer, err)
+		return
+	}
 	select {
 	case c.slots <- struct{}{}:
 	default:
@@ -171,16 +221,37 @@
 	})
 }
 
-func (c *calls) advise(req *jsonrpc2.Request) (rows.Advice, error) {
-	var q rows.Question
-	if req.Method != methodAdvise || req.Params == nil {
-		return rows.Advice{}, merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("method %q", req.Method))
+// params decodes the parameters of a call.
+func params[T any](req *jsonrpc2.Request, method string) (T, error) {
+	var v T
+	if req.Method != method || req.Params == nil {
+		return v, merry.Wrap(hoist.ErrInvalid, merry.PrependMessagef("method %q", req.Method))
+	}
+	if err := json.Unmarshal(*req.Params, &v); err != nil {
+		return v, hoist.Turn(hoist.ErrInvalid, err)
+	}
+	return v, nil
+}
+
+func (c *calls) pulse(req *jsonrpc2.Request) (rows.Pulse, error) {
+	q, err := params[rows.PulseQuestion](req, methodPulse)
+	if err != nil {
+		return rows.Pulse{}, err
 	}
-	if err := json.Unmarshal(*req.Params, &q); err != nil {
-		return rows.Advice{}, hoist.Turn(hoist.ErrInvalid, err)
+	p := c.server.Pulse(hoist.HostID(q.Host))
+	return rows.Pulse{
+		Term: int(p.Term), RenewedUs: int(p.Renewed.Microseconds()),
+		StoreAgeUs: int(p.StoreAge.Microseconds()), StoreLost: p.IsStoreLost,
+	}, nil
+}
+
+func (c *calls) advise(req *jsonrpc2.Request) (rows.Advice, error) {
+	q, err := params[rows.Question](req, methodAdvise)
+	if err != nil {
+		return rows.Advice{}, err
 	}
 	step := hoist.StepRef{Job: hoist.JobID(q.Job), Occurrence: hoist.Occurrence(q.Occurrence), Step: hoist.StepNo(q.Step)}
-	advice, err := c.adviser.Advise(c.ctx, step, codec.IDs[hoist.WorkerID](q.Workers))
+	advice, err := c.server.Adviser.Advise(c.ctx, step, codec.IDs[hoist.WorkerID](q.Workers))
 	if err != nil {
 		return rows.Advice{}, err
 	}
@@ -192,7 +263,7 @@
 }
 
 // reply answers a call. A connection that takes no reply is closed.
-func reply(conn *jsonrpc2.Conn, req *jsonrpc2.Request, answer rows.Advice, err error) {
+func reply[T any](conn *jsonrpc2.Conn, req *jsonrpc2.Request, answer T, err error) {
 	if err != nil {
 		err = conn.ReplyWithError(context.Background(), req.ID, &jsonrpc2.Error{Code: errorCode, Message: err.Error()})
 	} else {
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -18,6 +18,9 @@
 	// Count corresponds to the JSON schema field "count".
 	Count int `json:"count"`
 
+	// The hosts that watch the owner closely, in the order in which they claim.
+	Deputies []string `json:"deputies"`
+
 	// Waiting corresponds to the JSON schema field "waiting".
 	Waiting BeatWaiting `json:"waiting"`
 }
@@ -40,6 +43,9 @@
 
 	// Epoch corresponds to the JSON schema field "epoch".
 	Epoch int `json:"epoch"`
+
+	// The size of the host in thousandths of a core.
+	Weight int `json:"weight"`
 }
 
 // The host that owns the cell.
@@ -117,6 +123,27 @@
 	Steps []StepState `json:"steps"`
 }
 
+// What the owner tells the hosts that watch it.
+type Pulse struct {
+	// The time since it sent its last renewal.
+	RenewedUs int `json:"renewed-us"`
+
+	// The time since the store answered it.
+	StoreAgeUs int `json:"store-age-us"`
+
+	// Whether calls to the store have failed since.
+	StoreLost bool `json:"store-lost"`
+
+	// 0 if the host does not own the cell.
+	Term int `json:"term"`
+}
+
+// Asks the owner of the cell whether it lives.
+type PulseQuestion struct {
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+}
+
 // Asks a host to put a question to an adviser.
 type Question struct {
 	// Job corresponds to the JSON schema field "job".
