Look for an attempt whose start got no answer, and date renewals by pulses

Cause: a start without an answer held its task for 0.5 s before it was stopped, although its worker answers others within milliseconds. A frozen owner was replaced after 1.95 s, as a look at the store found the row of its last renewal and took it for a new one, though a pulse had told of it.

Change: a start is given 250 ms, then its worker is looked at: if it runs the attempt, that goes on; if not, it is stopped as before. A pulse names the version of the row that the last renewal wrote.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -105,7 +105,8 @@
 	if o == nil {
 		return hoist.Pulse{}
 	}
-	p := hoist.Pulse{Term: o.Term, Renewed: now.Sub(o.lastRenewal())}
+	renewed, beat := o.lastRenewal()
+	p := hoist.Pulse{Term: o.Term, Renewed: now.Sub(renewed), Beat: beat}
 	p.StoreAge, p.IsStoreLost = k.StoreAge()
 	return p
 }
--- a/internal/core/claim/follow.go
+++ b/internal/core/claim/follow.go
@@ -61,6 +61,8 @@
 	ownerVersion hoist.RowVersion
 	beat         rows.Beat
 	beatVersion  hoist.RowVersion
+	// heardBeat is the version of the last renewal that a pulse told of.
+	heardBeat hoist.RowVersion
 	// renewed is a time by which the owner had sent its last known renewal, and
 	// owned since when it has been seen to own the cell.
 	renewed time.Time
@@ -194,7 +196,9 @@
 			return
 		}
 		s.beat, s.beatVersion = beat, row.Version
-		s.renewed = now
+		if row.Version > s.heardBeat {
+			s.renewed = now
+		}
 		s.isChanged = true
 	}
 }
--- a/internal/core/claim/keep.go
+++ b/internal/core/claim/keep.go
@@ -51,12 +51,12 @@
 	names := codec.Strings(k.deputies.choose(sent))
 	callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	_, err := k.Store.Commit(callCtx, hoist.Transaction{
+	version, err := k.Store.Commit(callCtx, hoist.Transaction{
 		Expect: []hoist.Expected{{RowRef: keys.Owner, Version: o.Version}},
 		Writes: []hoist.Write{{RowRef: keys.Beat, Value: codec.EncodeRow(rows.Beat{Count: count, Waiting: waiting, Deputies: names})}},
 	})
 	if err == nil {
-		o.renew(sent)
+		o.renew(sent, version)
 		return nil
 	}
 	if ctx.Err() == nil {
--- a/internal/core/claim/owner.go
+++ b/internal/core/claim/owner.go
@@ -18,6 +18,7 @@
 
 	mu      sync.Mutex
 	renewed time.Time
+	beat    hoist.RowVersion
 	lose    context.CancelFunc
 }
 
@@ -29,7 +30,8 @@
 
 // GrantUntil returns the time until which leases may be granted.
 func (o *Ownership) GrantUntil() time.Time {
-	return o.lastRenewal().Add(GrantTime)
+	renewed, _ := o.lastRenewal()
+	return renewed.Add(GrantTime)
 }
 
 // Lose ends the ownership, because there is a later owner.
@@ -37,15 +39,16 @@
 	o.lose()
 }
 
-func (o *Ownership) renew(at time.Time) {
+func (o *Ownership) renew(at time.Time, beat hoist.RowVersion) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.renewed = at
+	o.renewed, o.beat = at, beat
 }
 
-// lastRenewal is when the last renewal that succeeded was sent.
-func (o *Ownership) lastRenewal() time.Time {
+// lastRenewal is when the last renewal that succeeded was sent, and the version
+// of the row that it wrote.
+func (o *Ownership) lastRenewal() (time.Time, hoist.RowVersion) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.renewed
+	return o.renewed, o.beat
 }
--- a/internal/core/claim/watch.go
+++ b/internal/core/claim/watch.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// pulseEvery is the period of asking the owner whether it lives, and
-	// pulseTimeout the time for its answer.
+	// pulseEvery is the period of asking the owner whether it lives, pulseAgain
+	// the wait after a pulse without an answer, and pulseTimeout the time for one.
 	pulseEvery   = 200 * time.Millisecond
+	pulseAgain   = 50 * time.Millisecond
 	pulseTimeout = 300 * time.Millisecond
 	// missedPulses is how many pulses in a row must stay without an answer before
 	// a short silence at the store counts.
@@ -52,7 +53,11 @@
 		return
 	}
 	for began := w.keeper.Clock.Now(); w.keeper.Clock.Now().Sub(began) < farLook; {
-		if !clock.Pause(ctx, pulseEvery) || !w.pulse(ctx) {
+		gap := pulseEvery
+		if w.missed > 0 {
+			gap = pulseAgain
+		}
+		if !clock.Pause(ctx, gap) || !w.pulse(ctx) {
 			return
 		}
 	}
@@ -95,15 +100,16 @@
 	}
 	w.missed, w.isRefused, w.hasPulse, w.last = 0, false, true, p
 	if int(p.Term) == w.owner.Term {
-		w.keeper.seen.heard(w.keeper.Clock.Now().Add(-p.Renewed))
+		w.keeper.seen.heard(p.Beat, w.keeper.Clock.Now().Add(-p.Renewed))
 	}
 	return !w.isCut(w.owner)
 }
 
-// heard notes that the owner had sent a renewal at a time.
-func (s *observed) heard(renewed time.Time) {
-	if renewed.After(s.renewed) {
-		s.renewed = renewed
+// heard notes that the owner had sent a renewal at a time, which wrote a version
+// of its row.
+func (s *observed) heard(beat hoist.RowVersion, renewed time.Time) {
+	if beat > s.heardBeat && beat >= s.beatVersion {
+		s.heardBeat, s.renewed = beat, renewed
 	}
 }
 
--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -25,7 +25,7 @@
 	ackWait = 300 * time.Millisecond
 	// startTimeout bounds a start. A worker answers within milliseconds; an
 	// order without an answer may be carried out much later.
-	startTimeout = 500 * time.Millisecond
+	startTimeout = 250 * time.Millisecond
 	// stopTimeout bounds a stop.
 	stopTimeout = 500 * time.Millisecond
 	// maxUnseenPause bounds the pause between looks at a silent worker.
@@ -289,6 +289,10 @@
 	if d.Count != nil {
 		d.Count.Start(outcomeOf(err))
 	}
+	if errors.Is(err, hoist.ErrOutcomeUnknown) {
+		// The worker may run the attempt, and only the answer is lost.
+		d.lookNow(ctx, o.start.Worker, o.link)
+	}
 	now := d.Clock.Now()
 	d.mu.Lock()
 	queue := d.book.Started(o.start.Worker, run, err, now)
@@ -356,8 +360,13 @@
 		return
 	}
 	events.RunStopped.Log(ctx, d.Log, attrs...)
-	// The look that is under way may have been asked for before the stop.
-	o := d.lookOrder(s.Worker, l)
+	d.lookNow(ctx, s.Worker, l)
+}
+
+// lookNow looks at a worker without waiting for an end. The look that is under
+// way may have been asked for before.
+func (d *Driver) lookNow(ctx context.Context, id hoist.WorkerID, l *link) {
+	o := d.lookOrder(id, l)
 	o.Wait = 0
-	d.look(ctx, s.Worker, l, o)
+	d.look(ctx, id, l, o)
 }
--- a/internal/decide/sched/look.go
+++ b/internal/decide/sched/look.go
@@ -20,16 +20,18 @@
 	return t, true
 }
 
-// Started notes the outcome of a start. If it is the first one of its plan,
-// Started returns the plan's queue, else an empty name.
+// Started notes the outcome of a start. An attempt without an answer that a view
+// has shown to run goes on. If the start is the first one of its plan, Started
+// returns the plan's queue, else an empty name.
 func (b *Book) Started(id hoist.WorkerID, run hoist.TaskRun, err error, now time.Time) hoist.QueueName {
 	t, ok := b.current(id, run)
 	if !ok {
 		return ""
 	}
 	j, w := t.Set.Job, t.Worker
+	isSeen := t.Phase == Running && errors.Is(err, hoist.ErrOutcomeUnknown)
 	switch {
-	case err == nil:
+	case err == nil || isSeen:
 		if t.Phase == Sending {
 			t.Phase = Running
 			t.since = now
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -180,6 +180,19 @@
 	c.is.True(again[0].Run.Attempt > run.Attempt)
 }
 
+// TestLostAnswer guards against stopping an attempt that runs, because the answer
+// to its start was lost.
+func TestLostAnswer(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.view("w1", hoist.WorkerView{Life: 1, Running: []hoist.RunView{{Run: s.Run}}})
+	c.book.Started("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.wantStarts(c.pass(), 0)
+	c.is.Equal(len(c.stops), 0)
+	c.wantPhase(hoist.PlanRunning)
+}
+
 // TestLost guards against starting a task elsewhere while it may run on a worker
 // that cannot be reached.
 func TestLost(t *testing.T) {
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -109,7 +109,7 @@
 		return hoist.Pulse{}, hoist.Turnf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
 	}
 	return hoist.Pulse{
-		Term: hoist.Term(answer.Term), Renewed: micros(answer.RenewedUs),
+		Term: hoist.Term(answer.Term), Renewed: micros(answer.RenewedUs), Beat: hoist.RowVersion(answer.Beat),
 		StoreAge: micros(answer.StoreAgeUs), IsStoreLost: answer.StoreLost,
 	}, nil
 }
@@ -240,7 +240,7 @@
 	}
 	p := c.server.Pulse(hoist.HostID(q.Host))
 	return rows.Pulse{
-		Term: int(p.Term), RenewedUs: int(p.Renewed.Microseconds()),
+		Term: int(p.Term), RenewedUs: int(p.Renewed.Microseconds()), Beat: int(p.Beat),
 		StoreAgeUs: int(p.StoreAge.Microseconds()), StoreLost: p.IsStoreLost,
 	}, nil
 }
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -125,6 +125,9 @@
 
 // What the owner tells the hosts that watch it.
 type Pulse struct {
+	// The version of the row that the renewal wrote.
+	Beat int `json:"beat"`
+
 	// The time since it sent its last renewal.
 	RenewedUs int `json:"renewed-us"`
 
--- a/watch.go
+++ b/watch.go
@@ -9,8 +9,10 @@
 type Pulse struct {
 	// Term is the term in which the host owns the cell; 0 if it does not.
 	Term Term
-	// Renewed is the time since it sent the last renewal that succeeded.
+	// Renewed is the time since it sent the last renewal that succeeded, and Beat
+	// the version of the row that this wrote.
 	Renewed time.Duration
+	Beat    RowVersion
 	// StoreAge is the time since the store answered it, and IsStoreLost tells
 	// that calls have failed since.
 	StoreAge    time.Duration
