Accept a plan in a spare part while its home part cannot be written

Change: a plan has a second part. A host writes there when the home part refuses, or has not answered two short tries; a part that failed is tried last for a second. Questions and cancellations look in both, and a plan counts as unknown only when both have answered. A plan in two parts (an answer that was lost, a client that hands it in again later) is run from one of them by the owner, which removes the other. It has not begun, as the owner alone writes states; a new owner takes the one that has begun. A claim still needs all parts, so that an owner knows all plans.

--- a/internal/core/drive/drive.go
+++ b/internal/core/drive/drive.go
@@ -74,8 +74,9 @@
 	// parts has a flag for each part that asks for recording its plans.
 	parts map[hoist.PartName]chan struct{}
 	ended []endedPlan
-	// over holds the plans in ended: a late change must not begin them anew.
-	over    map[hoist.JobID]bool
+	// over holds the parts of the plans in ended: a late change must not begin
+	// them anew.
+	over    map[hoist.JobID]hoist.PartName
 	kick    chan struct{}
 	calls   sync.WaitGroup
 	isReady bool
@@ -84,8 +85,9 @@
 }
 
 type endedPlan struct {
-	id hoist.JobID
-	at time.Time
+	part hoist.PartName
+	id   hoist.JobID
+	at   time.Time
 }
 
 // Run works until ctx ends.
@@ -111,7 +113,7 @@
 		d.book.FarFactor = d.FarFactor
 	}
 	d.links = make(map[hoist.WorkerID]*link)
-	d.over = make(map[hoist.JobID]bool)
+	d.over = make(map[hoist.JobID]hoist.PartName)
 	d.parts = make(map[hoist.PartName]chan struct{})
 	for _, part := range keys.Parts() {
 		d.parts[part] = make(chan struct{}, 1)
@@ -200,8 +202,7 @@
 	}
 	byPart := make(map[hoist.PartName][]hoist.RowRef)
 	for _, e := range old {
-		ref := keys.State(e.id)
-		byPart[ref.Part] = append(byPart[ref.Part], ref, keys.Cancel(e.id))
+		byPart[e.part] = append(byPart[e.part], keys.State(e.part, e.id), keys.Cancel(e.part, e.id))
 	}
 	for part, refs := range byPart {
 		d.calls.Go(func() { d.remove(ctx, part, refs) })
--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	maxRecorded = 20
 	// recordEvery is how often changes are recorded that nothing waits for.
 	recordEvery = 250 * time.Millisecond
+	// dropPause is the wait before a duplicate is removed again.
+	dropPause = 500 * time.Millisecond
 	// logEvery is how many failures in a row are told in one log line.
 	logEvery = 20
 	// minTimeout and maxTimeout bound the time of a transaction, and
@@ -73,7 +76,7 @@
 	var mu sync.Mutex
 	var oldest hoist.RowVersion
 	var plans []hoist.StoredRow
-	states := make(map[hoist.RowKey]hoist.StoredRow)
+	states := make(map[hoist.RowRef]hoist.StoredRow)
 	var g errgroup.Group
 	g.SetLimit(maxScans)
 	for _, part := range keys.Parts() {
@@ -89,7 +92,7 @@
 			}
 			plans = append(plans, some...)
 			for _, row := range of {
-				states[row.Key] = row
+				states[row.RowRef] = row
 			}
 			return nil
 		})
@@ -97,8 +100,9 @@
 	if err := g.Wait(); err != nil {
 		return 0, err
 	}
+	d.takeEnded(plans, states)
+	begunFirst(plans, states)
 	d.takePlans(ctx, plans, states)
-	d.takeEnded(states)
 	d.mu.Lock()
 	if !d.isReady {
 		d.isReady = true
@@ -111,6 +115,24 @@
 	return oldest, nil
 }
 
+// begunFirst orders plans so that of one that was accepted in two parts, the one
+// that has begun comes before the other.
+func begunFirst(plans []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
+	hasBegun := func(row hoist.StoredRow) bool {
+		return states[keys.State(row.Part, hoist.JobID(row.Key))].Version > row.Version
+	}
+	slices.SortStableFunc(plans, func(x, y hoist.StoredRow) int {
+		switch isX, isY := hasBegun(x), hasBegun(y); {
+		case isX && !isY:
+			return -1
+		case isY && !isX:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
 // restorePart reads the plans of a part and their states. The states are read
 // after the plans, so that no plan lacks its state.
 func (d *Driver) restorePart(ctx context.Context, part hoist.PartName) (plans, states []hoist.StoredRow, version hoist.RowVersion, err error) {
@@ -130,7 +152,7 @@
 
 // takePlans takes over rows of the table of plans. Plans without a state among
 // states have just been accepted, in the same transaction as their state.
-func (d *Driver) takePlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowKey]hoist.StoredRow) {
+func (d *Driver) takePlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
@@ -152,9 +174,17 @@
 	}
 }
 
-func (d *Driver) takePlan(ctx context.Context, row hoist.StoredRow, states map[hoist.RowKey]hoist.StoredRow, now time.Time) {
+// takePlan takes over a plan. The mutex is held.
+func (d *Driver) takePlan(ctx context.Context, row hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow, now time.Time) {
 	id := hoist.JobID(row.Key)
-	if d.over[id] {
+	known, isKnown := d.over[id]
+	if job, ok := d.book.Job(id); ok {
+		known, isKnown = job.Plan.Part, true
+	}
+	if isKnown {
+		if known != row.Part {
+			d.calls.Go(func() { d.dropDuplicate(ctx, row) })
+		}
 		return
 	}
 	plan, err := codec.DecodePlan(id, row.Value)
@@ -165,7 +195,8 @@
 	if q, ok := d.Queue(plan.Queue.Name); ok {
 		plan.Queue = q
 	}
-	state, ok := states[row.Key]
+	plan.Part = row.Part
+	state, ok := states[keys.State(row.Part, id)]
 	if !ok {
 		d.book.Add(plan, row.Version, now)
 		return
@@ -178,18 +209,48 @@
 	d.book.Restore(plan, restored, state.Version, now)
 }
 
-// takeEnded notes which states must be removed some time.
-func (d *Driver) takeEnded(states map[hoist.RowKey]hoist.StoredRow) {
+// dropDuplicate removes a plan that is known from another part. It has not begun:
+// nothing but its acceptance was recorded here.
+func (d *Driver) dropDuplicate(ctx context.Context, row hoist.StoredRow) {
+	id := hoist.JobID(row.Key)
+	events.PlanDuplicate.Log(ctx, d.Log, "plan", id, "part", row.Part, "version", row.Version)
+	state := keys.State(row.Part, id)
+	txn := hoist.Transaction{
+		Expect: []hoist.Expected{
+			{RowRef: keys.Fence(row.Part), Version: d.Own.Version}, {RowRef: state, Version: row.Version},
+		},
+		Remove: []hoist.RowRef{state, row.RowRef},
+	}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := d.Store.Commit(callCtx, txn)
+		cancel()
+		// After a conflict an earlier try has taken effect, or the ownership is over.
+		if err == nil || errors.Is(err, hoist.ErrConflict) {
+			return
+		}
+		clock.Pause(ctx, dropPause)
+	}
+}
+
+// takeEnded notes which states must be removed some time, and which plans are
+// over. A plan of which something may still run has its row.
+func (d *Driver) takeEnded(plans []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
+	hasRow := make(map[hoist.RowRef]bool, len(plans))
+	for _, row := range plans {
+		hasRow[row.RowRef] = true
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key, row := range states {
+	for ref, row := range states {
 		s, err := codec.DecodePlanState(row.Value)
-		if err == nil && s.Phase.IsFinal() {
-			d.ended = append(d.ended, endedPlan{hoist.JobID(key), d.Clock.Now()})
-			// A plan of which something may still run has its row.
-			if _, ok := d.book.Job(hoist.JobID(key)); !ok {
-				d.over[hoist.JobID(key)] = true
-			}
+		if err != nil || !s.Phase.IsFinal() {
+			continue
+		}
+		id := hoist.JobID(ref.Key)
+		d.ended = append(d.ended, endedPlan{ref.Part, id, d.Clock.Now()})
+		if !hasRow[keys.Plan(ref.Part, id)] {
+			d.over[id] = ref.Part
 		}
 	}
 }
@@ -207,7 +268,7 @@
 				lastAll = now
 			}
 			d.mu.Lock()
-			list := d.book.Unrecorded(func(id hoist.JobID) bool { return keys.PartOf(id) == part }, isAll, maxRecorded)
+			list := d.book.Unrecorded(part, isAll, maxRecorded)
 			d.mu.Unlock()
 			if len(list) == 0 {
 				break
@@ -259,11 +320,11 @@
 func (d *Driver) transaction(part hoist.PartName, list []sched.Unrecorded) hoist.Transaction {
 	txn := hoist.Transaction{Expect: []hoist.Expected{{RowRef: keys.Fence(part), Version: d.Own.Version}}}
 	for _, u := range list {
-		ref := keys.State(u.Job)
+		ref := keys.State(u.Part, u.Job)
 		txn.Expect = append(txn.Expect, hoist.Expected{RowRef: ref, Version: u.Version})
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: ref, Value: codec.EncodePlanState(u.State)})
 		if u.IsClosed {
-			txn.Remove = append(txn.Remove, keys.Plan(u.Job), keys.Cancel(u.Job))
+			txn.Remove = append(txn.Remove, keys.Plan(u.Part, u.Job), keys.Cancel(u.Part, u.Job))
 		}
 	}
 	return txn
@@ -278,8 +339,8 @@
 		starts = append(starts, d.book.Recorded(u.Job, u.Change, version, now)...)
 		if u.State.Phase.IsFinal() && d.book.IsSettled(u.Job) {
 			d.book.Forget(u.Job)
-			d.ended = append(d.ended, endedPlan{u.Job, now})
-			d.over[u.Job] = true
+			d.ended = append(d.ended, endedPlan{u.Part, u.Job, now})
+			d.over[u.Job] = u.Part
 			events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
 		}
 	}
@@ -310,7 +371,7 @@
 		return false
 	}
 	for _, u := range list {
-		row, err := d.Store.Get(ctx, keys.State(u.Job))
+		row, err := d.Store.Get(ctx, keys.State(u.Part, u.Job))
 		if err != nil {
 			return false
 		}
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -134,6 +134,7 @@
 	StateLate       = register(616, slog.LevelWarn, "states of plans could not be recorded")
 	PlanUnreadable  = register(617, slog.LevelError, "plan cannot be decoded and is left alone")
 	WorkerLeft      = register(619, slog.LevelInfo, "worker has left; its tasks wait again")
+	PlanDuplicate   = register(620, slog.LevelInfo, "plan was accepted in two parts of the store; one is removed")
 	PlanQuestion    = register(618, slog.LevelWarn, "question about a plan could not be answered")
 )
 
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -9,10 +9,11 @@
 //
 // # Certainty
 //
-// A transaction without an answer is sent again until its outcome is known: it
-// expects that the plan does not exist, so it takes effect once. A plan is
-// refused as not accepted only if every transaction was certainly without
-// effect.
+// A transaction without an answer is sent again: it expects that the plan does
+// not exist, so it takes effect once in a part. While a plan's home part cannot be
+// written the plan goes to its spare part; the owner of the cell sees to it that a
+// plan which is in both runs once. A plan is refused as not accepted only if every
+// transaction was certainly without effect.
 package intake
 
 import (
@@ -39,6 +40,14 @@
 	retryPause = 60 * time.Millisecond
 	// countAge is how old the numbers of waiting plans may be.
 	countAge = 400 * time.Millisecond
+	// patienceFactor is how much longer than the last call the first tries to
+	// record a plan may take, and leastPatience the least time for them.
+	patienceFactor = 6
+	leastPatience  = 250 * time.Millisecond
+	// triesAtOne is how often a part is tried that does not answer.
+	triesAtOne = 2
+	// avoidTime is how long a part that could not be written is tried last.
+	avoidTime = time.Second
 )
 
 // Service implements hoist.PlanService. Set the exported fields before use.
@@ -52,6 +61,11 @@
 	mu     sync.Mutex
 	counts map[hoist.QueueName]int
 	read   time.Time
+	// took is how long the last transaction took that was answered, if any was.
+	took        time.Duration
+	hasAnswered bool
+	// avoid is until when the parts that could not be written are tried last.
+	avoid map[hoist.PartName]time.Time
 }
 
 var _ hoist.PlanService = (*Service)(nil)
@@ -63,17 +77,9 @@
 
 // Submit implements hoist.PlanService.
 func (s *Service) Submit(ctx context.Context, p hoist.Plan) error {
-	state := hoist.PlanState{Queue: p.Queue.Name, Phase: hoist.PlanQueued}
-	txn := hoist.Transaction{
-		Expect: []hoist.Expected{{RowRef: keys.State(p.ID)}},
-		Writes: []hoist.Write{
-			{RowRef: keys.Plan(p.ID), Value: codec.EncodePlan(p)},
-			{RowRef: keys.State(p.ID), Value: codec.EncodePlanState(state)},
-		},
-	}
 	began := s.Clock.Now()
-	version, tries, err := s.commit(ctx, txn)
-	attrs := []any{"plan", p.ID, "queue", p.Queue.Name, "tries", tries, "took", s.Clock.Now().Sub(began)}
+	part, version, tries, err := s.record(ctx, p)
+	attrs := []any{"plan", p.ID, "queue", p.Queue.Name, "part", part, "tries", tries, "took", s.Clock.Now().Sub(began)}
 	switch {
 	case err == nil:
 		events.PlanAccepted.Log(ctx, s.Log, append(attrs, "version", version)...)
@@ -90,15 +96,107 @@
 	return err
 }
 
-// commit sends a transaction until its outcome is known or ctx ends. A refusal of
-// the store is passed on at once, so that the client can try another host, unless
-// an earlier try may have taken effect. It returns the number of tries.
-func (s *Service) commit(ctx context.Context, txn hoist.Transaction) (hoist.RowVersion, int, error) {
+// record writes a plan to its home part, or to its spare part if the home cannot
+// be written. Once both have certainly refused it, it returns
+// hoist.ErrUnavailable, so that the client can try another host. It returns the
+// part and the number of tries.
+func (s *Service) record(ctx context.Context, p hoist.Plan) (hoist.PartName, hoist.RowVersion, int, error) {
+	at, other := keys.Home(p.ID), keys.Spare(p.ID)
+	if s.isAvoided(at) {
+		at, other = other, at
+	}
+	var unknown error
+	refused := make(map[hoist.PartName]bool)
+	inTurn := 0
+	for tries := 1; ; tries++ {
+		version, err := s.try(ctx, at, accept(at, p), s.patience(tries))
+		switch {
+		case err == nil || errors.Is(err, hoist.ErrConflict):
+			return at, version, tries, err
+		case errors.Is(err, hoist.ErrUnavailable):
+			refused[at] = true
+			inTurn = triesAtOne
+			if unknown == nil && len(refused) == 2 {
+				return at, 0, tries, err
+			}
+		default:
+			unknown = err
+			inTurn++
+		}
+		if ctx.Err() != nil {
+			return at, 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
+		}
+		if inTurn >= triesAtOne {
+			at, other, inTurn = other, at, 0
+		}
+		if len(refused) == 2 || tries > 2*triesAtOne {
+			clock.Pause(ctx, retryPause)
+		}
+	}
+}
+
+// accept is the transaction that accepts a plan in a part.
+func accept(part hoist.PartName, p hoist.Plan) hoist.Transaction {
+	state := hoist.PlanState{Queue: p.Queue.Name, Phase: hoist.PlanQueued}
+	return hoist.Transaction{
+		Expect: []hoist.Expected{{RowRef: keys.State(part, p.ID)}},
+		Writes: []hoist.Write{
+			{RowRef: keys.Plan(part, p.ID), Value: codec.EncodePlan(p)},
+			{RowRef: keys.State(part, p.ID), Value: codec.EncodePlanState(state)},
+		},
+	}
+}
+
+// patience is the time for one of the tries to record a plan: little at first, as
+// there is another part to go to.
+func (s *Service) patience(tries int) time.Duration {
+	if tries > 2*triesAtOne {
+		return callTimeout
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasAnswered {
+		return callTimeout
+	}
+	return min(callTimeout, max(leastPatience, patienceFactor*s.took))
+}
+
+// try sends a transaction to a part once.
+func (s *Service) try(ctx context.Context, part hoist.PartName, txn hoist.Transaction, limit time.Duration) (hoist.RowVersion, error) {
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	began := s.Clock.Now()
+	version, err := s.Store.Commit(callCtx, txn)
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, hoist.ErrConflict) {
+		s.took, s.hasAnswered = now.Sub(began), true
+		delete(s.avoid, part)
+		return version, err
+	}
+	if s.avoid == nil {
+		s.avoid = make(map[hoist.PartName]time.Time)
+	}
+	s.avoid[part] = now.Add(avoidTime)
+	return version, err
+}
+
+// isAvoided reports whether a part could not be written a short time ago.
+func (s *Service) isAvoided(part hoist.PartName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now().Before(s.avoid[part])
+}
+
+// commit sends a transaction to a part until its outcome is known or ctx ends. A
+// refusal of the store is passed on at once, so that the client can try another
+// host, unless an earlier try may have taken effect. It returns the number of
+// tries.
+func (s *Service) commit(ctx context.Context, part hoist.PartName, txn hoist.Transaction) (hoist.RowVersion, int, error) {
 	var unknown error
 	for tries := 1; ; tries++ {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		version, err := s.Store.Commit(callCtx, txn)
-		cancel()
+		version, err := s.try(ctx, part, txn, callTimeout)
 		switch {
 		case err == nil || errors.Is(err, hoist.ErrConflict):
 			return version, tries, err
@@ -116,29 +214,39 @@
 
 // Phase implements hoist.PlanService.
 func (s *Service) Phase(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanPhase, error) {
-	state, err := s.state(ctx, queue, id)
+	state, _, err := s.state(ctx, queue, id)
 	if err != nil && !errors.Is(err, hoist.ErrNotFound) {
 		events.PlanQuestion.Log(ctx, s.Log, "plan", id, "error", err)
 	}
 	return state.Phase, err
 }
 
-func (s *Service) state(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanState, error) {
-	row, err := s.get(ctx, keys.State(id))
-	if err != nil {
-		return hoist.PlanState{}, err
-	}
-	if row.Version == 0 {
-		return hoist.PlanState{}, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s", id))
-	}
-	state, err := codec.DecodePlanState(row.Value)
-	if err != nil {
-		return hoist.PlanState{}, merry.Prependf(err, "state of plan %s", id)
+// state returns the state of a plan and the part that has it. A plan does not
+// exist if neither its home nor its spare part has it.
+func (s *Service) state(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanState, hoist.PartName, error) {
+	var failed error
+	for _, part := range []hoist.PartName{keys.Home(id), keys.Spare(id)} {
+		row, err := s.get(ctx, keys.State(part, id))
+		if err != nil {
+			failed = err
+			continue
+		}
+		if row.Version == 0 {
+			continue
+		}
+		state, err := codec.DecodePlanState(row.Value)
+		if err != nil {
+			return hoist.PlanState{}, part, merry.Prependf(err, "state of plan %s", id)
+		}
+		if state.Queue != queue {
+			return hoist.PlanState{}, part, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s in queue %s", id, queue))
+		}
+		return state, part, nil
 	}
-	if state.Queue != queue {
-		return hoist.PlanState{}, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s in queue %s", id, queue))
+	if failed != nil {
+		return hoist.PlanState{}, "", failed
 	}
-	return state, nil
+	return hoist.PlanState{}, "", merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s", id))
 }
 
 // get reads a row.
@@ -150,12 +258,12 @@
 
 // Cancel implements hoist.PlanService.
 func (s *Service) Cancel(ctx context.Context, queue hoist.QueueName, id hoist.JobID) error {
-	state, err := s.state(ctx, queue, id)
+	state, part, err := s.state(ctx, queue, id)
 	if err != nil || state.Phase.IsFinal() {
 		return err
 	}
-	txn := hoist.Transaction{Writes: []hoist.Write{{RowRef: keys.Cancel(id), Value: []byte("{}")}}}
-	version, tries, err := s.commit(ctx, txn)
+	txn := hoist.Transaction{Writes: []hoist.Write{{RowRef: keys.Cancel(part, id), Value: []byte("{}")}}}
+	version, tries, err := s.commit(ctx, part, txn)
 	if err != nil {
 		events.PlanQuestion.Log(ctx, s.Log, "plan", id, "cancel", true, "tries", tries, "error", err)
 		return err
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -51,7 +51,7 @@
 func (d *desk) setState(phase hoist.PlanPhase) {
 	d.t.Helper()
 	_, err := d.link.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{{
-		RowRef: keys.State(plan.ID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "checks", Phase: phase}),
+		RowRef: keys.State(keys.Home(plan.ID), plan.ID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "checks", Phase: phase}),
 	}}})
 	is.New(d.t).NoErr(err)
 }
@@ -104,6 +104,68 @@
 	})
 }
 
+// TestSpare guards against plans that are refused because one part of the store is
+// away, and against answers that a plan does not exist although it may.
+func TestSpare(t *testing.T) {
+	ctx := context.Background()
+	home, spare := keys.Home(plan.ID), keys.Spare(plan.ID)
+	for _, c := range []struct {
+		name string
+		home error
+		// limit bounds the time until the plan is accepted.
+		limit time.Duration
+	}{
+		{"home refuses", hoist.ErrUnavailable, time.Millisecond},
+		{"home does not answer", hoist.ErrOutcomeUnknown, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := newDesk(t)
+				is.NoErr(d.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue})) // the store is quick
+				d.link.SetPartError(home, c.home)
+				began := time.Now()
+				is.NoErr(d.submit())
+				is.True(time.Since(began) <= c.limit)
+				d.wantPhase(hoist.PlanQueued)
+				is.NoErr(d.submit()) // again, while the home is away
+				is.NoErr(d.Cancel(ctx, "checks", plan.ID))
+				row, err := d.link.Get(ctx, keys.Cancel(spare, plan.ID))
+				is.NoErr(err)
+				is.True(row.Version > 0)
+				d.link.SetPartError(home, nil)
+				d.wantPhase(hoist.PlanQueued) // found in the spare part
+			})
+		})
+	}
+	t.Run("both refuse", func(t *testing.T) {
+		d := newDesk(t)
+		d.link.SetPartError(home, hoist.ErrUnavailable)
+		d.link.SetPartError(spare, hoist.ErrUnavailable)
+		is.New(t).True(errors.Is(d.submit(), hoist.ErrUnavailable))
+	})
+	t.Run("home without an answer and spare that refuses", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDesk(t)
+			d.link.SetPartError(home, hoist.ErrOutcomeUnknown)
+			d.link.SetPartError(spare, hoist.ErrUnavailable)
+			is.New(t).True(errors.Is(d.submit(), hoist.ErrOutcomeUnknown))
+		})
+	})
+	t.Run("question while a part is away", func(t *testing.T) {
+		is := is.New(t)
+		d := newDesk(t)
+		for _, part := range []hoist.PartName{home, spare} {
+			d.link.SetPartError(part, hoist.ErrUnavailable)
+			_, err := d.Phase(ctx, "checks", plan.ID)
+			is.True(errors.Is(err, hoist.ErrUnavailable))
+			d.link.SetPartError(part, nil)
+		}
+		_, err := d.Phase(ctx, "checks", plan.ID)
+		is.True(errors.Is(err, hoist.ErrNotFound))
+	})
+}
+
 // TestCancel guards against cancellations that are lost, or of plans of others.
 func TestCancel(t *testing.T) {
 	ctx := context.Background()
@@ -111,7 +173,7 @@
 		d := newDesk(t)
 		is.New(t).NoErr(d.submit())
 		is.New(t).NoErr(d.Cancel(ctx, "checks", plan.ID))
-		row, err := d.link.Get(ctx, keys.Cancel(plan.ID))
+		row, err := d.link.Get(ctx, keys.Cancel(keys.Home(plan.ID), plan.ID))
 		is.New(t).NoErr(err)
 		is.New(t).True(row.Version > 0)
 	})
@@ -129,7 +191,7 @@
 		is.New(t).NoErr(d.submit())
 		d.setState(hoist.PlanDone)
 		is.New(t).NoErr(d.Cancel(ctx, "checks", plan.ID))
-		row, err := d.link.Get(ctx, keys.Cancel(plan.ID))
+		row, err := d.link.Get(ctx, keys.Cancel(keys.Home(plan.ID), plan.ID))
 		is.New(t).NoErr(err)
 		is.New(t).Equal(row.Version, hoist.RowVersion(0))
 	})
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	ref := keys.State(id)
+//	ref := keys.State(keys.Home(id), id)
 //
 // # Layout
 //
@@ -12,6 +12,10 @@
 // the cell writes: a transaction that expects the version of the fence has no
 // effect once there is a later owner.
 //
+// A plan whose home part cannot be written is accepted in its spare part. If it
+// was accepted in both, as an answer was lost or it was handed in again, the owner
+// runs one of them and removes the other, which has not begun.
+//
 //	table  part   key          value
 //	cell   ""     owner        who owns the cell, in which term
 //	cell   ""     beat         written by the owner while it lives
@@ -64,9 +68,20 @@
 	return hoist.PartName(fmt.Sprintf("%02x", i))
 }
 
-// PartOf returns the part of a plan.
-func PartOf(id hoist.JobID) hoist.PartName {
-	return partName(int(xxhash.Sum64String(string(id)) % numParts))
+// Home returns the part in which a plan is recorded.
+func Home(id hoist.JobID) hoist.PartName {
+	return partName(homeOf(id))
+}
+
+// Spare returns the part in which a plan is recorded while its home cannot be
+// written. It is another part.
+func Spare(id hoist.JobID) hoist.PartName {
+	step := 1 + int(xxhash.Sum64String(string(id)+"spare")%(numParts-1))
+	return partName((homeOf(id) + step) % numParts)
+}
+
+func homeOf(id hoist.JobID) int {
+	return int(xxhash.Sum64String(string(id)) % numParts)
 }
 
 // Fence returns the fence row of a part.
@@ -79,14 +94,14 @@
 	return hoist.RowRef{Table: Hosts, Key: hoist.RowKey(id)}
 }
 
-// Plan returns the row of an accepted plan.
-func Plan(id hoist.JobID) hoist.RowRef {
-	return hoist.RowRef{Table: Plans, Part: PartOf(id), Key: hoist.RowKey(id)}
+// Plan returns the row of a plan that is accepted in a part.
+func Plan(part hoist.PartName, id hoist.JobID) hoist.RowRef {
+	return hoist.RowRef{Table: Plans, Part: part, Key: hoist.RowKey(id)}
 }
 
 // Cancel returns the row that asks for the cancellation of a plan.
-func Cancel(id hoist.JobID) hoist.RowRef {
-	ref := Plan(id)
+func Cancel(part hoist.PartName, id hoist.JobID) hoist.RowRef {
+	ref := Plan(part, id)
 	ref.Key += cancelSuffix
 	return ref
 }
@@ -99,6 +114,6 @@
 }
 
 // State returns the row of what became of a plan.
-func State(id hoist.JobID) hoist.RowRef {
-	return hoist.RowRef{Table: States, Part: PartOf(id), Key: hoist.RowKey(id)}
+func State(part hoist.PartName, id hoist.JobID) hoist.RowRef {
+	return hoist.RowRef{Table: States, Part: part, Key: hoist.RowKey(id)}
 }
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -7,7 +7,7 @@
 //	b.SetWorkers(entries, now)
 //	b.Add(plan, now)
 //	d := b.Pass(now)             // chosen starts are not sent yet
-//	// write the states of b.Unrecorded(accept, isAll, limit), then
+//	// write the states of b.Unrecorded(part, isAll, limit), then
 //	orders := b.Recorded(job, change, version, now) // starts to send
 //	b.Started(run, clock, err, now)
 //	b.Viewed(worker, view, asked, now)
--- a/internal/decide/sched/cell_test.go
+++ b/internal/decide/sched/cell_test.go
@@ -91,7 +91,7 @@
 
 func (c *cell) record() []sched.Start {
 	var out []sched.Start
-	for _, u := range c.book.Unrecorded(func(hoist.JobID) bool { return true }, true, 1000) {
+	for _, u := range c.book.Unrecorded("", true, 1000) {
 		out = append(out, c.book.Recorded(u.Job, u.Change, u.Version+1, c.now)...)
 	}
 	return out
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -53,7 +53,7 @@
 	c := newCell(t, "w1")
 	c.submit("p", queue, step(1))
 	c.book.Pass(c.now, nil)
-	list := c.book.Unrecorded(func(hoist.JobID) bool { return true }, true, 1000)
+	list := c.book.Unrecorded("", true, 1000)
 	c.is.Equal(len(list), 1)
 	c.is.Equal(len(list[0].State.Sets[0].Placed), 1) // the attempt is in the state to record
 	c.wantStarts(c.book.Recorded("p", list[0].Change-1, 2, c.now), 0)
@@ -320,7 +320,7 @@
 	starts := c.run()
 	c.end(1, starts[0], hoist.EndDone, starts[1], starts[2])
 	var state hoist.PlanState
-	for _, u := range c.book.Unrecorded(func(hoist.JobID) bool { return true }, true, 1000) {
+	for _, u := range c.book.Unrecorded("", true, 1000) {
 		state = u.State
 	}
 	next := newCell(t)
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -12,6 +12,7 @@
 // Unrecorded is a state of a job to be written.
 type Unrecorded struct {
 	Job     hoist.JobID
+	Part    hoist.PartName
 	Version hoist.RowVersion
 	Change  uint64
 	State   hoist.PlanState
@@ -19,13 +20,14 @@
 	IsClosed bool
 }
 
-// Unrecorded returns the states to write, of at most limit jobs that the filter
-// accepts. If nothing waits for any of them it returns none, unless isAll is set.
-func (b *Book) Unrecorded(accept func(hoist.JobID) bool, isAll bool, limit int) []Unrecorded {
+// Unrecorded returns the states to write, of at most limit jobs that the store has
+// in a part. If nothing waits for any of them it returns none, unless isAll is
+// set.
+func (b *Book) Unrecorded(part hoist.PartName, isAll bool, limit int) []Unrecorded {
 	var changed []*Job
 	isDue := isAll
-	for id, j := range b.changed {
-		if accept(id) {
+	for _, j := range b.changed {
+		if j.Plan.Part == part {
 			changed = append(changed, j)
 			isDue = isDue || j.urgent > j.recorded
 		}
@@ -37,7 +39,7 @@
 	changed = changed[:min(len(changed), limit)]
 	out := make([]Unrecorded, 0, len(changed))
 	for _, j := range changed {
-		out = append(out, Unrecorded{j.Plan.ID, j.Version, j.change, j.state(), j.IsClosed()})
+		out = append(out, Unrecorded{j.Plan.ID, j.Plan.Part, j.Version, j.change, j.state(), j.IsClosed()})
 	}
 	return out
 }
--- a/internal/decide/sched/world_test.go
+++ b/internal/decide/sched/world_test.go
@@ -128,7 +128,7 @@
 		return
 	}
 	w.renewed = w.now
-	list := w.book.Unrecorded(func(hoist.JobID) bool { return true }, true, 1000)
+	list := w.book.Unrecorded("", true, 1000)
 	slices.SortFunc(list, func(a, b sched.Unrecorded) int { return len(a.Job) - len(b.Job) })
 	for _, u := range list {
 		s := w.store[u.Job]
--- a/internal/fake/shelf/shelf.go
+++ b/internal/fake/shelf/shelf.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -134,9 +135,10 @@
 type Link struct {
 	hoist.Store
 
-	mu   sync.Mutex
-	err  error
-	lost int
+	mu    sync.Mutex
+	err   error
+	lost  int
+	parts map[hoist.PartName]error
 }
 
 // SetError makes all calls fail with err, or none if it is nil.
@@ -146,6 +148,17 @@
 	l.err = err
 }
 
+// SetPartError makes the calls about one part fail with err, or none of them if it
+// is nil. With hoist.ErrOutcomeUnknown they get no answer.
+func (l *Link) SetPartError(part hoist.PartName, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.parts == nil {
+		l.parts = make(map[hoist.PartName]error)
+	}
+	l.parts[part] = err
+}
+
 // LoseAnswers makes the next n transactions take effect without an answer.
 func (l *Link) LoseAnswers(n int) {
 	l.mu.Lock()
@@ -159,10 +172,42 @@
 	return l.err
 }
 
+// partFailure is failure for a call about one part.
+func (l *Link) partFailure(ctx context.Context, part hoist.PartName) error {
+	if err := l.failure(); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	err := l.parts[part]
+	l.mu.Unlock()
+	if errors.Is(err, hoist.ErrOutcomeUnknown) {
+		<-ctx.Done()
+		return hoist.Turn(err, ctx.Err())
+	}
+	return err
+}
+
+func partsOf(t hoist.Transaction) []hoist.PartName {
+	var out []hoist.PartName
+	for _, e := range t.Expect {
+		out = append(out, e.Part)
+	}
+	for _, w := range t.Writes {
+		out = append(out, w.Part)
+	}
+	for _, ref := range t.Remove {
+		out = append(out, ref.Part)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // Commit implements hoist.Store.
 func (l *Link) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
-	if err := l.failure(); err != nil {
-		return 0, err
+	for _, part := range partsOf(t) {
+		if err := l.partFailure(ctx, part); err != nil {
+			return 0, err
+		}
 	}
 	version, err := l.Store.Commit(ctx, t)
 	l.mu.Lock()
@@ -180,7 +225,7 @@
 
 // Get implements hoist.Store.
 func (l *Link) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
-	if err := l.failure(); err != nil {
+	if err := l.partFailure(ctx, ref.Part); err != nil {
 		return hoist.StoredRow{}, err
 	}
 	return l.Store.Get(ctx, ref)
@@ -188,7 +233,7 @@
 
 // Scan implements hoist.Store.
 func (l *Link) Scan(ctx context.Context, table hoist.TableName, part hoist.PartName) ([]hoist.StoredRow, hoist.RowVersion, error) {
-	if err := l.failure(); err != nil {
+	if err := l.partFailure(ctx, part); err != nil {
 		return nil, 0, err
 	}
 	return l.Store.Scan(ctx, table, part)
--- a/plan.go
+++ b/plan.go
@@ -99,8 +99,9 @@
 	Occurrences int
 	Start       time.Time
 	Interval    time.Duration
-	// Accepted is when the plan was recorded.
+	// Accepted is when the plan was recorded, and Part where.
 	Accepted time.Time
+	Part     PartName
 }
 
 // PlanPhase is the state of a plan as its submitter sees it.
