--- a/internal/core/claim/follow.go
+++ b/internal/core/claim/follow.go
@@ -23,8 +23,12 @@
 	nearLook = 300 * time.Millisecond
 	// claimSpread keeps the hosts from claiming all at the same moment.
 	claimSpread = 150 * time.Millisecond
-	// deputySpread is the time between the claims of one deputy and the next.
+	// deputySpread is the least time between the claims of one deputy and the next.
+	// While the store is slow it is lookFactor times as long as reading the owner's
+	// rows took: a claim writes to all parts, and several of them at a time hold
+	// each other up.
 	deputySpread = 40 * time.Millisecond
+	lookFactor   = 3
 	// smallDelay is for how long a very small host leaves the claim to others;
 	// hosts of fullWeight do not wait.
 	smallDelay = 1500 * time.Millisecond
@@ -70,6 +74,8 @@
 	// regained is when the store answered after a failure.
 	regained  time.Time
 	hasFailed bool
+	// lookTook is how long the last look took.
+	lookTook time.Duration
 	// isChanged is set if the last look found a new version of a row.
 	isChanged bool
 }
@@ -144,10 +150,11 @@
 // claimDelay is how long this host leaves the claim to others: deputies claim in
 // turn, other hosts later the smaller they are.
 func (k *Keeper) claimDelay(why vacancy) time.Duration {
+	slowness := lookFactor * k.seen.lookTook
 	if rank := k.rank(); rank >= 0 && why != isSmall {
-		return time.Duration(rank) * deputySpread
+		return time.Duration(rank) * max(deputySpread, slowness)
 	}
-	delay := time.Duration(rand.Int64N(int64(claimSpread)))
+	delay := time.Duration(rand.Int64N(int64(max(claimSpread, slowness))))
 	if k.Weight > 0 && k.Weight < fullWeight {
 		delay += smallDelay * time.Duration(fullWeight-k.Weight) / time.Duration(fullWeight)
 	}
@@ -158,12 +165,14 @@
 func (k *Keeper) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := k.Clock.Now()
 	found, _, err := k.Store.Scan(ctx, keys.Cell, "")
 	if err != nil {
 		k.seen.hasFailed = true
 		return err
 	}
 	now := k.Clock.Now()
+	k.seen.lookTook = now.Sub(asked)
 	if k.seen.hasFailed {
 		// The owner could not renew either while the store was away.
 		k.seen.renewed, k.seen.regained = now, now
--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -19,7 +19,7 @@
 
 const (
 	// maxScans bounds the parts that are read at the same time.
-	maxScans = 16
+	maxScans = 32
 	// maxRecorded bounds the states in one transaction: each takes up to four of
 	// its 100 entries.
 	maxRecorded = 20
--- a/internal/core/hostd/watched.go
+++ b/internal/core/hostd/watched.go
@@ -21,7 +21,7 @@
 	log   *slog.Logger
 
 	mu       sync.Mutex
-	answered time.Time
+	last     time.Time
 	isLost   bool
 	failures int
 }
@@ -33,15 +33,23 @@
 	now := w.clock.Now()
 	if err == nil || errors.Is(err, hoist.ErrConflict) || errors.Is(err, hoist.ErrHistoryLost) {
 		if w.isLost {
-			events.StoreBack.Log(context.Background(), w.log, "failures", w.failures, "away", now.Sub(w.answered))
+			events.StoreBack.Log(context.Background(), w.log, "failures", w.failures, "away", now.Sub(w.last))
 		}
-		w.answered, w.isLost, w.failures = now, false, 0
+		w.last, w.isLost, w.failures = now, false, 0
 		return
 	}
 	w.failures++
 	if !w.isLost {
 		w.isLost = true
-		events.StoreLost.Log(context.Background(), w.log, "error", err, "age", now.Sub(w.answered))
+		events.StoreLost.Log(context.Background(), w.log, "error", err, "age", now.Sub(w.last))
+	}
+}
+
+// answered takes the outcome of a call, unless its caller has given it up: that
+// tells nothing about the store.
+func (w *watchedStore) answered(ctx context.Context, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		w.note(err)
 	}
 }
 
@@ -49,27 +57,27 @@
 func (w *watchedStore) age() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.clock.Now().Sub(w.answered)
+	return w.clock.Now().Sub(w.last)
 }
 
 // lost returns the time since the last answer, and whether calls have failed since.
 func (w *watchedStore) lost() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.clock.Now().Sub(w.answered), w.isLost
+	return w.clock.Now().Sub(w.last), w.isLost
 }
 
 // Commit implements hoist.Store.
 func (w *watchedStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
 	version, err := w.Store.Commit(ctx, t)
-	w.note(err)
+	w.answered(ctx, err)
 	return version, err
 }
 
 // Get implements hoist.Store.
 func (w *watchedStore) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
 	row, err := w.Store.Get(ctx, ref)
-	w.note(err)
+	w.answered(ctx, err)
 	return row, err
 }
 
@@ -87,7 +95,7 @@
 func (p promptStore) check() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	age := p.clock.Now().Sub(p.answered)
+	age := p.clock.Now().Sub(p.last)
 	if p.isLost && age > awayAfter {
 		return merry.Wrap(hoist.ErrUnavailable, merry.PrependMessagef("store has not answered for %s", age.Round(time.Millisecond)))
 	}
--- a/internal/core/hostd/watched_test.go
+++ b/internal/core/hostd/watched_test.go
@@ -41,3 +41,17 @@
 		is.NoErr(err)
 	})
 }
+
+// TestGivenUp guards against a store that counts as lost because a caller did not
+// wait for its answer.
+func TestGivenUp(t *testing.T) {
+	link := &shelf.Link{Store: &shelf.Store{}}
+	watched := &watchedStore{Store: link, clock: clock.System{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	link.SetError(hoist.ErrOutcomeUnknown)
+	_, _ = watched.Commit(ctx, hoist.Transaction{})
+	_, _ = watched.Get(ctx, hoist.RowRef{})
+	_, isLost := watched.lost()
+	is.New(t).True(!isLost)
+}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -40,12 +40,10 @@
 	retryPause = 60 * time.Millisecond
 	// countAge is how old the numbers of waiting plans may be.
 	countAge = 400 * time.Millisecond
-	// patienceFactor is how much longer than the last call the first tries to
-	// record a plan may take, and leastPatience the least time for them.
+	// patienceFactor is how much longer than the last call a part may take before
+	// the other is tried as well, and leastPatience the least time for it.
 	patienceFactor = 6
-	leastPatience  = 250 * time.Millisecond
-	// triesAtOne is how often a part is tried that does not answer.
-	triesAtOne = 2
+	leastPatience  = 450 * time.Millisecond
 	// avoidTime is how long a part that could not be written is tried last.
 	avoidTime = time.Second
 )
@@ -96,45 +94,76 @@
 	return err
 }
 
-// record writes a plan to its home part, or to its spare part if the home cannot
-// be written. Once both have certainly refused it, it returns
+// record writes a plan to its home part, or to its spare part if the home refuses
+// it or takes long. A try that takes long goes on, as the store may only be slow.
+// Once both parts have certainly refused the plan, record returns
 // hoist.ErrUnavailable, so that the client can try another host. It returns the
 // part and the number of tries.
 func (s *Service) record(ctx context.Context, p hoist.Plan) (hoist.PartName, hoist.RowVersion, int, error) {
-	at, other := keys.Home(p.ID), keys.Spare(p.ID)
-	if s.isAvoided(at) {
-		at, other = other, at
+	first, second := keys.Home(p.ID), keys.Spare(p.ID)
+	if s.isAvoided(first) {
+		first, second = second, first
 	}
+	results := make(chan tried, 2)
+	send := func(part hoist.PartName) {
+		go func() { results <- s.try(ctx, part, accept(part, p), callTimeout) }()
+	}
+	send(first)
+	sent, answered := 1, 0
 	var unknown error
-	refused := make(map[hoist.PartName]bool)
-	inTurn := 0
-	for tries := 1; ; tries++ {
-		version, err := s.try(ctx, at, accept(at, p), s.patience(tries))
-		switch {
-		case err == nil || errors.Is(err, hoist.ErrConflict):
-			return at, version, tries, err
-		case errors.Is(err, hoist.ErrUnavailable):
-			refused[at] = true
-			inTurn = triesAtOne
-			if unknown == nil && len(refused) == 2 {
-				return at, 0, tries, err
+	patience := time.NewTimer(s.patience())
+	defer patience.Stop()
+	for answered < 2 {
+		select {
+		case r := <-results:
+			answered++
+			if r.isKnown() {
+				return r.part, r.version, sent, r.err
+			}
+			if !errors.Is(r.err, hoist.ErrUnavailable) {
+				unknown = r.err
 			}
-		default:
-			unknown = err
-			inTurn++
+			if answered == 2 && unknown == nil {
+				return r.part, 0, sent, r.err
+			}
+		case <-patience.C:
 		}
-		if ctx.Err() != nil {
-			return at, 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
+		if sent == 1 {
+			send(second)
+			sent++
 		}
-		if inTurn >= triesAtOne {
-			at, other, inTurn = other, at, 0
+	}
+	return s.settle(ctx, p, []hoist.PartName{first, second}, unknown)
+}
+
+// settle tries both parts in turn until one of them tells what became of a plan
+// that may be recorded, or until ctx ends.
+func (s *Service) settle(
+	ctx context.Context, p hoist.Plan, parts []hoist.PartName, unknown error,
+) (hoist.PartName, hoist.RowVersion, int, error) {
+	for tries := len(parts); ; tries++ {
+		part := parts[tries%len(parts)]
+		if !clock.Pause(ctx, retryPause) {
+			return part, 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
 		}
-		if len(refused) == 2 || tries > 2*triesAtOne {
-			clock.Pause(ctx, retryPause)
+		if r := s.try(ctx, part, accept(part, p), callTimeout); r.isKnown() {
+			return part, r.version, tries + 1, r.err
 		}
 	}
 }
 
+// tried is the outcome of a transaction on one part.
+type tried struct {
+	part    hoist.PartName
+	version hoist.RowVersion
+	err     error
+}
+
+// isKnown reports whether the store has answered.
+func (t tried) isKnown() bool {
+	return t.err == nil || errors.Is(t.err, hoist.ErrConflict)
+}
+
 // accept is the transaction that accepts a plan in a part.
 func accept(part hoist.PartName, p hoist.Plan) hoist.Transaction {
 	state := hoist.PlanState{Queue: p.Queue.Name, Phase: hoist.PlanQueued}
@@ -147,12 +176,8 @@
 	}
 }
 
-// patience is the time for one of the tries to record a plan: little at first, as
-// there is another part to go to.
-func (s *Service) patience(tries int) time.Duration {
-	if tries > 2*triesAtOne {
-		return callTimeout
-	}
+// patience is how long the first part is waited for before the other is tried.
+func (s *Service) patience() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.hasAnswered {
@@ -162,24 +187,25 @@
 }
 
 // try sends a transaction to a part once.
-func (s *Service) try(ctx context.Context, part hoist.PartName, txn hoist.Transaction, limit time.Duration) (hoist.RowVersion, error) {
+func (s *Service) try(ctx context.Context, part hoist.PartName, txn hoist.Transaction, limit time.Duration) tried {
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	began := s.Clock.Now()
 	version, err := s.Store.Commit(callCtx, txn)
+	r := tried{part, version, err}
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil || errors.Is(err, hoist.ErrConflict) {
+	if r.isKnown() {
 		s.took, s.hasAnswered = now.Sub(began), true
 		delete(s.avoid, part)
-		return version, err
+		return r
 	}
 	if s.avoid == nil {
 		s.avoid = make(map[hoist.PartName]time.Time)
 	}
 	s.avoid[part] = now.Add(avoidTime)
-	return version, err
+	return r
 }
 
 // isAvoided reports whether a part could not be written a short time ago.
@@ -196,14 +222,14 @@
 func (s *Service) commit(ctx context.Context, part hoist.PartName, txn hoist.Transaction) (hoist.RowVersion, int, error) {
 	var unknown error
 	for tries := 1; ; tries++ {
-		version, err := s.try(ctx, part, txn, callTimeout)
+		r := s.try(ctx, part, txn, callTimeout)
 		switch {
-		case err == nil || errors.Is(err, hoist.ErrConflict):
-			return version, tries, err
-		case !errors.Is(err, hoist.ErrUnavailable):
-			unknown = err
+		case r.isKnown():
+			return r.version, tries, r.err
+		case !errors.Is(r.err, hoist.ErrUnavailable):
+			unknown = r.err
 		case unknown == nil:
-			return 0, tries, err
+			return 0, tries, r.err
 		}
 		if ctx.Err() != nil {
 			return 0, tries, hoist.Turn(hoist.ErrOutcomeUnknown, unknown)
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -138,6 +138,18 @@
 			})
 		})
 	}
+	t.Run("store turns slow", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(t)
+			is.NoErr(d.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue})) // the store is quick
+			const slow = 800 * time.Millisecond
+			d.link.SetDelay(slow)
+			began := time.Now()
+			is.NoErr(d.submit())
+			is.Equal(time.Since(began), slow) // the first try is not given up
+		})
+	})
 	t.Run("both refuse", func(t *testing.T) {
 		d := newDesk(t)
 		d.link.SetPartError(home, hoist.ErrUnavailable)
--- a/internal/decide/sched/book.go
+++ b/internal/decide/sched/book.go
@@ -70,7 +70,7 @@
 	notBefore time.Time
 	// change is the change of the job that recorded the start.
 	change uint64
-	ticket hoist.Ticket
+	ticket ticket
 	stop   stopState
 	figure float64
 	// isInherited is set for an attempt that an earlier owner started.
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -228,7 +228,7 @@
 // choose places a task; its start is sent once it is recorded.
 func (b *Book) choose(t *Task, w *Worker, attempt hoist.AttemptNo, now time.Time) {
 	b.place(t, w, attempt, Recording, now)
-	t.ticket = t.Set.advice.tickets[w.entry.Worker].value
+	t.ticket = t.Set.advice.tickets[w.entry.Worker]
 	j := t.Set.Job
 	j.touchNow()
 	t.change = j.change
@@ -448,7 +448,8 @@
 // any more.
 func (b *Book) send(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
-	if w.entry.IsLeaving || !w.isListed || !w.isSeen {
+	isExpired := t.ticket.value != "" && !now.Before(t.ticket.until)
+	if w.entry.IsLeaving || !w.isListed || !w.isSeen || isExpired {
 		set := t.Set
 		b.release(t, now)
 		b.settleGang(set, now)
@@ -457,6 +458,6 @@
 	t.Phase = Sending
 	t.since = now
 	return Start{
-		Worker: w.entry.Worker, Run: t.Run(), Payload: t.Set.Job.Plan.Payload, Saved: t.Saved, Ticket: t.ticket,
+		Worker: w.entry.Worker, Run: t.Run(), Payload: t.Set.Job.Plan.Payload, Saved: t.Saved, Ticket: t.ticket.value,
 	}, true
 }
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -408,6 +408,21 @@
 	})
 }
 
+// TestExpiredTicket guards against a start that its worker must refuse, because its
+// recording took longer than the ticket was valid.
+func TestExpiredTicket(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", advised, step(1))
+	c.pass()
+	c.book.Advised(c.asks[0], hoist.Advice{Good: map[hoist.WorkerID]hoist.Ticket{"w1": "t"}, Valid: 2 * time.Second}, nil, c.now)
+	reserve := func(time.Duration, time.Time) (hoist.HostID, bool) { return firstAsk, true }
+	c.book.Pass(c.now, reserve) // chosen, not recorded
+	c.now = c.now.Add(2 * time.Second)
+	c.wantStarts(c.record(), 0)
+	c.wantStarts(c.pass(), 0) // waits for a new ticket
+	c.is.Equal(len(c.asks), 1)
+}
+
 // TestLeaving guards against lasting tasks that stay on a worker until it has
 // gone.
 func TestLeaving(t *testing.T) {
--- a/internal/fake/shelf/shelf.go
+++ b/internal/fake/shelf/shelf.go
@@ -139,6 +139,7 @@
 	err   error
 	lost  int
 	parts map[hoist.PartName]error
+	delay time.Duration
 }
 
 // SetError makes all calls fail with err, or none if it is nil.
@@ -159,6 +160,13 @@
 	l.parts[part] = err
 }
 
+// SetDelay makes each transaction take some time.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
 // LoseAnswers makes the next n transactions take effect without an answer.
 func (l *Link) LoseAnswers(n int) {
 	l.mu.Lock()
@@ -209,6 +217,14 @@
 			return 0, err
 		}
 	}
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return 0, hoist.Turn(hoist.ErrOutcomeUnknown, ctx.Err())
+	}
 	version, err := l.Store.Commit(ctx, t)
 	l.mu.Lock()
 	isLost := l.lost > 0
