--- a/internal/core/drive/plans.go
+++ b/internal/core/drive/plans.go
@@ -23,8 +23,11 @@
 	// maxRecorded bounds the states in one transaction: each takes up to four of
 	// its 100 entries.
 	maxRecorded = 20
-	// recordEvery is how often changes are recorded that nothing waits for.
-	recordEvery = 250 * time.Millisecond
+	// recordEvery is how often changes are recorded that nothing waits for. While
+	// the store is slow it is recordFactor times as long as a transaction takes, as
+	// the changes that something waits for are held up by them.
+	recordEvery  = 250 * time.Millisecond
+	recordFactor = 4
 	// dropPause is the wait before a duplicate is removed again.
 	dropPause = 500 * time.Millisecond
 	// logEvery is how many failures in a row are told in one log line.
@@ -258,15 +261,10 @@
 // recordLoop records the states of the plans of one part as they change. Each
 // part has a loop of its own, as the store may be slow or away for some of them.
 func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
-	rec := recorder{part: part, timeout: minTimeout}
-	lastAll := d.Clock.Now()
+	rec := recorder{part: part, timeout: minTimeout, lastAll: d.Clock.Now()}
 	for clock.PauseOr(ctx, time.Second, due) {
 		for ctx.Err() == nil {
-			now := d.Clock.Now()
-			isAll := now.Sub(lastAll) >= recordEvery
-			if isAll {
-				lastAll = now
-			}
+			isAll := rec.takesAll(d.Clock.Now())
 			d.mu.Lock()
 			list := d.book.Unrecorded(part, isAll, maxRecorded)
 			d.mu.Unlock()
@@ -284,10 +282,23 @@
 	// timeout bounds the next transaction. It follows how long the store takes:
 	// short enough to notice lost answers soon, and long enough for a slow store.
 	timeout time.Duration
+	// took is how long the last transaction took.
+	took time.Duration
+	// lastAll is when all changes were recorded last.
+	lastAll time.Time
 	// failures counts the transactions in a row without success.
 	failures int
 }
 
+// takesAll reports whether changes that nothing waits for are to be recorded now.
+func (rec *recorder) takesAll(now time.Time) bool {
+	if now.Sub(rec.lastAll) < max(recordEvery, recordFactor*rec.took) {
+		return false
+	}
+	rec.lastAll = now
+	return true
+}
+
 // record writes states and sends the starts that they allow. States that could
 // not be written stay unrecorded.
 func (d *Driver) record(ctx context.Context, rec *recorder, list []sched.Unrecorded) {
@@ -298,7 +309,8 @@
 	if err == nil {
 		d.recorded(ctx, list, version)
 		rec.failures = 0
-		rec.timeout = min(maxTimeout, max(minTimeout, d.Clock.Now().Sub(began)*timeoutFactor))
+		rec.took = d.Clock.Now().Sub(began)
+		rec.timeout = min(maxTimeout, max(minTimeout, rec.took*timeoutFactor))
 		return
 	}
 	if ctx.Err() != nil {
--- /dev/null
+++ b/internal/core/drive/plans_test.go
@@ -0,0 +1,32 @@
+package drive
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestTakesAll guards against a slow store that is kept busy with changes that
+// nothing waits for.
+func TestTakesAll(t *testing.T) {
+	began := time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+	for _, c := range []struct {
+		name  string
+		took  time.Duration
+		after time.Duration
+		want  bool
+	}{
+		{"quick store, early", 7 * time.Millisecond, 200 * time.Millisecond, false},
+		{"quick store", 7 * time.Millisecond, 250 * time.Millisecond, true},
+		{"slow store, early", 700 * time.Millisecond, 2 * time.Second, false},
+		{"slow store", 700 * time.Millisecond, 2800 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rec := recorder{took: c.took, lastAll: began}
+			now := began.Add(c.after)
+			is.New(t).Equal(rec.takesAll(now), c.want)
+			is.New(t).Equal(rec.lastAll.Equal(now), c.want)
+		})
+	}
+}
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -37,6 +37,8 @@
 	storeTimeout = 2 * time.Second
 	// retryPause is the wait after a failed call.
 	retryPause = 300 * time.Millisecond
+	// stayCheck is how often a host that stops looks whether the store is still slow.
+	stayCheck = 100 * time.Millisecond
 	// hostsWait is how long the store waits for a change of the hosts.
 	hostsWait = 2 * time.Second
 	// readyAge is how old the last answer of the store may be while the host
@@ -62,6 +64,9 @@
 	Count    hoist.PlanCounter
 	// Keep is how long the state of an ended plan can be asked for.
 	Keep time.Duration
+	// MaxStay is how long the host keeps the cell after it was told to stop, while
+	// the store is slow: a takeover would take long then.
+	MaxStay time.Duration
 	// FarFactor is how much slower tasks are away from their data.
 	FarFactor float64
 
@@ -114,10 +119,30 @@
 	var g errgroup.Group
 	g.Go(func() error { h.follower.Run(serving); return nil })
 	g.Go(func() error { h.announce(ctx); return nil })
-	g.Go(func() error { return h.keeper.Run(ctx) })
+	keeping, leave := context.WithCancel(context.WithoutCancel(ctx))
+	defer leave()
+	g.Go(func() error { return h.keeper.Run(keeping) })
+	g.Go(func() error {
+		defer leave()
+		<-ctx.Done()
+		h.stay()
+		return nil
+	})
 	return g.Wait()
 }
 
+// stay waits, while this host owns the cell and the store is slow, for at most
+// MaxStay.
+func (h *Host) stay() {
+	for until := h.Clock.Now().Add(h.MaxStay); h.OwnedTerm() > 0 && h.watched.isSlow(); {
+		left := until.Sub(h.Clock.Now())
+		if left <= 0 {
+			return
+		}
+		time.Sleep(min(left, stayCheck))
+	}
+}
+
 // Pulse answers a host that watches this one.
 func (h *Host) Pulse(from hoist.HostID) hoist.Pulse {
 	h.init()
--- a/internal/core/hostd/watched.go
+++ b/internal/core/hostd/watched.go
@@ -24,6 +24,8 @@
 	last     time.Time
 	isLost   bool
 	failures int
+	// took is how long the last transaction took that was answered.
+	took time.Duration
 }
 
 // note takes the outcome of a call. A conflict and a lost history are answers.
@@ -69,11 +71,27 @@
 
 // Commit implements hoist.Store.
 func (w *watchedStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
+	began := w.clock.Now()
 	version, err := w.Store.Commit(ctx, t)
 	w.answered(ctx, err)
+	if err == nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.took = w.clock.Now().Sub(began)
+	}
 	return version, err
 }
 
+// slowCommit is from where the store counts as slow.
+const slowCommit = 150 * time.Millisecond
+
+// isSlow reports whether the last transaction took long, or the store is lost.
+func (w *watchedStore) isSlow() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isLost || w.took > slowCommit
+}
+
 // Get implements hoist.Store.
 func (w *watchedStore) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
 	row, err := w.Store.Get(ctx, ref)
