--- a/internal/core/hostd/hostd_test.go
+++ b/internal/core/hostd/hostd_test.go
@@ -25,7 +25,7 @@
 	}{
 		{"no owner", 0, time.Hour, 0},
 		{"quick store", 1, 0, 0},
-		{"store that turns quick", 1, 1200 * time.Millisecond, 1200 * time.Millisecond},
+		{"store that turns quick", 1, 1150 * time.Millisecond, 1200 * time.Millisecond},
 		{"store that stays slow", 1, time.Hour, 3 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
