Renew the ownership every 0.4 s, and count 0.9 s as silence

Change: renewals every 0.4 s; a deputy that gets no answer to two pulses claims 0.9 s after the last renewal. A slow store alone does not make it claim: pulses are answered then, and 2.2 s hold.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -41,7 +41,7 @@
 
 const (
 	// beatEvery is the period of renewing the ownership at the store.
-	beatEvery = 600 * time.Millisecond
+	beatEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
 	// beatTimeout bounds a renewal, so that two fit into the silence.
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -161,7 +161,7 @@
 			stopB := h.run("b", 1, 400, h.store)
 			time.Sleep(2 * time.Second)
 			cut.SetError(hoist.ErrUnavailable)
-			// The last renewal is up to 0.6 s old, and 2.2 s of it are silence.
+			// The last renewal is up to 0.4 s old, and 2.2 s of it are silence.
 			time.Sleep(1500 * time.Millisecond)
 			_, isEarly := h.acts("b")
 			is.New(t).True(!isEarly)
--- a/internal/core/claim/watch.go
+++ b/internal/core/claim/watch.go
@@ -16,13 +16,13 @@
 	// the wait after a pulse without an answer, and pulseTimeout the time for one.
 	pulseEvery   = 200 * time.Millisecond
 	pulseAgain   = 50 * time.Millisecond
-	pulseTimeout = 300 * time.Millisecond
+	pulseTimeout = 250 * time.Millisecond
 	// missedPulses is how many pulses in a row must stay without an answer before
 	// a short silence at the store counts.
 	missedPulses = 2
 	// shortSilence is how old the owner's last renewal is then, and silence how
-	// old it is otherwise: three renewals, and some time for a slow store.
-	shortSilence = 1300 * time.Millisecond
+	// old it is otherwise: a renewal takes a second on a slow store.
+	shortSilence = 900 * time.Millisecond
 	silence      = 2200 * time.Millisecond
 	// lostFor is how long the owner has been without the store, by its own word,
 	// when another host claims the cell, and unheardFor how long if no call has
--- a/internal/core/claim/watch_test.go
+++ b/internal/core/claim/watch_test.go
@@ -156,7 +156,7 @@
 		runWatched(t, func(c *watchedCell) {
 			c.links["a"].cut()
 			c.fail("a", hoist.ErrUnavailable)
-			c.wantTakeover(1800 * time.Millisecond) // 1.3 s of silence, and a pulse without an answer
+			c.wantTakeover(1500 * time.Millisecond) // 0.9 s of silence, and a pulse without an answer
 		})
 	})
 	t.Run("owner cannot be reached and renews", func(t *testing.T) {
