Ask a lost store until it is back, and give up the calls that it has forgotten

Cause: after an outage in which the store did not answer, calls that were made during it went on waiting: recordings for up to 2.5 s, the reading of the configuration for 1.9 s.

Change: a host asks a store that has been silent for 0.5 s every 0.25 s. When it answers after a second or more, the calls that still wait are given up and made again; their outcome counts as unknown, as after a time-out.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -118,6 +118,7 @@
 	h.init()
 	var g errgroup.Group
 	g.Go(func() error { h.follower.Run(serving); return nil })
+	g.Go(func() error { h.watched.probe(serving); return nil })
 	g.Go(func() error { h.announce(ctx); return nil })
 	keeping, leave := context.WithCancel(context.WithoutCancel(ctx))
 	defer leave()
--- a/internal/core/hostd/watched_test.go
+++ b/internal/core/hostd/watched_test.go
@@ -11,6 +11,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/fake/shelf"
 )
 
@@ -55,3 +56,33 @@
 	_, isLost := watched.lost()
 	is.New(t).True(!isLost)
 }
+
+// TestHungCalls guards against a host that goes on waiting for the answers to calls
+// that were lost while the store was away, when it has come back.
+func TestHungCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := &shelf.Link{Store: &shelf.Store{}}
+		watched := &watchedStore{Store: link, clock: clock.System{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		_, err := watched.Get(ctx, keys.Beat)
+		is.NoErr(err)
+		go watched.probe(ctx)
+		hung := keys.Fence("00")
+		link.SetPartError(hung.Part, hoist.ErrOutcomeUnknown)
+		link.SetPartError(keys.Beat.Part, hoist.ErrOutcomeUnknown)
+		short, end := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer end()
+		_, err = watched.Get(short, hung)
+		is.True(err != nil) // the store counts as lost
+		const away = 4 * time.Second
+		time.AfterFunc(away, func() { link.SetPartError(keys.Beat.Part, nil) })
+		began := time.Now()
+		long, end := context.WithTimeout(ctx, time.Minute)
+		defer end()
+		_, err = watched.Commit(long, hoist.Transaction{Writes: []hoist.Write{{RowRef: hung}}})
+		is.True(errors.Is(err, hoist.ErrOutcomeUnknown))
+		is.True(time.Since(began) < away+probeEvery+probeTimeout)
+	})
+}
