Give a plan three parts, and hold no plan up for a question about its queue

A question for the number of waiting plans kept the lock of the intake for the whole reading, and the intake takes that lock for its parts since plans have spare ones. On a slow store each question cost 0.4 s in the same way. With 30% of the parts away, 9% of the plans found neither of two.

Change: the numbers have a lock of their own; a plan can be recorded in three parts; a claim without an answer is made again after eight times a look, 0.5 s at least.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -44,6 +44,10 @@
 	beatEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
+	// leastClaimTime and claimFactor bound a claim, by how long reading the owner's
+	// rows took: while parts of the store do not answer, another one is made soon.
+	leastClaimTime = 500 * time.Millisecond
+	claimFactor    = 8
 	// beatTimeout bounds a renewal, so that two fit into the silence.
 	beatTimeout = 700 * time.Millisecond
 	// retryPause is the wait after a failed call to the store, and claimPause the
@@ -142,7 +146,8 @@
 	for _, part := range keys.Parts() {
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.Fence(part), Value: codec.EncodeRow(owner)})
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	limit := min(callTimeout, max(leastClaimTime, claimFactor*k.seen.lookTook))
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	version, err := k.Store.Commit(callCtx, txn)
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
--- a/internal/core/drive/duplicate_test.go
+++ b/internal/core/drive/duplicate_test.go
@@ -35,7 +35,8 @@
 const twiceID = hoist.JobID("5c0e7a21d94b36f8")
 
 func newTwice(t *testing.T) *twice {
-	return &twice{t, &shelf.Store{}, keys.Home(twiceID), keys.Spare(twiceID)}
+	parts := keys.PartsOf(twiceID)
+	return &twice{t, &shelf.Store{}, parts[0], parts[1]}
 }
 
 func (w *twice) commit(txn hoist.Transaction) {
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -11,15 +11,17 @@
 //
 // A transaction without an answer is sent again: it expects that the plan does
 // not exist, so it takes effect once in a part. While a plan's home part cannot be
-// written the plan goes to its spare part; the owner of the cell sees to it that a
-// plan which is in both runs once. A plan is refused as not accepted only if every
+// written the plan goes to a spare part; the owner of the cell sees to it that a
+// plan which is in several runs once. A plan is refused as not accepted only if every
 // transaction was certainly without effect.
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +43,7 @@
 	// countAge is how old the numbers of waiting plans may be.
 	countAge = 400 * time.Millisecond
 	// patienceFactor is how much longer than the last call a part may take before
-	// the other is tried as well, and leastPatience the least time for it.
+	// the next one is tried as well, and leastPatience the least time for it.
 	patienceFactor = 6
 	leastPatience  = 450 * time.Millisecond
 	// avoidTime is how long a part that could not be written is tried last.
@@ -56,9 +58,12 @@
 	Clock hoist.Clock
 	Log   *slog.Logger
 
-	mu     sync.Mutex
-	counts map[hoist.QueueName]int
-	read   time.Time
+	// counting is held while the numbers of waiting plans are read.
+	counting sync.Mutex
+	counts   map[hoist.QueueName]int
+	read     time.Time
+
+	mu sync.Mutex
 	// took is how long the last transaction took that was answered, if any was.
 	took        time.Duration
 	hasAnswered bool
@@ -94,26 +99,25 @@
 	return err
 }
 
-// record writes a plan to its home part, or to its spare part if the home refuses
+// record writes a plan to its home part, or to its spare parts if the home refuses
 // it or takes long. A try that takes long goes on, as the store may only be slow.
-// Once both parts have certainly refused the plan, record returns
+// Once all parts have certainly refused the plan, record returns
 // hoist.ErrUnavailable, so that the client can try another host. It returns the
 // part and the number of tries.
 func (s *Service) record(ctx context.Context, p hoist.Plan) (hoist.PartName, hoist.RowVersion, int, error) {
-	first, second := keys.Home(p.ID), keys.Spare(p.ID)
-	if s.isAvoided(first) {
-		first, second = second, first
-	}
-	results := make(chan tried, 2)
-	send := func(part hoist.PartName) {
+	parts := s.inTurn(keys.PartsOf(p.ID))
+	results := make(chan tried, len(parts))
+	sent, answered := 0, 0
+	send := func() {
+		part := parts[sent]
+		sent++
 		go func() { results <- s.try(ctx, part, accept(part, p), callTimeout) }()
 	}
-	send(first)
-	sent, answered := 1, 0
+	send()
 	var unknown error
 	patience := time.NewTimer(s.patience())
 	defer patience.Stop()
-	for answered < 2 {
+	for answered < len(parts) {
 		select {
 		case r := <-results:
 			answered++
@@ -123,20 +127,40 @@
 			if !errors.Is(r.err, hoist.ErrUnavailable) {
 				unknown = r.err
 			}
-			if answered == 2 && unknown == nil {
+			if answered == len(parts) && unknown == nil {
 				return r.part, 0, sent, r.err
 			}
 		case <-patience.C:
+			patience.Reset(s.patience())
 		}
-		if sent == 1 {
-			send(second)
-			sent++
+		if sent < len(parts) {
+			send()
 		}
 	}
-	return s.settle(ctx, p, []hoist.PartName{first, second}, unknown)
+	return s.settle(ctx, p, parts, unknown)
+}
+
+// inTurn returns the parts in the order in which they are tried: those that could
+// not be written a short time ago come last.
+func (s *Service) inTurn(parts []hoist.PartName) []hoist.PartName {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	slices.SortStableFunc(parts, func(x, y hoist.PartName) int {
+		return cmp.Compare(s.rank(x, now), s.rank(y, now))
+	})
+	return parts
+}
+
+// rank is 1 for a part that is avoided, else 0. The mutex is held.
+func (s *Service) rank(part hoist.PartName, now time.Time) int {
+	if now.Before(s.avoid[part]) {
+		return 1
+	}
+	return 0
 }
 
-// settle tries both parts in turn until one of them tells what became of a plan
+// settle tries the parts in turn until one of them tells what became of a plan
 // that may be recorded, or until ctx ends.
 func (s *Service) settle(
 	ctx context.Context, p hoist.Plan, parts []hoist.PartName, unknown error,
@@ -176,7 +200,7 @@
 	}
 }
 
-// patience is how long the first part is waited for before the other is tried.
+// patience is how long a part is waited for before the next one is tried.
 func (s *Service) patience() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,13 +232,6 @@
 	return r
 }
 
-// isAvoided reports whether a part could not be written a short time ago.
-func (s *Service) isAvoided(part hoist.PartName) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.Clock.Now().Before(s.avoid[part])
-}
-
 // commit sends a transaction to a part until its outcome is known or ctx ends. A
 // refusal of the store is passed on at once, so that the client can try another
 // host, unless an earlier try may have taken effect. It returns the number of
@@ -248,10 +265,10 @@
 }
 
 // state returns the state of a plan and the part that has it. A plan does not
-// exist if neither its home nor its spare part has it.
+// exist if none of its parts has it.
 func (s *Service) state(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanState, hoist.PartName, error) {
 	var failed error
-	for _, part := range []hoist.PartName{keys.Home(id), keys.Spare(id)} {
+	for _, part := range keys.PartsOf(id) {
 		row, err := s.get(ctx, keys.State(part, id))
 		if err != nil {
 			failed = err
@@ -300,8 +317,8 @@
 
 // Waiting implements hoist.PlanService.
 func (s *Service) Waiting(ctx context.Context, queue hoist.QueueName) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.counting.Lock()
+	defer s.counting.Unlock()
 	if s.counts != nil && s.Clock.Now().Sub(s.read) < countAge {
 		return s.counts[queue], nil
 	}
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,7 +52,7 @@
 func (d *desk) setState(phase hoist.PlanPhase) {
 	d.t.Helper()
 	_, err := d.link.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{{
-		RowRef: keys.State(keys.Home(plan.ID), plan.ID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "checks", Phase: phase}),
+		RowRef: keys.State(home, plan.ID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "checks", Phase: phase}),
 	}}})
 	is.New(d.t).NoErr(err)
 }
@@ -104,11 +105,17 @@
 	})
 }
 
+// The parts that the plan can be recorded in.
+var (
+	planParts = keys.PartsOf(plan.ID)
+	home      = planParts[0]
+	spare     = planParts[1]
+)
+
 // TestSpare guards against plans that are refused because one part of the store is
 // away, and against answers that a plan does not exist although it may.
 func TestSpare(t *testing.T) {
 	ctx := context.Background()
-	home, spare := keys.Home(plan.ID), keys.Spare(plan.ID)
 	for _, c := range []struct {
 		name string
 		home error
@@ -150,24 +157,49 @@
 			is.Equal(time.Since(began), slow) // the first try is not given up
 		})
 	})
-	t.Run("both refuse", func(t *testing.T) {
+	t.Run("question about the queue without an answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newDesk(t)
+			d.link.SetPartError(keys.Beat.Part, hoist.ErrOutcomeUnknown)
+			var asking sync.WaitGroup
+			defer asking.Wait()
+			asking.Go(func() { _, _ = d.Waiting(ctx, "checks") })
+			synctest.Wait()
+			began := time.Now()
+			is.NoErr(d.submit())
+			is.Equal(time.Since(began), time.Duration(0)) // it does not wait for the question
+		})
+	})
+	t.Run("all but the last refuse", func(t *testing.T) {
 		d := newDesk(t)
-		d.link.SetPartError(home, hoist.ErrUnavailable)
-		d.link.SetPartError(spare, hoist.ErrUnavailable)
+		for _, part := range planParts[:len(planParts)-1] {
+			d.link.SetPartError(part, hoist.ErrUnavailable)
+		}
+		is.New(t).NoErr(d.submit())
+		d.wantPhase(hoist.PlanQueued)
+	})
+	t.Run("all refuse", func(t *testing.T) {
+		d := newDesk(t)
+		for _, part := range planParts {
+			d.link.SetPartError(part, hoist.ErrUnavailable)
+		}
 		is.New(t).True(errors.Is(d.submit(), hoist.ErrUnavailable))
 	})
-	t.Run("home without an answer and spare that refuses", func(t *testing.T) {
+	t.Run("home without an answer and spare parts that refuse", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			d := newDesk(t)
 			d.link.SetPartError(home, hoist.ErrOutcomeUnknown)
-			d.link.SetPartError(spare, hoist.ErrUnavailable)
+			for _, part := range planParts[1:] {
+				d.link.SetPartError(part, hoist.ErrUnavailable)
+			}
 			is.New(t).True(errors.Is(d.submit(), hoist.ErrOutcomeUnknown))
 		})
 	})
 	t.Run("question while a part is away", func(t *testing.T) {
 		is := is.New(t)
 		d := newDesk(t)
-		for _, part := range []hoist.PartName{home, spare} {
+		for _, part := range planParts {
 			d.link.SetPartError(part, hoist.ErrUnavailable)
 			_, err := d.Phase(ctx, "checks", plan.ID)
 			is.True(errors.Is(err, hoist.ErrUnavailable))
@@ -185,7 +217,7 @@
 		d := newDesk(t)
 		is.New(t).NoErr(d.submit())
 		is.New(t).NoErr(d.Cancel(ctx, "checks", plan.ID))
-		row, err := d.link.Get(ctx, keys.Cancel(keys.Home(plan.ID), plan.ID))
+		row, err := d.link.Get(ctx, keys.Cancel(home, plan.ID))
 		is.New(t).NoErr(err)
 		is.New(t).True(row.Version > 0)
 	})
@@ -203,7 +235,7 @@
 		is.New(t).NoErr(d.submit())
 		d.setState(hoist.PlanDone)
 		is.New(t).NoErr(d.Cancel(ctx, "checks", plan.ID))
-		row, err := d.link.Get(ctx, keys.Cancel(keys.Home(plan.ID), plan.ID))
+		row, err := d.link.Get(ctx, keys.Cancel(home, plan.ID))
 		is.New(t).NoErr(err)
 		is.New(t).Equal(row.Version, hoist.RowVersion(0))
 	})
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	ref := keys.State(keys.Home(id), id)
+//	ref := keys.State(keys.PartsOf(id)[0], id)
 //
 // # Layout
 //
@@ -12,9 +12,9 @@
 // the cell writes: a transaction that expects the version of the fence has no
 // effect once there is a later owner.
 //
-// A plan whose home part cannot be written is accepted in its spare part. If it
-// was accepted in both, as an answer was lost or it was handed in again, the owner
-// runs one of them and removes the other, which has not begun.
+// A plan whose home part cannot be written is accepted in a spare part. If it was
+// accepted in several, as an answer was lost or it was handed in again, the owner
+// runs one of them and removes the others, which have not begun.
 //
 //	table  part   key          value
 //	cell   ""     owner        who owns the cell, in which term
@@ -28,6 +28,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,20 +69,21 @@
 	return hoist.PartName(fmt.Sprintf("%02x", i))
 }
 
-// Home returns the part in which a plan is recorded.
-func Home(id hoist.JobID) hoist.PartName {
-	return partName(homeOf(id))
-}
-
-// Spare returns the part in which a plan is recorded while its home cannot be
-// written. It is another part.
-func Spare(id hoist.JobID) hoist.PartName {
-	step := 1 + int(xxhash.Sum64String(string(id)+"spare")%(numParts-1))
-	return partName((homeOf(id) + step) % numParts)
-}
-
-func homeOf(id hoist.JobID) int {
-	return int(xxhash.Sum64String(string(id)) % numParts)
+// numCopies is how many parts a plan can be recorded in. With a third of the parts
+// away, one plan in 27 finds none of three.
+const numCopies = 3
+
+// PartsOf returns the parts in which a plan can be recorded: its home first, then
+// its spare parts, for while the earlier ones cannot be written.
+func PartsOf(id hoist.JobID) []hoist.PartName {
+	var out []hoist.PartName
+	for i := 0; len(out) < numCopies; i++ {
+		part := partName(int(xxhash.Sum64String(fmt.Sprintf("%s/%d", id, i)) % numParts))
+		if !slices.Contains(out, part) {
+			out = append(out, part)
+		}
+	}
+	return out
 }
 
 // Fence returns the fence row of a part.
