Replace an owner that lacks processor

Change: a deputy claims when four answers to pulses in a row took more than 80 ms, unless it is late itself or the owner has had the cell for less than 10 s: if the load is what slows it, another host would be no better.

Ruled out: a fault of the recordings, which only time out as the owner is late itself.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -139,7 +139,7 @@
 			{RowRef: keys.Beat, Value: codec.EncodeRow(rows.Beat{})},
 		},
 	}
-	if why != isFree && why != isSmall {
+	if why != isFree && !why.isRenewed() {
 		// An owner that has renewed in the meantime keeps the cell.
 		txn.Expect = append(txn.Expect, hoist.Expected{RowRef: keys.Beat, Version: k.seen.beatVersion})
 	}
@@ -174,7 +174,7 @@
 		return now
 	case earlier.Released || earlier.Host == string(k.Host) || why == isGone:
 		return now.Add(time.Duration(float64(LeaseTime)*drift) + lapseMargin)
-	case why == isSmall:
+	case why.isRenewed():
 		return now.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
 	default:
 		return k.seen.renewed.Add(time.Duration(float64(GrantTime)*drift) + lapseMargin)
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -29,12 +29,14 @@
 	// keepers are those that can be watched; peers tells how they answer.
 	keepers map[hoist.HostID]*claim.Keeper
 	peers   map[hoist.HostID]error
+	delays  map[hoist.HostID]time.Duration
 }
 
 func newHosts(t *testing.T) *hosts {
 	return &hosts{
 		t: t, store: &shelf.Store{}, acting: make(map[hoist.HostID]*claim.Ownership), lapses: make(map[hoist.HostID]time.Duration),
 		keepers: make(map[hoist.HostID]*claim.Keeper), peers: make(map[hoist.HostID]error),
+		delays: make(map[hoist.HostID]time.Duration),
 	}
 }
 
--- a/internal/core/claim/follow.go
+++ b/internal/core/claim/follow.go
@@ -57,8 +57,16 @@
 	isCut vacancy = "cut off"
 	// isSmall is a cell whose owner is much smaller than this host.
 	isSmall vacancy = "small"
+	// isSlow is a cell whose owner has too little processor.
+	isSlow vacancy = "slow"
 )
 
+// isRenewed reports whether the owner may renew all the while: the cell is taken
+// from one that lives.
+func (v vacancy) isRenewed() bool {
+	return v == isSmall || v == isSlow
+}
+
 // observed is what a host that does not own the cell knows of the owner.
 type observed struct {
 	owner        rows.Owner
@@ -142,6 +150,8 @@
 		return isSilent
 	case 2*s.owner.Weight <= int(k.Weight) && now.Sub(s.owned) > replaceAfter:
 		return isSmall
+	case w.isSlow(s.owner) && s.owner.Weight <= int(k.Weight) && now.Sub(s.owned) > slowPause:
+		return isSlow
 	default:
 		return isOwned
 	}
--- a/internal/core/claim/watch.go
+++ b/internal/core/claim/watch.go
@@ -29,6 +29,20 @@
 	// failed. An owner that lives hears of the store at each renewal.
 	lostFor    = 300 * time.Millisecond
 	unheardFor = 1500 * time.Millisecond
+	// slowPulse is from where the answer to a pulse is slow: an owner with enough
+	// processor answers within a few milliseconds. After slowPulses of them in a
+	// row, pulses without an answer included, the owner counts as slow. A pause of
+	// this host that is longer than it should be by lateBy tells that this host is
+	// the slow one.
+	slowPulse  = 80 * time.Millisecond
+	slowPulses = 4
+	lateBy     = 40 * time.Millisecond
+	// slowMemory is how long after the last slow answer pulses without an answer
+	// count as slow ones.
+	slowMemory = 3 * time.Second
+	// slowPause is how long an owner is left in place before it is replaced for
+	// being slow: if the load is what slows it, another would be no better.
+	slowPause = 10 * time.Second
 )
 
 // watcher asks the owner of the cell for pulses over a connection of its own.
@@ -42,6 +56,9 @@
 	isRefused bool
 	hasPulse  bool
 	last      hoist.Pulse
+	// slow counts the slow pulses in a row, and slowAt is when one was answered.
+	slow   int
+	slowAt time.Time
 }
 
 // watch asks for pulses until one is a reason to read the owner's rows, or until
@@ -57,7 +74,14 @@
 		if w.missed > 0 {
 			gap = pulseAgain
 		}
-		if !clock.Pause(ctx, gap) || !w.pulse(ctx) {
+		paused := w.keeper.Clock.Now()
+		if !clock.Pause(ctx, gap) {
+			return
+		}
+		if w.keeper.Clock.Now().Sub(paused) > gap+lateBy {
+			w.slow = 0
+		}
+		if !w.pulse(ctx) {
 			return
 		}
 	}
@@ -86,10 +110,12 @@
 func (w *watcher) pulse(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pulseTimeout)
 	defer cancel()
+	asked := w.keeper.Clock.Now()
 	p, err := w.peer.Pulse(callCtx, w.keeper.Host)
 	if ctx.Err() != nil {
 		return false
 	}
+	w.noteSpeed(asked, err == nil)
 	if err != nil {
 		if w.missed == 0 {
 			events.OwnerUnseen.Log(ctx, w.keeper.Log, "owner", w.owner.Host, "term", w.owner.Term, "error", err)
@@ -102,7 +128,26 @@
 	if int(p.Term) == w.owner.Term {
 		w.keeper.seen.heard(p.Beat, w.keeper.Clock.Now().Add(-p.Renewed))
 	}
-	return !w.isCut(w.owner)
+	return !w.isCut(w.owner) && !w.isSlow(w.owner)
+}
+
+// noteSpeed notes how long the answer to a pulse took.
+func (w *watcher) noteSpeed(asked time.Time, isAnswered bool) {
+	now := w.keeper.Clock.Now()
+	isSlow := now.Sub(asked) > slowPulse
+	if isAnswered && !isSlow {
+		w.slow = 0
+		return
+	}
+	if isAnswered {
+		w.slowAt = now
+	}
+	w.slow++
+}
+
+// isSlow reports whether the owner answers, and lacks processor.
+func (w *watcher) isSlow(owner rows.Owner) bool {
+	return w.owner == owner && w.slow >= slowPulses && w.keeper.Clock.Now().Sub(w.slowAt) < slowMemory
 }
 
 // heard notes that the owner had sent a renewal at a time, which wrote a version
--- a/internal/core/claim/watch_test.go
+++ b/internal/core/claim/watch_test.go
@@ -23,8 +23,9 @@
 // Pulse implements hoist.Watched.
 func (w watched) Pulse(ctx context.Context, from hoist.HostID) (hoist.Pulse, error) {
 	w.hosts.mu.Lock()
-	err, k := w.hosts.peers[w.id], w.hosts.keepers[w.id]
+	err, k, delay := w.hosts.peers[w.id], w.hosts.keepers[w.id], w.hosts.delays[w.id]
 	w.hosts.mu.Unlock()
+	time.Sleep(delay)
 	switch {
 	case err == hoist.ErrUnavailable:
 		<-ctx.Done()
@@ -112,6 +113,16 @@
 	c.peers[id] = err
 }
 
+// slowDown makes the answers of a host to pulses take some time.
+func (c *watchedCell) slowDown(id hoist.HostID, delay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delays[id] = delay
+}
+
+// slowPause is how long an owner is left in place although it is slow.
+const slowPause = 10 * time.Second
+
 // wantTakeover fails unless a host other than a acts within limit.
 func (c *watchedCell) wantTakeover(limit time.Duration) {
 	c.t.Helper()
@@ -166,6 +177,20 @@
 			c.wantOwner("a")
 		})
 	})
+	t.Run("owner lacks processor", func(t *testing.T) {
+		runWatched(t, func(c *watchedCell) {
+			time.Sleep(slowPause)
+			c.slowDown("a", 120*time.Millisecond)
+			c.wantTakeover(3 * time.Second)
+		})
+	})
+	t.Run("owner lacks processor as the one before", func(t *testing.T) {
+		runWatched(t, func(c *watchedCell) {
+			c.slowDown("a", 120*time.Millisecond)
+			time.Sleep(5 * time.Second) // less than slowPause since the claim
+			c.wantOwner("a")
+		})
+	})
 	t.Run("store is away for all", func(t *testing.T) {
 		runWatched(t, func(c *watchedCell) {
 			for _, l := range c.links {
