--- a/internal/core/claim/watch_test.go
+++ b/internal/core/claim/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -27,7 +28,7 @@
 	w.hosts.mu.Unlock()
 	time.Sleep(delay)
 	switch {
-	case err == hoist.ErrUnavailable:
+	case errors.Is(err, hoist.ErrUnavailable):
 		<-ctx.Done()
 		return hoist.Pulse{}, err
 	case err != nil:
