Acknowledge ends only over the connection of the last look

An executor crashed and started again within the 20 ms between two looks. The HTTP client found its connection closed, made a new one, and the look told the new life to forget the ends up to 23 of the old one. The worker forgot the first end of its new life, a success, and the owner, which had never seen it, started the task again: TWICE. A look that fails was guarded against already; here none failed.

Change: looks have a connection of their own, and one that acknowledges ends is only sent over the connection that the last look was answered on. If that is gone, the next look acknowledges nothing and finds the new life. Looks after a lost start or a stop acknowledge nothing, as they may be under way beside the regular one.

--- a/internal/core/drive/workers.go
+++ b/internal/core/drive/workers.go
@@ -47,6 +47,8 @@
 	clock  hoist.WorkerClock
 	read   time.Time
 	isLost bool
+	// isClosed is set when the connection that carries acknowledgements is gone.
+	isClosed bool
 }
 
 // registryLoop follows the platform's registry of workers.
@@ -162,13 +164,13 @@
 
 // lookOrder composes a look that extends the lease as far as the ownership
 // allows. The first look only reads the clock, and so do those after one without
-// an answer: the lease of a lost worker must run out, and if the worker has
-// started again, its ends have new numbers.
+// an answer or after the connection was closed: the lease of a lost worker must run
+// out, and if the worker has started again, its ends have new numbers.
 func (d *Driver) lookOrder(id hoist.WorkerID, l *link) hoist.LookOrder {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	o := hoist.LookOrder{Term: d.Own.Term}
-	if l.read.IsZero() || l.isLost {
+	o := hoist.LookOrder{Term: d.Own.Term, OpensAcks: true}
+	if l.read.IsZero() || l.isLost || l.isClosed {
 		return o
 	}
 	o.Acked = d.book.Acked(id)
@@ -215,6 +217,12 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if err != nil && o.Acked > 0 && errors.Is(err, hoist.ErrUnavailable) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		l.isClosed = true
+		return false
+	}
 	if err != nil {
 		d.unseen(ctx, id, l, err)
 		return false
@@ -231,6 +239,9 @@
 		events.WorkerSeen.Log(ctx, d.Log, "worker", id, "life", view.Life)
 	}
 	l.isLost = false
+	if o.OpensAcks {
+		l.isClosed = false
+	}
 	l.clock, l.read = view.Clock, now
 	for _, e := range view.Ends {
 		if e.No > o.Acked && d.book.IsNew(id, e.No) {
@@ -381,10 +392,10 @@
 	d.lookNow(ctx, s.Worker, l)
 }
 
-// lookNow looks at a worker without waiting for an end. The look that is under
-// way may have been asked for before.
+// lookNow looks at a worker without waiting for an end, and acknowledges none. The
+// look that is under way may have been asked for before.
 func (d *Driver) lookNow(ctx context.Context, id hoist.WorkerID, l *link) {
 	o := d.lookOrder(id, l)
-	o.Wait = 0
+	o.Wait, o.Acked, o.OpensAcks = 0, 0, false
 	d.look(ctx, id, l, o)
 }
--- a/runner.go
+++ b/runner.go
@@ -19,8 +19,11 @@
 // LookOrder renews the lease of a worker and asks what it runs.
 type LookOrder struct {
 	Term Term
-	// Acked is the last end that the worker may forget.
+	// Acked is the last end that the worker may forget; 0 acknowledges none.
 	Acked EndNo
+	// OpensAcks tells that later looks may acknowledge ends over the connection of
+	// this one.
+	OpensAcks bool
 	// Lease is when everything on the worker ends, on the worker's clock; 0
 	// leaves the lease as it is.
 	Lease WorkerClock
@@ -40,7 +43,12 @@
 	Start(ctx context.Context, o RunOrder) (WorkerClock, error)
 	// Stop ends an attempt, and refuses it from then on if it has not arrived.
 	Stop(ctx context.Context, run TaskRun, term Term) error
-	// Look renews the lease and returns what runs and what ended.
+	// Look renews the lease and returns what runs and what ended. Ends are
+	// acknowledged only over the connection that the last look was answered on: a
+	// worker that has started again numbers its ends anew, and would forget new
+	// ones for old ones. If that connection is gone, Look returns ErrUnavailable
+	// without an order. Of the looks that acknowledge or that open the way for it,
+	// one may be in progress at a time.
 	Look(ctx context.Context, o LookOrder) (WorkerView, error)
 	// Pace sets the share of its speed that a task may use.
 	Pace(ctx context.Context, run TaskRun, term Term, share Percent) error
