--- a/internal/decide/sched/takeover_test.go
+++ b/internal/decide/sched/takeover_test.go
@@ -48,6 +48,34 @@
 	})
 }
 
+// TestQuestionSize guards against steps that need a second question because others
+// took the few workers of the first one.
+func TestQuestionSize(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		terms hoist.AdviceTerms
+		want  int
+	}{
+		// 2.5 places for the task, at 0.4 of the workers.
+		{"workers are dear", hoist.AdviceTerms{Base: 5 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}, 7},
+		// A fifth of the fixed time.
+		{"workers are cheap", hoist.AdviceTerms{Base: 100 * time.Millisecond, PerWorker: time.Millisecond, Valid: time.Second}, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cell := listed(t, 40)
+			for _, e := range cell.known {
+				cell.view(e.Worker, hoist.WorkerView{Life: 1})
+			}
+			q := queue
+			q.Advice = c.terms
+			cell.submit("p", q, step(1))
+			cell.pass()
+			cell.is.Equal(len(cell.asks), 1)
+			cell.is.Equal(len(cell.asks[0].Workers), c.want)
+		})
+	}
+}
+
 // TestInheritedSpeed guards against a new owner that learns from attempts whose
 // start it did not see: they seem to take no time, so that it prefers the
 // workers on which they ran.
