--- a/runner.go
+++ b/runner.go
@@ -46,8 +46,8 @@
 	// Look renews the lease and returns what runs and what ended. Ends are
 	// acknowledged only over the connection that the last look was answered on: a
 	// worker that has started again numbers its ends anew, and would forget new
-	// ones for old ones. If that connection is gone, Look returns ErrUnavailable
-	// without an order. Of the looks that acknowledge or that open the way for it,
+	// ones for old ones. If that connection is gone, Look fails; with ErrUnavailable
+	// if that was known before. Of the looks that acknowledge or that open the way for it,
 	// one may be in progress at a time.
 	Look(ctx context.Context, o LookOrder) (WorkerView, error)
 	// Pace sets the share of its speed that a task may use.
