--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -122,13 +122,12 @@
 
 // Run claims the cell when it can, and acts as the owner, until ctx ends. It then
 // releases the cell, so that another host can claim it at once.
-func (m *Manager) Run(ctx context.Context) error {
+func (m *Manager) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if o, ok := m.follow(ctx); ok {
 			m.holdOwnership(ctx, o)
 		}
 	}
-	return nil
 }
 
 // claim writes this host as the owner in the next term. It reports false if the
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -64,8 +64,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// Run returns no error.
-		_ = m.Run(ctx)
+		m.Run(ctx)
 	}()
 	return func() {
 		cancel()
--- a/internal/core/claim/renew.go
+++ b/internal/core/claim/renew.go
@@ -17,10 +17,15 @@
 // cell or ctx ends.
 func (m *Manager) holdOwnership(ctx context.Context, o *Ownership) {
 	ownCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	var acting sync.WaitGroup
+	// Also after a panic, the ownership has ended before the cell is claimed again.
+	defer func() {
+		cancel()
+		acting.Wait()
+		m.acting.Store(nil)
+	}()
 	o.cancel = cancel
 	m.acting.Store(o)
-	var acting sync.WaitGroup
 	acting.Go(func() { m.RunOwner(ownCtx, o) })
 	interval := renewEvery
 	for count := 1; clock.Sleep(ownCtx, interval); count++ {
@@ -36,7 +41,6 @@
 	if ctx.Err() != nil {
 		m.release(o)
 	}
-	m.acting.Store(nil)
 	events.OwnershipLost.Log(ctx, m.Log, "term", o.Term, "stopping", ctx.Err() != nil)
 	m.observed.renewed = m.Clock.Now()
 }
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -105,6 +105,7 @@
 
 	ReloadFailed = register(405, slog.LevelWarn, "settings could not be reloaded; the previous settings stay in force")
 	LinesDropped = register(408, slog.LevelWarn, "log lines dropped")
+	Panicked     = register(409, slog.LevelError, "panic; the piece of work is given up")
 	HostReady    = register(406, slog.LevelInfo, "host accepts new callers")
 	HostNotReady = register(407, slog.LevelWarn, "host accepts no new callers")
 )
@@ -135,6 +136,12 @@
 	PlanUnreadable       = register(617, slog.LevelError, "plan cannot be decoded and is skipped")
 	WorkerLeft           = register(619, slog.LevelInfo, "worker has left; its tasks are waiting again")
 	PlanDuplicate        = register(620, slog.LevelInfo, "plan was accepted in two parts of the store; one is removed")
+	PlanQuarantined      = register(621, slog.LevelError, "plan is quarantined")
+	PlanReleased         = register(622, slog.LevelInfo, "plan is released from quarantine")
+	OccurrencesDelayed   = register(623, slog.LevelWarn, "occurrences that are due wait, as too many tasks are open")
+	OccurrencesResumed   = register(624, slog.LevelInfo, "no occurrence that is due waits any more")
+	QuarantineFailed     = register(625, slog.LevelWarn, "quarantine of a plan could not be recorded, released or dropped")
+	WorkerEntryInvalid   = register(626, slog.LevelWarn, "registry entry is not valid; it names no worker to use")
 	PlanQueryFailed      = register(618, slog.LevelWarn, "query or cancellation of a plan could not be answered")
 )
 
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -23,10 +23,13 @@
 	"fuchsiahoist.example/hoist/internal/core/claim"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/core/intake"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/core/plans"
 	"fuchsiahoist.example/hoist/internal/core/queues"
+	"fuchsiahoist.example/hoist/internal/decide/limit"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 	"fuchsiahoist.example/hoist/internal/peer/helper"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
@@ -48,6 +51,16 @@
 	maxReadyStoreAge = 2500 * time.Millisecond
 )
 
+// The kinds of work of a host, in logs and metrics.
+const (
+	workConfig   guard.Work = "config"
+	workProbe    guard.Work = "probe"
+	workAnnounce guard.Work = "announce"
+	workClaim    guard.Work = "claim"
+	workHosts    guard.Work = "hosts"
+	workOwner    guard.Work = "owner"
+)
+
 // Host is one entry host. Set the exported fields before use.
 type Host struct {
 	ID    hoist.HostID
@@ -64,6 +77,12 @@
 	Clock    hoist.Clock
 	Log      *slog.Logger
 	Metrics  hoist.PlanMetrics
+	// Guard recovers from panics; it may be nil.
+	Guard *guard.Guard
+	// Limits are what a plan must keep to be accepted and handled, and Open bounds the
+	// tasks that the owner holds. Their zero values leave the defaults.
+	Limits limit.Plans
+	Open   sched.OpenLimits
 	// StateRetention is how long the state of a plan is kept after the plan has ended.
 	StateRetention time.Duration
 	// MaxStopDelay is how long the host may go on owning the cell after it was told to
@@ -95,7 +114,9 @@
 // Plans returns the service that accepts plans.
 func (h *Host) Plans() *intake.Service {
 	h.init()
-	return &intake.Service{Store: failFastStore{h.monitored}, Find: h.follower.Find, Clock: h.Clock, Log: h.Log}
+	return &intake.Service{
+		Store: failFastStore{h.monitored}, Find: h.follower.Find, Limits: h.Limits, Guard: h.Guard, Clock: h.Clock, Log: h.Log,
+	}
 }
 
 // IsReady reports whether callers should be sent here: the configuration is
@@ -121,12 +142,15 @@
 func (h *Host) Run(ctx, serving context.Context) error {
 	h.init()
 	var g errgroup.Group
-	g.Go(func() error { h.follower.Run(serving); return nil })
-	g.Go(func() error { h.monitored.probe(serving); return nil })
-	g.Go(func() error { h.announce(ctx); return nil })
+	loop := func(ctx context.Context, work guard.Work, f func(context.Context)) {
+		g.Go(func() error { h.Guard.Loop(ctx, work, func() { f(ctx) }); return nil })
+	}
+	loop(serving, workConfig, h.follower.Run)
+	loop(serving, workProbe, h.monitored.probe)
+	loop(ctx, workAnnounce, h.announce)
 	managerCtx, stopManager := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopManager()
-	g.Go(func() error { return h.manager.Run(managerCtx) })
+	loop(managerCtx, workClaim, h.manager.Run)
 	g.Go(func() error {
 		defer stopManager()
 		<-ctx.Done()
@@ -179,14 +203,17 @@
 func (h *Host) runOwner(ctx context.Context, o *claim.Ownership) {
 	d := &plans.Driver{
 		Claim: o, Store: h.monitored, Registry: h.Registry, Dial: h.Dial, Advisers: &plans.AdviserPool{},
-		Queue: h.follower.Queue, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor,
+		Queue: h.follower.Queue, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor,
+		Guard: h.Guard, Limits: h.Limits, Open: h.Open,
 	}
 	d.Advisers.Set(h.ID, h.Adviser)
 	h.setDriver(d)
 	defer h.setDriver(nil)
 	var wg sync.WaitGroup
-	wg.Go(func() { h.followHosts(ctx, d.Advisers) })
-	d.Run(ctx)
+	wg.Go(func() { h.Guard.Loop(ctx, workHosts, func() { h.followHosts(ctx, d.Advisers) }) })
+	if h.Guard.Do(ctx, workOwner, func() { d.Run(ctx) }) != nil {
+		o.StepDown()
+	}
 	wg.Wait()
 }
 
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -30,7 +30,9 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
@@ -51,11 +53,19 @@
 	partBackoff = time.Second
 )
 
+// workSubmit names the acceptance of a plan in logs and metrics.
+const workSubmit guard.Work = "submit"
+
 // Service implements hoist.PlanService. Set the exported fields before use.
 type Service struct {
 	Store hoist.Store
 	// Find returns the queue for a submission to a host name and path.
-	Find  func(hostName, path string) (hoist.QueueEntry, error)
+	Find func(hostName, path string) (hoist.QueueEntry, error)
+	// Limits are what a plan must keep to be accepted. The zero value leaves
+	// limit.DefaultPlans.
+	Limits limit.Plans
+	// Guard recovers from panics; it may be nil.
+	Guard *guard.Guard
 	Clock hoist.Clock
 	Log   *slog.Logger
 
@@ -85,6 +95,10 @@
 // Submit implements hoist.PlanService.
 func (s *Service) Submit(ctx context.Context, p hoist.Plan) error {
 	began := s.Clock.Now()
+	if err := s.check(p); err != nil {
+		events.PlanRefused.Log(ctx, s.Log, "plan", p.ID, "queue", p.Queue.Name, "error", err)
+		return err
+	}
 	part, version, tries, err := s.record(ctx, p)
 	attrs := []any{"plan", p.ID, "queue", p.Queue.Name, "part", part, "tries", tries, "took", s.Clock.Now().Sub(began)}
 	switch {
@@ -95,7 +109,7 @@
 		// The plan exists: an earlier try was accepted.
 		events.PlanAccepted.Log(ctx, s.Log, append(attrs, "again", true)...)
 		return nil
-	case errors.Is(err, hoist.ErrUnavailable):
+	case errors.Is(err, hoist.ErrUnavailable), errors.Is(err, hoist.ErrInvalid):
 		events.PlanRefused.Log(ctx, s.Log, append(attrs, "error", err)...)
 	default:
 		events.PlanOutcomeUnknown.Log(ctx, s.Log, append(attrs, "error", err)...)
@@ -103,6 +117,21 @@
 	return err
 }
 
+// maxPlanBytes bounds the encoding of a plan. A row of the store holds 64 KiB.
+const maxPlanBytes = 60 << 10
+
+// check returns a *limit.Violation if a plan is not acceptable.
+func (s *Service) check(p hoist.Plan) error {
+	limits := s.Limits
+	if limits == (limit.Plans{}) {
+		limits = limit.DefaultPlans
+	}
+	if err := limits.Check(p); err != nil {
+		return err
+	}
+	return limit.CheckSize(len(codec.EncodePlan(p)), maxPlanBytes)
+}
+
 // record writes a plan to its home part, or to its spare parts if the home part
 // refuses it or takes long. A try that takes long is not cancelled, as the store may
 // only be slow. Once all parts have certainly refused the plan, record returns
@@ -116,7 +145,11 @@
 	send := func() {
 		part := parts[sent]
 		sent++
-		go func() { results <- s.try(ctx, part, acceptTransaction(part, p), storeTimeout) }()
+		go func() {
+			r := commitResult{part: part, err: hoist.ErrOutcomeUnknown}
+			_ = s.Guard.Do(ctx, workSubmit, func() { r = s.try(ctx, part, acceptTransaction(part, p), storeTimeout) })
+			results <- r
+		}()
 	}
 	send()
 	var unknown error
@@ -129,7 +162,7 @@
 			if r.isKnown() {
 				return r.part, r.version, sent, r.err
 			}
-			if !errors.Is(r.err, hoist.ErrUnavailable) {
+			if !r.hadNoEffect() {
 				unknown = r.err
 			}
 			if answered == len(parts) && unknown == nil {
@@ -193,6 +226,11 @@
 	return r.err == nil || errors.Is(r.err, hoist.ErrConflict)
 }
 
+// hadNoEffect reports whether the transaction certainly had no effect.
+func (r commitResult) hadNoEffect() bool {
+	return errors.Is(r.err, hoist.ErrUnavailable) || errors.Is(r.err, hoist.ErrInvalid)
+}
+
 // acceptTransaction returns the transaction that accepts a plan in a part.
 func acceptTransaction(part hoist.PartName, p hoist.Plan) hoist.Transaction {
 	state := hoist.PlanState{Queue: p.Queue.Name, Phase: hoist.PlanQueued}
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -129,7 +129,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newTestService(t)
-				is.NoErr(s.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue})) // the store is fast
+				is.NoErr(s.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue, Steps: plan.Steps})) // the store is fast
 				s.link.SetPartError(home, c.home)
 				began := time.Now()
 				is.NoErr(s.submit())
@@ -149,7 +149,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestService(t)
-			is.NoErr(s.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue})) // the store is fast
+			is.NoErr(s.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue, Steps: plan.Steps})) // the store is fast
 			const slow = 800 * time.Millisecond
 			s.link.SetDelay(slow)
 			began := time.Now()
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -23,6 +23,7 @@
 //	hosts  ""     <host>       the address of a host for the other hosts
 //	plans  <part> <id>         an accepted plan, until it has ended and nothing runs
 //	plans  <part> <id>/cancel  a request to cancel the plan
+//	plans  <part> <id>/quarantine  the plan is not handled, and why
 //	states <part> <id>         the state of the plan
 package keys
 
@@ -50,7 +51,10 @@
 	Renewal = hoist.RowRef{Table: Cell, Key: "beat"}
 )
 
-const cancelSuffix = "/cancel"
+const (
+	cancelSuffix     = "/cancel"
+	quarantineSuffix = "/quarantine"
+)
 
 // numParts is the number of parts. While the store is slow, each part accepts only a few
 // transactions a second, so many parts are needed.
@@ -115,6 +119,20 @@
 	return hoist.JobID(id), isCancel
 }
 
+// Quarantine returns the row that tells that a plan is quarantined.
+func Quarantine(part hoist.PartName, id hoist.JobID) hoist.RowRef {
+	ref := Plan(part, id)
+	ref.Key += quarantineSuffix
+	return ref
+}
+
+// QuarantineOf returns the plan to whose quarantine a row of the table of plans
+// belongs. It reports false if the row is another one.
+func QuarantineOf(key hoist.RowKey) (hoist.JobID, bool) {
+	id, ok := strings.CutSuffix(string(key), quarantineSuffix)
+	return hoist.JobID(id), ok
+}
+
 // State returns the row with the state of a plan.
 func State(part hoist.PartName, id hoist.JobID) hoist.RowRef {
 	return hoist.RowRef{Table: States, Part: part, Key: hoist.RowKey(id)}
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/guard"
 )
 
 // PlanMetrics holds the metrics of a host that schedules plans.
@@ -20,6 +21,8 @@
 	starts   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
+	panics   *prometheus.CounterVec
+	backlog  *prometheus.GaugeVec
 }
 
 // NewPlans returns the metrics of a host. dropped returns the number of dropped log
@@ -44,11 +47,17 @@
 			Name: "hoist_plan_wait_seconds", Help: "Time from the acceptance of a plan to its first start, by queue.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
 		}, []string{"queue"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_panics_total", Help: "Panics, by the kind of work that they ended.",
+		}, []string{"work"}),
+		backlog: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "hoist_backlog", Help: "What the owner of the cell holds: open tasks, delayed occurrences and quarantined plans.",
+		}, []string{"kind"}),
 	}
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.waits, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
 	return p
 }
 
@@ -73,6 +82,18 @@
 	p.waits.WithLabelValues(string(queue)).Observe(d.Seconds())
 }
 
+// SetBacklog implements hoist.PlanMetrics.
+func (p *PlanMetrics) SetBacklog(openTasks, delayedOccurrences, quarantined int) {
+	p.backlog.WithLabelValues("open-tasks").Set(float64(openTasks))
+	p.backlog.WithLabelValues("delayed-occurrences").Set(float64(delayedOccurrences))
+	p.backlog.WithLabelValues("quarantined-plans").Set(float64(quarantined))
+}
+
+// RecordPanic counts a panic that ended a piece of work.
+func (p *PlanMetrics) RecordPanic(work guard.Work) {
+	p.panics.WithLabelValues(string(work)).Inc()
+}
+
 // Handler returns the HTTP handler that serves the metrics.
 func (p *PlanMetrics) Handler() http.Handler {
 	return promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{})
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -4,7 +4,8 @@
 //
 // # Usage
 //
-//	d := &plans.Driver{Claim: ownership, Store: store, Registry: registry, Dial: dial, Advisers: pool, Queue: queue, Clock: clock, Log: logger}
+//	d := &plans.Driver{Claim: ownership, Store: store, Registry: registry, Dial: dial, Advisers: pool, Queue: queue,
+//		Limits: limits, Clock: clock, Log: logger, Guard: &guard.Guard{Log: logger}}
 //	d.Run(ctx)
 //
 // # Concurrency
@@ -14,6 +15,12 @@
 // each worker has one that polls it. A start, a stop or a request for advice has a
 // goroutine until it is answered. One mutex guards the scheduler; it is not held
 // during a call to another process.
+//
+// # Panics
+//
+// Each goroutine recovers from panics. One that leaves the scheduler untouched ends
+// that piece of work only. One while the scheduler changes ends the ownership, as the
+// state in memory can no longer be trusted; see update.
 package plans
 
 import (
@@ -26,7 +33,9 @@
 	"fuchsiahoist.example/hoist/internal/core/claim"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
@@ -60,8 +69,19 @@
 	Advisers *AdviserPool
 	// Queue returns the current parameters of a queue.
 	Queue func(hoist.QueueName) (hoist.Queue, bool)
-	Clock hoist.Clock
-	Log   *slog.Logger
+	// HasService reports whether the configuration has a service; nil means that it has
+	// each. Workers of other services are not used.
+	HasService func(hoist.ServiceName) bool
+	Clock      hoist.Clock
+	Log        *slog.Logger
+	// Guard recovers from panics; it may be nil.
+	Guard *guard.Guard
+	// Limits are what a plan must keep to be handled. The zero value leaves
+	// limit.DefaultPlans.
+	Limits limit.Plans
+	// Open bounds the tasks that the owner holds. The zero value leaves the default of
+	// the scheduler.
+	Open sched.OpenLimits
 	// Metrics counts starts, ends and waiting times for the metrics; it may be nil.
 	Metrics hoist.PlanMetrics
 	// StateRetention is how long the state of a plan is kept after the plan has ended.
@@ -72,7 +92,15 @@
 
 	mu        sync.Mutex
 	scheduler *sched.Scheduler
-	links     map[hoist.WorkerID]*link
+	// isBroken is set after a panic while the scheduler changed.
+	isBroken bool
+	// quarantined holds the parts of the plans that are not handled, and failures how
+	// often handling a plan has panicked.
+	quarantined map[hoist.JobID]hoist.PartName
+	failures    map[hoist.JobID]int
+	// isDelaying is set while occurrences that are due wait.
+	isDelaying bool
+	links      map[hoist.WorkerID]*link
 	// recordDue has a flag for each part, which is set when states of its plans may
 	// have to be recorded.
 	recordDue map[hoist.PartName]chan struct{}
@@ -101,11 +129,11 @@
 	d.prepare()
 	var wg sync.WaitGroup
 	for part, due := range d.recordDue {
-		wg.Go(func() { d.recordLoop(ctx, part, due) })
+		wg.Go(func() { d.Guard.Loop(ctx, workRecord, func() { d.recordLoop(ctx, part, due) }) })
 	}
-	wg.Go(func() { d.registryLoop(ctx) })
-	wg.Go(func() { d.plansLoop(ctx) })
-	wg.Go(func() { d.passLoop(ctx) })
+	wg.Go(func() { d.Guard.Loop(ctx, workRegistry, func() { d.registryLoop(ctx) }) })
+	wg.Go(func() { d.Guard.Loop(ctx, workPlans, func() { d.plansLoop(ctx) }) })
+	wg.Go(func() { d.Guard.Loop(ctx, workPass, func() { d.passLoop(ctx) }) })
 	wg.Wait()
 	d.calls.Wait()
 }
@@ -118,6 +146,14 @@
 	if d.RemoteFactor > 0 {
 		d.scheduler.RemoteFactor = d.RemoteFactor
 	}
+	if d.Open != (sched.OpenLimits{}) {
+		d.scheduler.Open = d.Open
+	}
+	if d.Limits == (limit.Plans{}) {
+		d.Limits = limit.DefaultPlans
+	}
+	d.quarantined = make(map[hoist.JobID]hoist.PartName)
+	d.failures = make(map[hoist.JobID]int)
 	d.links = make(map[hoist.WorkerID]*link)
 	d.endedIn = make(map[hoist.JobID]hoist.PartName)
 	d.recordDue = make(map[hoist.PartName]chan struct{})
@@ -149,34 +185,58 @@
 func (d *Driver) passLoop(ctx context.Context) {
 	for clock.SleepOr(ctx, maxPassInterval, d.passDue) {
 		began := d.Clock.Now()
-		d.mu.Lock()
-		now := d.Clock.Now()
-		d.scheduler.Tick(now)
-		var due sched.Decisions
-		if d.isReady {
-			due = d.scheduler.Pass(now, d.Advisers.Reserve)
-		}
-		d.mu.Unlock()
+		due := d.pass(ctx)
 		for _, due := range d.recordDue {
 			clock.Signal(due)
 		}
 		for _, request := range due.AdviceRequests {
-			d.calls.Go(func() { d.request(ctx, request) })
+			d.goCall(ctx, workAdvice, func() { d.request(ctx, request) })
 		}
 		for _, stop := range due.Stops {
-			d.calls.Go(func() { d.stop(ctx, stop) })
+			d.goCall(ctx, workStop, func() { d.stop(ctx, stop) })
 		}
 		d.removeExpired(ctx)
 		clock.Sleep(ctx, max(minPassInterval, passPauseFactor*d.Clock.Now().Sub(began)))
 	}
 }
 
+// pass runs one scheduling pass and returns what it found to be due.
+func (d *Driver) pass(ctx context.Context) sched.Decisions {
+	var due sched.Decisions
+	d.update(ctx, workPass, func() {
+		now := d.Clock.Now()
+		d.scheduler.Tick(now)
+		if d.isReady {
+			due = d.scheduler.Pass(now, d.Advisers.Reserve)
+		}
+		d.reportBacklog(ctx)
+	})
+	return due
+}
+
+// reportBacklog updates the metrics of what the owner holds, and logs when occurrences
+// begin to wait and when none waits any more. d.mu must be held.
+func (d *Driver) reportBacklog(ctx context.Context) {
+	b := d.scheduler.Backlog()
+	if d.Metrics != nil {
+		d.Metrics.SetBacklog(b.OpenTasks, b.DelayedOccurrences, len(d.quarantined))
+	}
+	isDelaying := b.DelayedOccurrences > 0
+	if isDelaying == d.isDelaying {
+		return
+	}
+	d.isDelaying = isDelaying
+	event := events.OccurrencesResumed
+	if isDelaying {
+		event = events.OccurrencesDelayed
+	}
+	event.Log(ctx, d.Log, "delayed", b.DelayedOccurrences, "open-tasks", b.OpenTasks)
+}
+
 // request sends a request for advice and passes the answer to the scheduler.
 func (d *Driver) request(ctx context.Context, request sched.AdviceRequest) {
 	advice, took, err := d.Advisers.Advise(ctx, request)
-	d.mu.Lock()
-	d.scheduler.RecordAdvice(request, advice, err, d.Clock.Now())
-	d.mu.Unlock()
+	d.update(ctx, workAdvice, func() { d.scheduler.RecordAdvice(request, advice, err, d.Clock.Now()) })
 	d.requestPass()
 	if err != nil {
 		events.AdviceFailed.Log(ctx, d.Log, "plan", request.Step.Job, "step", request.Step.Step, "workers", len(request.Workers), "host", request.Host, "error", err)
@@ -190,21 +250,7 @@
 func (d *Driver) removeExpired(ctx context.Context) {
 	const maxRemoved = 20
 	now := d.Clock.Now()
-	d.mu.Lock()
-	n := 0
-	for n < len(d.ended) && n < maxRemoved && now.Sub(d.ended[n].at) > d.StateRetention {
-		n++
-	}
-	var old []endedPlan
-	// One transaction a second is enough, and costs little.
-	if n == maxRemoved || (n > 0 && now.Sub(d.ended[0].at) > d.StateRetention+time.Second) {
-		old = d.ended[:n]
-		d.ended = d.ended[n:]
-		for _, e := range old {
-			delete(d.endedIn, e.id)
-		}
-	}
-	d.mu.Unlock()
+	old := d.takeExpired(now, maxRemoved)
 	if len(old) == 0 {
 		return
 	}
@@ -213,8 +259,29 @@
 		byPart[e.part] = append(byPart[e.part], keys.State(e.part, e.id), keys.Cancel(e.part, e.id))
 	}
 	for part, refs := range byPart {
-		d.calls.Go(func() { d.removeRows(ctx, part, refs) })
+		d.goCall(ctx, workRemove, func() { d.removeRows(ctx, part, refs) })
+	}
+}
+
+// takeExpired removes up to maxRemoved plans from the list of ended plans and returns
+// them.
+func (d *Driver) takeExpired(now time.Time, maxRemoved int) []endedPlan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for n < len(d.ended) && n < maxRemoved && now.Sub(d.ended[n].at) > d.StateRetention {
+		n++
+	}
+	// One transaction a second is enough, and costs little.
+	if n < maxRemoved && (n == 0 || now.Sub(d.ended[0].at) <= d.StateRetention+time.Second) {
+		return nil
+	}
+	old := d.ended[:n]
+	d.ended = d.ended[n:]
+	for _, e := range old {
+		delete(d.endedIn, e.id)
 	}
+	return old
 }
 
 // removeRows removes rows that are no longer needed. Rows that remain because the
--- a/internal/core/plans/plans.go
+++ b/internal/core/plans/plans.go
@@ -7,12 +7,15 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/core/quar"
+	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
@@ -109,16 +112,21 @@
 	d.restoreEnded(plans, states)
 	sortStartedFirst(plans, states)
 	d.applyPlans(ctx, plans, states)
+	jobs := d.setReady()
+	d.requestPass()
+	events.PlansRecovered.Log(ctx, d.Log, "term", d.Claim.Term, "plans", jobs, "states", len(states), "version", oldest, "took", d.Clock.Now().Sub(began))
+	return oldest, nil
+}
+
+// setReady records that the plans have been recovered, and returns their number.
+func (d *Driver) setReady() int {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if !d.isReady {
 		d.isReady = true
 		close(d.restored)
 	}
-	jobs := d.scheduler.NumJobs()
-	d.mu.Unlock()
-	d.requestPass()
-	events.PlansRecovered.Log(ctx, d.Log, "term", d.Claim.Term, "plans", jobs, "states", len(states), "version", oldest, "took", d.Clock.Now().Sub(began))
-	return oldest, nil
+	return d.scheduler.NumJobs()
 }
 
 // sortStartedFirst sorts plans that have started before the others. Of a plan that was
@@ -158,62 +166,127 @@
 
 // applyPlans passes rows of the table of plans to the scheduler. Plans without a state
 // among states have just been accepted, in the same transaction as their state.
+// Quarantines are applied before the plans that they concern, and cancellations after
+// them.
 func (d *Driver) applyPlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	var cancelled []hoist.JobID
+	var plans []hoist.StoredRow
+	var cancelled []quar.Ref
 	for _, row := range changed {
+		if e, ok := quar.Decode(row); ok {
+			d.update(ctx, workPlans, func() { d.applyQuarantine(ctx, e, row.IsRemoved) })
+			continue
+		}
 		if row.IsRemoved {
 			continue
 		}
 		if id, isCancel := keys.CancelOf(row.Key); isCancel {
-			cancelled = append(cancelled, id)
+			cancelled = append(cancelled, quar.Ref{Part: row.Part, Job: id})
 			continue
 		}
-		d.applyPlan(ctx, row, states, now)
+		plans = append(plans, row)
 	}
-	for _, id := range cancelled {
-		if d.scheduler.Cancel(id, now) {
-			events.PlanEnded.Log(ctx, d.Log, "plan", id, "phase", hoist.PlanCancelled, "term", d.Claim.Term)
-		}
+	for _, row := range plans {
+		d.applyPlan(ctx, row, states)
+	}
+	for _, ref := range cancelled {
+		d.update(ctx, workPlans, func() { d.applyCancel(ctx, ref) })
 	}
 }
 
-// applyPlan passes a plan to the scheduler, or removes it if the plan is known from
-// another part. d.mu must be held.
-func (d *Driver) applyPlan(ctx context.Context, row hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow, now time.Time) {
+// applyCancel cancels a plan. d.mu must be held.
+func (d *Driver) applyCancel(ctx context.Context, ref quar.Ref) {
+	if _, ok := d.quarantined[ref.Job]; ok {
+		d.goCall(ctx, workPlans, func() { d.dropQuarantined(ctx, ref) })
+		return
+	}
+	if d.scheduler.Cancel(ref.Job, d.Clock.Now()) {
+		events.PlanEnded.Log(ctx, d.Log, "plan", ref.Job, "phase", hoist.PlanCancelled, "term", d.Claim.Term)
+	}
+}
+
+// storedPlan is a plan that was read from the store, with its state if it has begun.
+type storedPlan struct {
+	plan    hoist.Plan
+	state   *hoist.PlanState
+	version hoist.RowVersion
+}
+
+// applyPlan passes a plan to the scheduler, removes it if the plan is known from
+// another part, or quarantines it if it cannot be handled.
+func (d *Driver) applyPlan(ctx context.Context, row hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
 	id := hoist.JobID(row.Key)
+	isNew := false
+	d.update(ctx, workPlans, func() { isNew = d.isNewPlan(ctx, row) })
+	if !isNew {
+		return
+	}
+	var stored storedPlan
+	var err error
+	if panicked := d.Guard.Do(ctx, workPlans, func() { stored, err = d.decodePlan(row, states) }); panicked != nil {
+		err = panicked
+	}
+	entry := quar.Entry{Ref: quar.Ref{Part: row.Part, Job: id}, Queue: stored.plan.Queue.Name, IsHeld: true, At: d.Clock.Now()}
+	if err != nil {
+		entry.Reason = err.Error()
+		d.update(ctx, workPlans, func() { d.hold(ctx, entry) })
+		return
+	}
+	d.update(ctx, workPlans, func() {
+		if stored.state == nil {
+			d.scheduler.Add(stored.plan, stored.version, d.Clock.Now())
+			return
+		}
+		d.scheduler.Restore(stored.plan, *stored.state, stored.version, d.Clock.Now())
+	})
+}
+
+// isNewPlan reports whether the scheduler does not know a plan that is not
+// quarantined. If the plan is known from another part, the row is removed. d.mu must
+// be held.
+func (d *Driver) isNewPlan(ctx context.Context, row hoist.StoredRow) bool {
+	id := hoist.JobID(row.Key)
+	if _, ok := d.quarantined[id]; ok {
+		return false
+	}
 	known, isKnown := d.endedIn[id]
 	if job, ok := d.scheduler.Job(id); ok {
 		known, isKnown = job.Plan.Part, true
 	}
-	if isKnown {
-		if known != row.Part {
-			d.calls.Go(func() { d.removeDuplicate(ctx, row) })
-		}
-		return
+	if isKnown && known != row.Part {
+		d.goCall(ctx, workRemove, func() { d.removeDuplicate(ctx, row) })
 	}
+	return !isKnown
+}
+
+// decodePlan decodes and checks the rows of a plan. Rows can have been written by an
+// earlier version with other limits.
+func (d *Driver) decodePlan(row hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) (storedPlan, error) {
+	id := hoist.JobID(row.Key)
 	plan, err := codec.DecodePlan(id, row.Value)
 	if err != nil {
-		events.PlanUnreadable.Log(ctx, d.Log, "plan", id, "version", row.Version, "error", err)
-		return
+		return storedPlan{}, merry.Prepend(err, "decoding the plan")
 	}
 	if q, ok := d.Queue(plan.Queue.Name); ok {
 		plan.Queue = q
 	}
 	plan.Part = row.Part
+	stored := storedPlan{plan: plan, version: row.Version}
+	if err := d.Limits.Check(plan); err != nil {
+		return stored, err
+	}
 	state, ok := states[keys.State(row.Part, id)]
 	if !ok {
-		d.scheduler.Add(plan, row.Version, now)
-		return
+		return stored, nil
 	}
-	restored, err := codec.DecodePlanState(state.Value)
+	decoded, err := codec.DecodePlanState(state.Value)
 	if err != nil {
-		events.PlanUnreadable.Log(ctx, d.Log, "plan", id, "version", state.Version, "error", err)
-		return
+		return stored, merry.Prepend(err, "decoding the state of the plan")
 	}
-	d.scheduler.Restore(plan, restored, state.Version, now)
+	if err := limit.CheckState(plan, decoded); err != nil {
+		return stored, merry.Prepend(err, "state of the plan")
+	}
+	stored.state, stored.version = &decoded, state.Version
+	return stored, nil
 }
 
 // removeDuplicate removes a plan that is known from another part. The plan has not
@@ -270,10 +343,10 @@
 	rec := recorder{part: part, timeout: minRecordTimeout, lastAll: d.Clock.Now()}
 	for clock.SleepOr(ctx, time.Second, due) {
 		for ctx.Err() == nil {
-			isAll := rec.includesAll(d.Clock.Now())
-			d.mu.Lock()
-			list := d.scheduler.Unrecorded(part, isAll, maxStatesPerCommit)
-			d.mu.Unlock()
+			now := d.Clock.Now()
+			isAll := rec.includesAll(now)
+			var list []sched.UnrecordedState
+			d.update(ctx, workRecord, func() { list = d.scheduler.Unrecorded(part, isAll, rec.batch(), now) })
 			if len(list) == 0 {
 				break
 			}
@@ -295,6 +368,18 @@
 	lastAll time.Time
 	// failures counts the consecutive failed transactions.
 	failures int
+	// singles is how many states are still to be recorded one by one, after the store
+	// has refused several of them together.
+	singles int
+}
+
+// batch returns how many states to write in one transaction.
+func (rec *recorder) batch() int {
+	if rec.singles > 0 {
+		rec.singles--
+		return 1
+	}
+	return maxStatesPerCommit
 }
 
 // includesAll reports whether changes that nothing waits for are to be recorded now.
@@ -328,6 +413,10 @@
 		events.PlanStateWriteFailed.Log(ctx, d.Log, "part", rec.part, "plans", len(list), "failures", rec.failures, "timeout", rec.timeout, "error", err)
 	}
 	rec.failures++
+	if errors.Is(err, hoist.ErrInvalid) {
+		d.isolate(ctx, rec, list)
+		return
+	}
 	if !errors.Is(err, hoist.ErrConflict) || !d.refreshVersions(ctx, rec.part, list) {
 		clock.Sleep(ctx, retryDelay)
 	}
@@ -336,6 +425,20 @@
 	}
 }
 
+// refusedStateDelay is the delay before a state that the store refuses is written
+// again. It changes as tasks end, and may then fit into a row.
+const refusedStateDelay = 2 * time.Second
+
+// isolate finds the state that makes the store refuse a transaction, so that the
+// other states of the part are recorded.
+func (d *Driver) isolate(ctx context.Context, rec *recorder, list []sched.UnrecordedState) {
+	if len(list) > 1 {
+		rec.singles = len(list)
+		return
+	}
+	d.update(ctx, workRecord, func() { d.scheduler.DeferRecording(list[0].Job, d.Clock.Now().Add(refusedStateDelay)) })
+}
+
 // transaction returns the transaction that writes states of one part.
 func (d *Driver) transaction(part hoist.PartName, list []sched.UnrecordedState) hoist.Transaction {
 	txn := hoist.Transaction{Preconditions: []hoist.Precondition{{RowRef: keys.Fence(part), Version: d.Claim.Version}}}
@@ -352,25 +455,23 @@
 
 // recorded marks states as recorded and sends the starts that waited for them.
 func (d *Driver) recorded(ctx context.Context, list []sched.UnrecordedState, version hoist.RowVersion) {
-	d.mu.Lock()
-	now := d.Clock.Now()
-	var starts []sched.Start
-	for _, u := range list {
-		starts = append(starts, d.scheduler.MarkRecorded(u.Job, u.Change, version, now)...)
-		if u.State.Phase.IsFinal() && d.scheduler.IsEndRecorded(u.Job) {
-			d.scheduler.Remove(u.Job)
-			d.ended = append(d.ended, endedPlan{u.Part, u.Job, now})
-			d.endedIn[u.Job] = u.Part
-			events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
+	var startCalls []startCall
+	d.update(ctx, workRecord, func() {
+		now := d.Clock.Now()
+		for _, u := range list {
+			for _, s := range d.scheduler.MarkRecorded(u.Job, u.Change, version, now) {
+				startCalls = append(startCalls, d.newStartCall(s, now))
+			}
+			if u.State.Phase.IsFinal() && d.scheduler.IsEndRecorded(u.Job) {
+				d.scheduler.Remove(u.Job)
+				d.ended = append(d.ended, endedPlan{u.Part, u.Job, now})
+				d.endedIn[u.Job] = u.Part
+				events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
+			}
 		}
-	}
-	startCalls := make([]startCall, 0, len(starts))
-	for _, s := range starts {
-		startCalls = append(startCalls, d.newStartCall(s, now))
-	}
-	d.mu.Unlock()
+	})
 	for _, call := range startCalls {
-		d.calls.Go(func() { d.start(ctx, call) })
+		d.goCall(ctx, workStart, func() { d.start(ctx, call) })
 	}
 	for _, l := range d.allLinks() {
 		clock.Signal(l.recorded)
@@ -397,9 +498,7 @@
 		if err != nil {
 			return false
 		}
-		d.mu.Lock()
-		d.scheduler.SetVersion(u.Job, row.Version)
-		d.mu.Unlock()
+		d.update(ctx, workRecord, func() { d.scheduler.SetVersion(u.Job, row.Version) })
 	}
 	return true
 }
--- /dev/null
+++ b/internal/core/plans/update.go
@@ -0,0 +1,91 @@
+package plans
+
+import (
+	"context"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/core/guard"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/core/quar"
+)
+
+// The kinds of work of an owner, in logs and metrics.
+const (
+	workPass     guard.Work = "pass"
+	workRecord   guard.Work = "record"
+	workRegistry guard.Work = "registry"
+	workPlans    guard.Work = "plans"
+	workPoll     guard.Work = "poll"
+	workStart    guard.Work = "start"
+	workStop     guard.Work = "stop"
+	workAdvice   guard.Work = "advice"
+	workRemove   guard.Work = "remove"
+)
+
+// update runs f while no one else uses the scheduler or the fields that d.mu guards. It
+// reports whether f ran to its end. A panic in f may leave the scheduler half changed:
+// from then on nothing uses it, the plan that was being handled gets a failure in its
+// quarantine, and the ownership ends. The next owner begins with the recorded states.
+func (d *Driver) update(ctx context.Context, work guard.Work, f func()) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isBroken {
+		return false
+	}
+	d.scheduler.Handling = ""
+	err := d.Guard.Do(ctx, work, f)
+	if err == nil {
+		return true
+	}
+	d.isBroken = true
+	suspect := d.suspect(err)
+	d.calls.Go(func() { d.giveUp(ctx, suspect) })
+	return false
+}
+
+// suspect returns the new quarantine entry of the plan that was being handled, or
+// the zero value if there is none. d.mu must be held.
+func (d *Driver) suspect(err error) quar.Entry {
+	id := d.scheduler.Handling
+	job, ok := d.scheduler.Job(id)
+	if !ok {
+		return quar.Entry{}
+	}
+	failures := d.failures[id] + 1
+	return quar.Entry{
+		Ref: quar.Ref{Part: job.Plan.Part, Job: id}, Queue: job.Plan.Queue.Name, Reason: err.Error(),
+		Failures: failures, IsHeld: failures >= quar.MaxFailures, At: d.Clock.Now(),
+	}
+}
+
+// giveUp records the failure of a plan, if one is suspected, and ends the ownership.
+func (d *Driver) giveUp(ctx context.Context, suspect quar.Entry) {
+	defer d.Claim.StepDown()
+	if suspect.Ref.Job == "" {
+		return
+	}
+	if err := d.writeQuarantine(ctx, suspect); err != nil {
+		events.QuarantineFailed.Log(ctx, d.Log, "plan", suspect.Ref.Job, "error", err)
+		return
+	}
+	events.PlanQuarantined.Log(ctx, d.Log, "plan", suspect.Ref.Job, "failures", suspect.Failures, "held", suspect.IsHeld, "reason", suspect.Reason)
+}
+
+func (d *Driver) writeQuarantine(ctx context.Context, e quar.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := d.Store.Commit(ctx, hoist.Transaction{
+		Preconditions: []hoist.Precondition{{RowRef: keys.Fence(e.Ref.Part), Version: d.Claim.Version}},
+		Writes:        []hoist.Write{e.Write()},
+	})
+	return err
+}
+
+// goCall runs a call to another process in a goroutine that Run waits for.
+func (d *Driver) goCall(ctx context.Context, work guard.Work, f func()) {
+	d.calls.Go(func() {
+		// A panic is logged; the calls that follow are not affected.
+		_ = d.Guard.Do(ctx, work, f)
+	})
+}
--- a/internal/core/plans/workers.go
+++ b/internal/core/plans/workers.go
@@ -92,10 +92,17 @@
 func (d *Driver) setWorkers(ctx context.Context, entries map[hoist.WorkerID]hoist.WorkerEntry) {
 	list := make([]hoist.WorkerEntry, 0, len(entries))
 	for _, e := range entries {
-		list = append(list, e)
+		if d.HasService == nil || d.HasService(e.Service) {
+			list = append(list, e)
+		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	d.update(ctx, workRegistry, func() { d.applyWorkers(ctx, list) })
+	d.requestPass()
+}
+
+// applyWorkers passes a list of workers to the scheduler and adjusts the goroutines
+// that poll them. d.mu must be held.
+func (d *Driver) applyWorkers(ctx context.Context, list []hoist.WorkerEntry) {
 	d.scheduler.SetWorkers(list, d.Clock.Now())
 	wanted := make(map[hoist.WorkerID]bool)
 	for _, id := range d.scheduler.WorkerIDs() {
@@ -111,7 +118,7 @@
 		linkCtx, cancel := context.WithCancel(ctx)
 		l = &link{runner: d.Dial(entry), addr: entry.Addr, cancel: cancel, recorded: make(chan struct{}, 1)}
 		d.links[id] = l
-		d.calls.Go(func() { d.pollLoop(linkCtx, id, l) })
+		d.calls.Go(func() { d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, id, l) }) })
 	}
 	for id, l := range d.links {
 		if !wanted[id] {
@@ -119,7 +126,6 @@
 			delete(d.links, id)
 		}
 	}
-	d.requestPass()
 }
 
 func (d *Driver) allLinks() []*link {
@@ -137,7 +143,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		d.awaitRecorded(ctx, id, l)
-		req := d.newPollRequest(id, l)
+		req := d.newPollRequest(ctx, id, l)
 		if d.poll(ctx, id, l, req) {
 			failures = 0
 			clock.Sleep(ctx, minPollInterval)
@@ -153,9 +159,8 @@
 func (d *Driver) awaitRecorded(ctx context.Context, id hoist.WorkerID, l *link) {
 	deadline := d.Clock.Now().Add(ackWait)
 	for ctx.Err() == nil {
-		d.mu.Lock()
-		isOpen := d.scheduler.HasUnrecordedEnds(id)
-		d.mu.Unlock()
+		isOpen := false
+		d.update(ctx, workPoll, func() { isOpen = d.scheduler.HasUnrecordedEnds(id) })
 		left := deadline.Sub(d.Clock.Now())
 		if !isOpen || left <= 0 {
 			return
@@ -168,22 +173,22 @@
 // allows. The first poll only reads the clock, and so does a poll after one without
 // an answer or after the connection was closed: the lease of an unresponsive worker
 // must expire, and if the worker has restarted, its ends have new numbers.
-func (d *Driver) newPollRequest(id hoist.WorkerID, l *link) hoist.PollRequest {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (d *Driver) newPollRequest(ctx context.Context, id hoist.WorkerID, l *link) hoist.PollRequest {
 	req := hoist.PollRequest{Term: d.Claim.Term, EnablesAcks: true}
-	if l.clockReadAt.IsZero() || l.isUnresponsive || l.isConnClosed {
-		return req
-	}
-	req.Acked = d.scheduler.AckableEnd(id)
-	req.Lease = d.lease(id, l, d.Clock.Now())
-	if !d.scheduler.HasUnrecordedEnds(id) {
-		// If ends are listed, the worker answers at once instead of waiting.
-		req.Wait = pollWait
-		if d.losses.isLossy(d.Clock.Now()) {
-			req.Wait = shortPollWait
+	d.update(ctx, workPoll, func() {
+		if l.clockReadAt.IsZero() || l.isUnresponsive || l.isConnClosed {
+			return
 		}
-	}
+		req.Acked = d.scheduler.AckableEnd(id)
+		req.Lease = d.lease(id, l, d.Clock.Now())
+		if !d.scheduler.HasUnrecordedEnds(id) {
+			// If ends are listed, the worker answers at once instead of waiting.
+			req.Wait = pollWait
+			if d.losses.isLossy(d.Clock.Now()) {
+				req.Wait = shortPollWait
+			}
+		}
+	})
 	return req
 }
 
@@ -239,7 +244,15 @@
 		return false
 	case <-d.restored:
 	}
-	d.mu.Lock()
+	isDone := d.update(ctx, workPoll, func() { d.applyReport(ctx, id, l, req, report, sentAt, now) })
+	d.requestPass()
+	return isDone
+}
+
+// applyReport passes the report of a worker to the scheduler. d.mu must be held.
+func (d *Driver) applyReport(
+	ctx context.Context, id hoist.WorkerID, l *link, req hoist.PollRequest, report hoist.RunnerReport, sentAt, now time.Time,
+) {
 	if l.isUnresponsive {
 		events.WorkerResponsive.Log(ctx, d.Log, "worker", id, "life", report.Incarnation)
 	}
@@ -258,9 +271,6 @@
 		}
 	}
 	d.scheduler.RecordReport(id, report, sentAt, now)
-	d.mu.Unlock()
-	d.requestPass()
-	return true
 }
 
 // recordPollFailure handles a poll without an answer.
@@ -272,14 +282,15 @@
 	if !errors.Is(err, hoist.ErrNotListening) {
 		d.losses.record(id, d.Clock.Now())
 	}
-	d.mu.Lock()
-	wasUnresponsive := l.isUnresponsive
-	l.isUnresponsive = true
-	if errors.Is(err, hoist.ErrNotListening) && d.scheduler.RecordExit(id, d.Clock.Now()) {
-		events.WorkerLeft.Log(ctx, d.Log, "worker", id)
-		d.requestPass()
-	}
-	d.mu.Unlock()
+	wasUnresponsive := false
+	d.update(ctx, workPoll, func() {
+		wasUnresponsive = l.isUnresponsive
+		l.isUnresponsive = true
+		if errors.Is(err, hoist.ErrNotListening) && d.scheduler.RecordExit(id, d.Clock.Now()) {
+			events.WorkerLeft.Log(ctx, d.Log, "worker", id)
+			d.requestPass()
+		}
+	})
 	if !wasUnresponsive {
 		events.WorkerUnresponsive.Log(ctx, d.Log, "worker", id, "error", err)
 	}
@@ -327,17 +338,20 @@
 		d.losses.record(call.start.Worker, d.Clock.Now())
 		d.pollNow(ctx, call.start.Worker, call.link)
 	}
+	d.update(ctx, workStart, func() { d.recordStart(call.start, err) })
+	if err != nil {
+		d.requestPass()
+	}
+}
+
+// recordStart passes the outcome of a start to the scheduler. d.mu must be held.
+func (d *Driver) recordStart(s sched.Start, err error) {
 	now := d.Clock.Now()
-	d.mu.Lock()
-	queue := d.scheduler.RecordStart(call.start.Worker, run, err, now)
-	job, ok := d.scheduler.Job(run.Task.Job)
-	d.mu.Unlock()
+	queue := d.scheduler.RecordStart(s.Worker, s.Run, err, now)
+	job, ok := d.scheduler.Job(s.Run.Task.Job)
 	if queue != "" && ok && d.Metrics != nil {
 		d.Metrics.ObserveWait(queue, now.Sub(job.Plan.Accepted))
 	}
-	if err != nil {
-		d.requestPass()
-	}
 }
 
 func outcomeOf(err error) string {
@@ -386,9 +400,7 @@
 		return
 	}
 	attrs := []any{"plan", s.Run.Task.Job, "task", taskName(s.Run.Task), "attempt", s.Run.Attempt, "worker", s.Worker}
-	d.mu.Lock()
-	d.scheduler.RecordStop(s.Worker, s.Run, err, d.Clock.Now())
-	d.mu.Unlock()
+	d.update(ctx, workStop, func() { d.scheduler.RecordStop(s.Worker, s.Run, err, d.Clock.Now()) })
 	if err != nil {
 		events.RunStopFailed.Log(ctx, d.Log, append(attrs, "error", err)...)
 		return
@@ -400,7 +412,7 @@
 // pollNow polls a worker without waiting for an end, and acknowledges none. A poll
 // that is in flight may have been sent before the start or stop.
 func (d *Driver) pollNow(ctx context.Context, id hoist.WorkerID, l *link) {
-	req := d.newPollRequest(id, l)
+	req := d.newPollRequest(ctx, id, l)
 	req.Wait, req.Acked, req.EnablesAcks = 0, 0, false
 	d.poll(ctx, id, l, req)
 }
--- a/internal/core/queues/queues.go
+++ b/internal/core/queues/queues.go
@@ -131,6 +131,14 @@
 	return hoist.QueueEntry{}, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("queue for host %q and path %q", hostName, path))
 }
 
+// HasService reports whether the configuration names a service, or whether it names
+// none at all.
+func (f *Follower) HasService(name hoist.ServiceName) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return len(f.config.Services) == 0 || slices.Contains(f.config.Services, name)
+}
+
 // Queue returns the current parameters of a queue, and whether the queue exists.
 func (f *Follower) Queue(name hoist.QueueName) (hoist.Queue, bool) {
 	f.mu.RLock()
--- a/internal/decide/sched/cell_test.go
+++ b/internal/decide/sched/cell_test.go
@@ -93,7 +93,7 @@
 
 func (c *cell) record() []sched.Start {
 	var out []sched.Start
-	for _, u := range c.scheduler.Unrecorded("", true, 1000) {
+	for _, u := range c.scheduler.Unrecorded("", true, 1000, c.now) {
 		out = append(out, c.scheduler.MarkRecorded(u.Job, u.Change, u.Version+1, c.now)...)
 	}
 	return out
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -129,7 +129,7 @@
 		return
 	}
 	fx.renewed = fx.now
-	list := fx.scheduler.Unrecorded("", true, 1000)
+	list := fx.scheduler.Unrecorded("", true, 1000, fx.now)
 	slices.SortFunc(list, func(a, b sched.UnrecordedState) int { return len(a.Job) - len(b.Job) })
 	for _, u := range list {
 		s := fx.store[u.Job]
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -31,6 +31,7 @@
 		return ""
 	}
 	j, w := t.StepTasks.Job, t.Worker
+	sc.Handling = j.Plan.ID
 	isConfirmed := t.Phase == Running && errors.Is(err, hoist.ErrOutcomeUnknown)
 	switch {
 	case err == nil || isConfirmed:
@@ -191,6 +192,7 @@
 // recordEnd records an end that a worker lists.
 func (sc *Scheduler) recordEnd(w *Worker, e hoist.RunEnd, now time.Time) {
 	w.ends.lastProcessed = e.No
+	sc.Handling = e.Run.Task.Job
 	t, ok := sc.task(e.Run.Task)
 	if !ok {
 		return
@@ -261,9 +263,7 @@
 		}
 		sc.releaseAll(w, now)
 	}
-	for _, j := range sc.jobs {
-		sc.beginOccurrences(j, now)
-	}
+	sc.beginDue(now)
 }
 
 // IsNewEnd reports whether an end that a worker lists has not been recorded by
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -55,6 +55,7 @@
 	sc.findUsableWorkers(now)
 	reserve = sc.limitReserve(reserve)
 	for _, j := range sc.due(now) {
+		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
 			sc.placeTasks(s, now)
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
@@ -195,8 +196,11 @@
 		sc.placeGang(s, workers, now)
 		return
 	}
-	next := 0
+	next, left := 0, s.Job.maxPlacements()
 	for _, t := range s.Tasks {
+		if left == 0 {
+			return
+		}
 		if t.Phase != Waiting || now.Before(t.notBefore) {
 			continue
 		}
@@ -217,6 +221,7 @@
 			}
 		}
 		sc.assign(t, w, sc.newAttempt(s.Job), now)
+		left--
 	}
 }
 
@@ -290,7 +295,7 @@
 // prefers a single rack is spread over racks only if it fits into no single
 // one.
 func (sc *Scheduler) placeGang(s *StepTasks, workers []*Worker, now time.Time) {
-	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) {
+	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > s.Job.maxPlacements() {
 		return
 	}
 	attempt := sc.newAttempt(s.Job)
@@ -439,6 +444,7 @@
 	if !ok {
 		return nil
 	}
+	sc.Handling = id
 	j.Version = version
 	j.recordedChange = max(j.recordedChange, change)
 	if j.recordedChange == j.change {
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -55,7 +55,7 @@
 	c := newCell(t, "w1")
 	c.submit("p", queue, step(1))
 	c.scheduler.Pass(c.now, nil)
-	list := c.scheduler.Unrecorded("", true, 1000)
+	list := c.scheduler.Unrecorded("", true, 1000, c.now)
 	c.is.Equal(len(list), 1)
 	c.is.Equal(len(list[0].State.Steps[0].Placed), 1) // the attempt is in the state to record
 	c.wantStarts(c.scheduler.MarkRecorded("p", list[0].Change-1, 2, c.now), 0)
@@ -325,7 +325,7 @@
 	starts := c.run()
 	c.reportEnd(1, starts[0], hoist.EndDone, starts[1], starts[2])
 	var state hoist.PlanState
-	for _, u := range c.scheduler.Unrecorded("", true, 1000) {
+	for _, u := range c.scheduler.Unrecorded("", true, 1000, c.now) {
 		state = u.State
 	}
 	next := newCell(t)
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -8,7 +8,7 @@
 //	s.SetWorkers(entries, now)
 //	s.Add(plan, version, now)
 //	d := s.Pass(now, reserve) // the chosen starts must not be sent yet
-//	// write the states of s.Unrecorded(part, isAll, limit), then
+//	// write the states of s.Unrecorded(part, isAll, limit, now), then
 //	starts := s.MarkRecorded(job, change, version, now) // starts to send
 //	s.RecordStart(worker, run, err, now)
 //	s.RecordReport(worker, report, polledAt, now)
@@ -168,8 +168,11 @@
 	// placed counts the attempts that hold capacity on a worker.
 	placed      int
 	lastAttempt hoist.AttemptNo
-	// due is the time of the objective. After deprioritiseAt, finishing the job
-	// is of no more use, and it is scheduled after all others of its priority.
+	// objective is how long after it was accepted, or after an occurrence was due,
+	// the job should be done. due is when that is for the oldest occurrence that is
+	// not done. After deprioritiseAt, finishing the job is of no more use, and it is
+	// scheduled after all others of its priority.
+	objective      time.Duration
 	due            time.Time
 	deprioritiseAt time.Time
 	// change counts the changes of the state. Changes up to recordedChange are
@@ -179,6 +182,9 @@
 	// start or the end of a step waits for it. Other ends need no hurry: workers
 	// list them until they are acknowledged.
 	urgentChange uint64
+	// recordNotBefore is the earliest time to record the state again, after the store
+	// has refused it.
+	recordNotBefore time.Time
 	// changed is the scheduler's map of jobs with unrecorded state.
 	changed map[hoist.JobID]*Job
 }
@@ -200,11 +206,6 @@
 	j.urgentChange = j.change
 }
 
-// numOccurrences returns how many times the steps run in total.
-func (j *Job) numOccurrences() hoist.Occurrence {
-	return hoist.Occurrence(max(1, j.Plan.Occurrences))
-}
-
 // HasEnded reports whether the job is in a final phase and none of its
 // attempts may still run.
 func (j *Job) HasEnded() bool {
@@ -214,11 +215,18 @@
 // Scheduler holds the plans and workers of one cell and decides where tasks
 // start.
 type Scheduler struct {
+	// Handling is the job that the scheduler handles at the moment, or the last one.
+	// After a panic it tells which job caused it. Callers may clear it.
+	Handling hoist.JobID
+
 	term hoist.Term
 	jobs map[hoist.JobID]*Job
 	// changed holds the jobs with unrecorded state.
 	changed map[hoist.JobID]*Job
 	workers map[hoist.WorkerID]*Worker
+	// Open bounds the tasks that the scheduler holds.
+	Open OpenLimits
+	open openTasks
 	// superseded holds the attempts to stop at tasks that are done.
 	superseded map[hoist.TaskRun]*Task
 	speeds     speeds
@@ -249,6 +257,7 @@
 func NewScheduler(term hoist.Term, earlierLeasesExpire time.Time) *Scheduler {
 	return &Scheduler{
 		term: term, earlierLeasesExpire: earlierLeasesExpire, RemoteFactor: 2,
+		Open: DefaultOpenLimits, open: openTasks{beginnable: maxBegunPerTick},
 		jobs:    make(map[hoist.JobID]*Job),
 		changed: make(map[hoist.JobID]*Job),
 		workers: make(map[hoist.WorkerID]*Worker),
@@ -288,28 +297,26 @@
 	if j, ok := sc.jobs[p.ID]; ok {
 		return j
 	}
+	sc.Handling = p.ID
+	j := sc.newJob(p, version)
+	sc.jobs[p.ID] = j
+	sc.beginOccurrences(j, now)
+	return j
+}
+
+// newJob returns a job that has not begun and that the scheduler does not hold yet.
+func (sc *Scheduler) newJob(p hoist.Plan, version hoist.RowVersion) *Job {
 	j := &Job{
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		steps:           make(map[stepKey]*StepTasks),
 		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed,
 	}
 	chain := longestChainTime(p.Steps)
-	j.due = p.Accepted.Add(p.Queue.Latency + time.Duration(float64(chain)*p.Queue.Stretch))
-	j.deprioritiseAt = p.Accepted.Add(3 * j.due.Sub(p.Accepted))
-	sc.jobs[p.ID] = j
-	sc.beginOccurrences(j, now)
+	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
+	j.updateDue()
 	return j
 }
 
-// SetQueue applies the current parameters of a queue to its jobs.
-func (sc *Scheduler) SetQueue(q hoist.Queue) {
-	for _, j := range sc.jobs {
-		if j.Plan.Queue.Name == q.Name {
-			j.Plan.Queue = q
-		}
-	}
-}
-
 // longestChainTime returns the longest total of the declared run times along a
 // chain of dependent steps.
 func longestChainTime(steps []hoist.Step) time.Duration {
@@ -325,40 +332,6 @@
 	return longest
 }
 
-// beginOccurrences creates the tasks of the occurrences that are due.
-func (sc *Scheduler) beginOccurrences(j *Job, now time.Time) {
-	for j.nextOccurrence < j.numOccurrences() && !j.Phase.IsFinal() && !now.Before(j.occurrenceStart(j.nextOccurrence)) {
-		for no := range j.Plan.Steps {
-			j.addStepTasks(j.nextOccurrence, hoist.StepNo(no))
-		}
-		j.nextOccurrence++
-		j.markChanged()
-	}
-}
-
-// occurrenceStart returns when an occurrence may begin. A plan without
-// occurrences may begin at once.
-func (j *Job) occurrenceStart(k hoist.Occurrence) time.Time {
-	if j.Plan.Occurrences == 0 {
-		return j.Plan.Accepted.Add(-time.Hour)
-	}
-	return j.Plan.Start.Add(time.Duration(k) * j.Plan.Interval)
-}
-
-func (j *Job) addStepTasks(k hoist.Occurrence, no hoist.StepNo) *StepTasks {
-	step := &j.Plan.Steps[no]
-	s := &StepTasks{Job: j, Occurrence: k, No: no, Step: step, unfinished: step.Count, waiting: step.Count, advice: newAdviceState()}
-	s.Tasks = make([]*Task, step.Count)
-	for i := range s.Tasks {
-		s.Tasks[i] = &Task{StepTasks: s, Index: i}
-	}
-	j.steps[stepKey{k, no}] = s
-	if step.Count > 0 {
-		j.unfinishedSteps[k]++
-	}
-	return s
-}
-
 // Cancel cancels a job: none of its tasks starts any more, and those that run
 // are stopped. It reports whether the job was known and not yet in a final
 // phase.
@@ -502,23 +475,12 @@
 	}
 }
 
-// endOccurrence removes the tasks of an occurrence whose steps are all done,
-// and ends the job after the last occurrence.
-func (sc *Scheduler) endOccurrence(j *Job, k hoist.Occurrence, now time.Time) {
-	delete(j.unfinishedSteps, k)
-	if j.numOccurrences() > 1 {
-		for no := range j.Plan.Steps {
-			delete(j.steps, stepKey{k, hoist.StepNo(no)})
-		}
-	}
-	if len(j.unfinishedSteps) == 0 && j.nextOccurrence == j.numOccurrences() && !j.Phase.IsFinal() {
-		sc.finish(j, hoist.PlanDone, now)
-	}
-}
-
 // Remove removes a job whose final state is recorded and of which nothing
 // runs.
 func (sc *Scheduler) Remove(id hoist.JobID) {
+	if j, ok := sc.jobs[id]; ok {
+		sc.open.tasks -= j.numOpenTasks()
+	}
 	delete(sc.jobs, id)
 	delete(sc.changed, id)
 }
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -24,11 +24,11 @@
 // Unrecorded returns the states to write, of at most limit jobs in the given
 // part. It returns none if no start and no end of a step waits for any of
 // them, unless isAll is set.
-func (sc *Scheduler) Unrecorded(part hoist.PartName, isAll bool, limit int) []UnrecordedState {
+func (sc *Scheduler) Unrecorded(part hoist.PartName, isAll bool, limit int, now time.Time) []UnrecordedState {
 	var changed []*Job
 	isDue := isAll
 	for _, j := range sc.changed {
-		if j.Plan.Part == part {
+		if j.Plan.Part == part && !now.Before(j.recordNotBefore) {
 			changed = append(changed, j)
 			isDue = isDue || j.urgentChange > j.recordedChange
 		}
@@ -40,11 +40,20 @@
 	changed = changed[:min(len(changed), limit)]
 	out := make([]UnrecordedState, 0, len(changed))
 	for _, j := range changed {
+		sc.Handling = j.Plan.ID
 		out = append(out, UnrecordedState{j.Plan.ID, j.Plan.Part, j.Version, j.change, j.state(), j.HasEnded()})
 	}
 	return out
 }
 
+// DeferRecording makes Unrecorded leave out a job until the given time, so that a
+// state which the store refuses does not keep others from being recorded.
+func (sc *Scheduler) DeferRecording(id hoist.JobID, until time.Time) {
+	if j, ok := sc.jobs[id]; ok {
+		j.recordNotBefore = until
+	}
+}
+
 // IsEndRecorded reports whether a job has ended, nothing of it runs, and this is
 // recorded.
 func (sc *Scheduler) IsEndRecorded(id hoist.JobID) bool {
@@ -87,19 +96,68 @@
 	return out
 }
 
+const (
+	// maxStateBytes bounds the estimated size of a recorded state. A row of the
+	// store holds 64 KiB; the rest is for failures and checkpoints to come.
+	maxStateBytes = 44 << 10
+	// doneBytes, placedBytes, failedBytes and savedBytes are the sizes of the entries
+	// of a task, without the worker and the checkpoint.
+	doneBytes   = 6
+	placedBytes = 60
+	failedBytes = 52
+	savedBytes  = 36
+	// typicalNameBytes is the size of the id of a worker, and of a checkpoint.
+	typicalNameBytes = 24
+	// smallJob is a number of tasks whose state always fits into a row.
+	smallJob = 250
+)
+
+// maxPlacements returns how many more tasks of the job may be placed so that its
+// state still fits into a row.
+func (j *Job) maxPlacements() int {
+	if j.numOpenTasks() <= smallJob {
+		return smallJob
+	}
+	size, perTask := 0, placedBytes+typicalNameBytes
+	for _, s := range j.steps {
+		for _, t := range s.Tasks {
+			size += t.stateBytes()
+		}
+		if s.Step.SavesProgress {
+			perTask = placedBytes + typicalNameBytes + savedBytes + typicalNameBytes
+		}
+	}
+	return max(0, (maxStateBytes-size)/perTask)
+}
+
+// stateBytes estimates the size of a task in the recorded state.
+func (t *Task) stateBytes() int {
+	if t.Phase == Done {
+		return doneBytes
+	}
+	n := failedBytes * len(t.Failed)
+	if t.IsPlaced() {
+		n += placedBytes + typicalNameBytes
+	}
+	if t.StepTasks.Step.SavesProgress && (t.Saved != "" || t.IsPlaced()) {
+		n += savedBytes + max(typicalNameBytes, len(t.Saved))
+	}
+	return n
+}
+
 // Restore adds a job from its recorded state, in a row of the given version.
 // Its placed attempts may still run; the reports of their workers tell.
 func (sc *Scheduler) Restore(p hoist.Plan, s hoist.PlanState, version hoist.RowVersion, now time.Time) {
 	if _, ok := sc.jobs[p.ID]; ok {
 		return
 	}
-	j := sc.Add(p, version, p.Accepted.Add(-time.Hour))
+	sc.Handling = p.ID
+	j := sc.newJob(p, version)
 	j.Phase, j.Ended, j.nextOccurrence = s.Phase, s.Ended, s.Next
-	clear(j.steps)
-	clear(j.unfinishedSteps)
+	sc.jobs[p.ID] = j
 	for _, step := range s.Steps {
 		if int(step.Step) < len(p.Steps) {
-			sc.restoreStepTasks(j.addStepTasks(step.Occurrence, step.Step), step, now)
+			sc.restoreStepTasks(sc.addStepTasks(j, step.Occurrence, step.Step), step, now)
 		}
 	}
 	for k, n := range j.unfinishedSteps {
@@ -109,6 +167,7 @@
 	}
 	j.change, j.recordedChange = 1, 1
 	delete(sc.changed, p.ID)
+	j.updateDue()
 	sc.beginOccurrences(j, now)
 	if len(j.unfinishedSteps) == 0 && j.nextOccurrence == j.numOccurrences() && !j.Phase.IsFinal() {
 		sc.finish(j, hoist.PlanDone, now)
@@ -118,7 +177,7 @@
 func (sc *Scheduler) restoreStepTasks(step *StepTasks, s hoist.StepState, now time.Time) {
 	isIndex := func(i int) bool { return i >= 0 && i < len(step.Tasks) }
 	for _, i := range s.Done {
-		if isIndex(i) {
+		if isIndex(i) && step.Tasks[i].Phase != Done {
 			step.Tasks[i].Phase = Done
 			step.waiting--
 			step.unfinished--
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -29,6 +29,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
@@ -167,8 +168,16 @@
 	Adviser  hoist.Adviser
 	// Health returns the reply to a health check of the standby host from.
 	Health func(from hoist.HostID) hoist.HostHealth
+	// Guard recovers from panics; it may be nil.
+	Guard *guard.Guard
 }
 
+// The kinds of work of a server, in logs and metrics.
+const (
+	workHealth guard.Work = "health"
+	workAdvice guard.Work = "advice"
+)
+
 // Run serves until ctx ends, then closes all connections.
 func (s *Server) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
@@ -208,7 +217,7 @@
 // Handle implements jsonrpc2.Handler.
 func (c *connHandler) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Method == methodCheckHealth {
-		answer, err := c.checkHealth(req)
+		answer, err := guarded(c, workHealth, req, c.checkHealth)
 		reply(conn, req, answer, err)
 		return
 	}
@@ -220,11 +229,19 @@
 	}
 	c.running.Go(func() {
 		defer func() { <-c.adviceSlots }()
-		answer, err := c.advise(req)
+		answer, err := guarded(c, workAdvice, req, c.advise)
 		reply(conn, req, answer, err)
 	})
 }
 
+// guarded handles a call with f and converts a panic to an error.
+func guarded[T any](c *connHandler, work guard.Work, req *jsonrpc2.Request, f func(*jsonrpc2.Request) (T, error)) (answer T, err error) {
+	if panicked := c.server.Guard.Do(c.ctx, work, func() { answer, err = f(req) }); panicked != nil {
+		return answer, panicked
+	}
+	return answer, err
+}
+
 // decodeParams decodes the parameters of a call. It returns hoist.ErrInvalid if
 // the method is another one or the parameters are missing or invalid.
 func decodeParams[T any](req *jsonrpc2.Request, method string) (T, error) {
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -149,6 +149,24 @@
 	Host string `json:"host"`
 }
 
+// Tells that a plan is not handled, or that handling it has failed before.
+type Quarantine struct {
+	// Unix milliseconds.
+	AtMs int `json:"at-ms"`
+
+	// How often handling the plan ended with a panic.
+	Failures int `json:"failures"`
+
+	// Whether the plan is not handled.
+	Held bool `json:"held"`
+
+	// The queue of the plan, or empty if it is not known.
+	Queue string `json:"queue"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason"`
+}
+
 // Asks a host to request advice on a step from an adviser.
 type Question struct {
 	// Job corresponds to the JSON schema field "job".
--- a/runner.go
+++ b/runner.go
@@ -92,6 +92,8 @@
 type QueueConfig struct {
 	Version ConfigVersion
 	Queues  []QueueEntry
+	// Services names the services that workers can belong to.
+	Services []ServiceName
 }
 
 // QueueEntry is a queue with the address at which plans are submitted to it.
@@ -137,4 +139,7 @@
 	RecordEnd(kind EndKind)
 	// ObserveWait records the time from the acceptance of a plan to its first start.
 	ObserveWait(queue QueueName, d time.Duration)
+	// SetBacklog records how many tasks the owner holds, how many occurrences are due
+	// and wait because of its limits, and how many plans are quarantined.
+	SetBacklog(openTasks, delayedOccurrences, quarantined int)
 }
--- a/units.go
+++ b/units.go
@@ -1,6 +1,10 @@
 package hoist
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // MilliCPU is an amount of CPU in thousandths of a core.
 type MilliCPU int64
@@ -48,3 +52,37 @@
 func (r Resources) String() string {
 	return fmt.Sprintf("%.1f cores, %d MiB, %d accelerators", float64(r.CPU)/1000, r.Memory, r.Accel)
 }
+
+// DurationOf converts a number of units to a duration. A result that is out of range
+// becomes the nearest duration, and NaN becomes 0: the language leaves a conversion
+// that overflows to the architecture.
+func DurationOf(n float64, unit time.Duration) time.Duration {
+	return time.Duration(Int64Of(n * float64(unit)))
+}
+
+// Int64Of converts x to an integer, with the limits of DurationOf.
+func Int64Of(x float64) int64 {
+	switch {
+	case math.IsNaN(x):
+		return 0
+	case x >= math.MaxInt64:
+		return math.MaxInt64
+	case x <= math.MinInt64:
+		return math.MinInt64
+	default:
+		return int64(x)
+	}
+}
+
+// AddDuration returns x + y, or the nearest duration if the sum is out of range.
+func AddDuration(x, y time.Duration) time.Duration {
+	sum := x + y
+	switch {
+	case x > 0 && y > 0 && sum < 0:
+		return math.MaxInt64
+	case x < 0 && y < 0 && sum >= 0:
+		return math.MinInt64
+	default:
+		return sum
+	}
+}
