--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -101,6 +101,8 @@
 	// isDelaying is set while occurrences that are due wait.
 	isDelaying bool
 	links      map[hoist.WorkerID]*link
+	// awaiting holds the links whose next poll waits until ends are recorded.
+	awaiting map[*link]bool
 	// recordDue has a flag for each part, which is set when states of its plans may
 	// have to be recorded.
 	recordDue map[hoist.PartName]chan struct{}
@@ -155,6 +157,7 @@
 	d.quarantined = make(map[hoist.JobID]hoist.PartName)
 	d.failures = make(map[hoist.JobID]int)
 	d.links = make(map[hoist.WorkerID]*link)
+	d.awaiting = make(map[*link]bool)
 	d.endedIn = make(map[hoist.JobID]hoist.PartName)
 	d.recordDue = make(map[hoist.PartName]chan struct{})
 	for _, part := range keys.Parts() {
@@ -186,9 +189,6 @@
 	for clock.SleepOr(ctx, maxPassInterval, d.passDue) {
 		began := d.Clock.Now()
 		due := d.pass(ctx)
-		for _, due := range d.recordDue {
-			clock.Signal(due)
-		}
 		for _, request := range due.AdviceRequests {
 			d.goCall(ctx, workAdvice, func() { d.request(ctx, request) })
 		}
@@ -209,6 +209,11 @@
 		if d.isReady {
 			due = d.scheduler.Pass(now, d.Advisers.Reserve)
 		}
+		for part, due := range d.recordDue {
+			if d.scheduler.HasUnrecorded(part) {
+				clock.Signal(due)
+			}
+		}
 		d.reportBacklog(ctx)
 	})
 	return due
--- a/internal/core/plans/plans.go
+++ b/internal/core/plans/plans.go
@@ -469,13 +469,13 @@
 				events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
 			}
 		}
+		for l := range d.awaiting {
+			clock.Signal(l.recorded)
+		}
 	})
 	for _, call := range startCalls {
 		d.goCall(ctx, workStart, func() { d.start(ctx, call) })
 	}
-	for _, l := range d.allLinks() {
-		clock.Signal(l.recorded)
-	}
 }
 
 // refreshVersions reads the versions of states after a conflict: an earlier
--- a/internal/core/plans/workers.go
+++ b/internal/core/plans/workers.go
@@ -128,16 +128,6 @@
 	}
 }
 
-func (d *Driver) allLinks() []*link {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := make([]*link, 0, len(d.links))
-	for _, l := range d.links {
-		out = append(out, l)
-	}
-	return out
-}
-
 // pollLoop polls one worker, which renews its lease and reports what runs there.
 func (d *Driver) pollLoop(ctx context.Context, id hoist.WorkerID, l *link) {
 	failures := 0
@@ -159,14 +149,21 @@
 func (d *Driver) awaitRecorded(ctx context.Context, id hoist.WorkerID, l *link) {
 	deadline := d.Clock.Now().Add(ackWait)
 	for ctx.Err() == nil {
-		isOpen := false
-		d.update(ctx, workPoll, func() { isOpen = d.scheduler.HasUnrecordedEnds(id) })
-		left := deadline.Sub(d.Clock.Now())
-		if !isOpen || left <= 0 {
+		isOpen, left := false, deadline.Sub(d.Clock.Now())
+		d.update(ctx, workPoll, func() {
+			isOpen = left > 0 && d.scheduler.HasUnrecordedEnds(id)
+			if isOpen {
+				d.awaiting[l] = true
+			} else {
+				delete(d.awaiting, l)
+			}
+		})
+		if !isOpen {
 			return
 		}
 		clock.SleepOr(ctx, left, l.recorded)
 	}
+	d.update(ctx, workPoll, func() { delete(d.awaiting, l) })
 }
 
 // newPollRequest returns a request that extends the lease as far as the ownership
--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -113,27 +111,10 @@
 	}
 	adviser := s.Job.Plan.Queue.Advice
 	need := demand(s.Step)
-	if adviser.Base+adviser.PerWorker >= sc.shortestRefused || (!isPrefetch && !need.Fits(sc.maxFree)) {
+	if adviser.Base+adviser.PerWorker >= sc.shortestRefused || (!isPrefetch && !sc.mayFit(s, need)) {
 		return AdviceRequest{}, false
 	}
-	goodWorkers, newWorkers := sc.adviceCandidates(s, isPrefetch, now)
-	var chosen []hoist.WorkerID
-	places := 0.0
-	wanted := placesPerTask * float64(s.waiting)
-	minWorkers := min(maxAdvisedWorkers, cheapWorkerCount(adviser))
-	add := func(workers []*Worker, share float64) {
-		for _, w := range workers {
-			if len(chosen) == maxAdvisedWorkers || (places >= wanted && len(chosen) >= minWorkers) {
-				return
-			}
-			chosen = append(chosen, w.entry.Worker)
-			places += float64(min(s.waiting, s.places(w, isPrefetch))) * share
-		}
-	}
-	add(goodWorkers, 1)
-	if places < float64(s.waiting) {
-		add(newWorkers, sc.speeds.goodShare(s.Job.Plan.Queue.Name))
-	}
+	chosen := sc.adviceCandidates(s, isPrefetch, now)
 	if len(chosen) == 0 {
 		return AdviceRequest{}, false
 	}
@@ -165,26 +146,61 @@
 	return max(0, n)
 }
 
-// adviceCandidates returns the workers that a request may name, best first:
-// those known to be good whose ticket has expired, and those that no request
-// has named yet.
-func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) (goodWorkers, newWorkers []*Worker) {
-	for _, w := range sc.usable {
-		if !sc.isCandidate(s, w) || s.places(w, isPrefetch) == 0 || s.isAllowedOn(w, now) {
+// adviceCandidates returns the workers that a request names, best first: those known
+// to be good whose ticket has expired, then those that no request has named yet.
+func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) []hoist.WorkerID {
+	chosen := adviceChoice{
+		wanted:     placesPerTask * float64(s.waiting),
+		minWorkers: min(maxAdvisedWorkers, cheapWorkerCount(s.Job.Plan.Queue.Advice)),
+	}
+	for _, w := range sc.expiredWorkers(s, now) {
+		places := min(s.waiting, s.places(w, isPrefetch))
+		if places > 0 && !chosen.add(w, float64(places)) {
+			return chosen.workers
+		}
+	}
+	if chosen.places >= float64(s.waiting) {
+		return chosen.workers
+	}
+	share := sc.speeds.goodShare(s.Job.Plan.Queue.Name)
+	for w := range sc.ranked(s) {
+		if _, isKnown := s.advice.isGood[w.entry.Worker]; isKnown {
 			continue
 		}
-		isGood, isKnown := s.advice.isGood[w.entry.Worker]
-		switch {
-		case !isKnown:
-			newWorkers = append(newWorkers, w)
-		case isGood:
-			goodWorkers = append(goodWorkers, w)
+		places := min(s.waiting, s.places(w, isPrefetch))
+		if places > 0 && !chosen.add(w, float64(places)*share) {
+			break
 		}
 	}
-	byRank := func(x, y *Worker) int {
-		return cmp.Or(cmp.Compare(sc.rank(s, x), sc.rank(s, y)), cmp.Compare(x.entry.Worker, y.entry.Worker))
+	return chosen.workers
+}
+
+// adviceChoice collects the workers that a request names.
+type adviceChoice struct {
+	workers []hoist.WorkerID
+	// places is how many tasks the workers are expected to take.
+	places     float64
+	wanted     float64
+	minWorkers int
+}
+
+// add adds a worker. It reports whether another one is wanted.
+func (c *adviceChoice) add(w *Worker, places float64) bool {
+	c.workers = append(c.workers, w.entry.Worker)
+	c.places += places
+	return len(c.workers) < maxAdvisedWorkers && (c.places < c.wanted || len(c.workers) < c.minWorkers)
+}
+
+// expiredWorkers returns the usable workers that may run the step but whose ticket has
+// expired, best first.
+func (sc *Scheduler) expiredWorkers(s *StepTasks, now time.Time) []*Worker {
+	var out []*Worker
+	for id, isGood := range s.advice.isGood {
+		w, ok := sc.workers[id]
+		if isGood && ok && sc.isUsableNow(w) && sc.isCandidate(s, w) && !s.isAllowedOn(w, now) {
+			out = append(out, w)
+		}
 	}
-	slices.SortFunc(goodWorkers, byRank)
-	slices.SortFunc(newWorkers, byRank)
-	return goodWorkers, newWorkers
+	sc.sortRanked(s, out)
+	return out
 }
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -139,7 +139,7 @@
 // or may have reached it.
 func (sc *Scheduler) recordRestart(w *Worker, statuses []hoist.RunStatus, now time.Time) {
 	w.ends = endLog{}
-	clear(w.orphans)
+	sc.setOrphans(w, nil)
 	running := make(map[hoist.TaskRun]bool, len(statuses))
 	for _, status := range statuses {
 		running[status.Run] = true
@@ -165,11 +165,14 @@
 // orphans, which are stopped.
 func (sc *Scheduler) reconcile(w *Worker, statuses []hoist.RunStatus, polledAt, now time.Time) map[*Task]bool {
 	found := make(map[*Task]bool, len(statuses))
-	orphans := make(map[hoist.TaskRun]time.Time)
+	var orphans map[hoist.TaskRun]time.Time
 	for _, status := range statuses {
 		t, ok := sc.placedTask(w.entry.Worker, status.Run)
 		if !ok {
 			if known, ok := sc.task(status.Run.Task); !ok || polledAt.After(known.phaseSince) {
+				if orphans == nil {
+					orphans = make(map[hoist.TaskRun]time.Time)
+				}
 				orphans[status.Run] = w.orphans[status.Run]
 			}
 			continue
@@ -185,10 +188,20 @@
 			t.phaseSince = now
 		}
 	}
-	w.orphans = orphans
+	sc.setOrphans(w, orphans)
 	return found
 }
 
+// setOrphans sets the attempts that run on a worker without a task that expects them.
+func (sc *Scheduler) setOrphans(w *Worker, orphans map[hoist.TaskRun]time.Time) {
+	w.orphans = orphans
+	if len(orphans) > 0 {
+		sc.orphaned[w.entry.Worker] = w
+	} else {
+		delete(sc.orphaned, w.entry.Worker)
+	}
+}
+
 // recordEnd records an end that a worker lists.
 func (sc *Scheduler) recordEnd(w *Worker, e hoist.RunEnd, now time.Time) {
 	w.ends.lastProcessed = e.No
@@ -257,13 +270,23 @@
 // Tick applies the passing of time: expired leases end what runs under them,
 // and occurrences that are due begin.
 func (sc *Scheduler) Tick(now time.Time) {
+	if now.Sub(sc.leasesCheckedAt) >= leaseCheckInterval {
+		sc.leasesCheckedAt = now
+		sc.expireLeases(now)
+	}
+	sc.beginDue(now)
+}
+
+// leaseCheckInterval is the shortest time between two checks of all leases.
+const leaseCheckInterval = 25 * time.Millisecond
+
+// expireLeases ends what runs under leases that have expired.
+func (sc *Scheduler) expireLeases(now time.Time) {
 	for _, w := range sc.workers {
-		if len(w.tasks) == 0 || now.Before(w.leaseExpiresAt) {
-			continue
+		if len(w.tasks) > 0 && !now.Before(w.leaseExpiresAt) {
+			sc.releaseAll(w, now)
 		}
-		sc.releaseAll(w, now)
 	}
-	sc.beginDue(now)
 }
 
 // IsNewEnd reports whether an end that a worker lists has not been recorded by
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -54,7 +54,7 @@
 	}
 	sc.findUsableWorkers(now)
 	reserve = sc.limitReserve(reserve)
-	for _, j := range sc.due(now) {
+	for _, j := range sc.inOrder(now, (*Job).hasWaiting) {
 		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
 			sc.placeTasks(s, now)
@@ -95,11 +95,14 @@
 // computes the most of each resource that any of them has free.
 func (sc *Scheduler) findUsableWorkers(now time.Time) {
 	sc.usable, sc.maxFree = sc.usable[:0], hoist.Resources{}
+	sc.passNo++
+	sc.passAt = now
 	for _, w := range sc.workers {
 		if !w.isUsable(now) {
 			continue
 		}
 		sc.usable = append(sc.usable, w)
+		w.usableInPass = sc.passNo
 		free := w.free()
 		sc.maxFree.CPU = max(sc.maxFree.CPU, free.CPU)
 		sc.maxFree.Memory = max(sc.maxFree.Memory, free.Memory)
@@ -107,6 +110,11 @@
 	}
 }
 
+// isUsableNow reports whether a worker may take tasks in this pass.
+func (sc *Scheduler) isUsableNow(w *Worker) bool {
+	return w.usableInPass == sc.passNo
+}
+
 // limitReserve wraps reserve for one pass: once no host was free for a
 // request, requests that take as long or longer are refused without asking
 // again.
@@ -127,13 +135,24 @@
 // maxDuration is longer than any answer takes.
 const maxDuration = time.Duration(1<<63 - 1)
 
-// due returns the jobs that are not in a final phase, in scheduling order: by
-// priority, then jobs that can meet their objective before late ones, then by
-// the time of the objective.
-func (sc *Scheduler) due(now time.Time) []*Job {
+// hasWaiting reports whether any task of the job waits, of steps that are not ready
+// included.
+func (j *Job) hasWaiting() bool {
+	for _, s := range j.steps {
+		if s.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// inOrder returns the jobs that are not in a final phase and fulfil a condition, in
+// scheduling order: by priority, then jobs that can meet their objective before late
+// ones, then by the time of the objective.
+func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) []*Job {
 	var out []*Job
 	for _, j := range sc.jobs {
-		if !j.Phase.IsFinal() {
+		if !j.Phase.IsFinal() && condition(j) {
 			out = append(out, j)
 		}
 	}
@@ -245,32 +264,58 @@
 	t.change = j.change
 }
 
-// candidates returns the workers that may run tasks of a step and have free
-// capacity for at least one, best first.
+// spareCandidates is how many workers are considered at least for the tasks of a
+// step, so that a task that failed on some of them finds another.
+const spareCandidates = 16
+
+// candidates returns workers that may run tasks of a step and have free capacity for at
+// least one, best first: enough of them for the waiting tasks, if there are.
 func (sc *Scheduler) candidates(s *StepTasks, now time.Time) []*Worker {
-	type ranked struct {
-		w    *Worker
-		rank float64
-	}
-	if !demand(s.Step).Fits(sc.maxFree) {
+	need := demand(s.Step)
+	if !sc.mayFit(s, need) {
 		return nil
 	}
-	var list []ranked
-	for _, w := range sc.usable {
-		if s.isAllowedOn(w, now) && sc.fits(s, w) && sc.isCandidate(s, w) {
-			list = append(list, ranked{w, sc.rank(s, w)})
+	if s.Job.Plan.Queue.Advice.IsUsed() {
+		return sc.advisedCandidates(s, now)
+	}
+	needsAll := s.Step.IsGang && s.Step.PrefersSameRack
+	var out []*Worker
+	places := 0
+	for w := range sc.ranked(s) {
+		if !sc.fits(s, w) {
+			continue
+		}
+		out = append(out, w)
+		places += s.places(w, false)
+		if places >= s.waiting && len(out) >= spareCandidates && !needsAll {
+			return out
 		}
 	}
-	slices.SortFunc(list, func(x, y ranked) int {
-		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.w.entry.Worker, y.w.entry.Worker))
-	})
-	out := make([]*Worker, len(list))
-	for i, r := range list {
-		out[i] = r.w
+	if len(out) == 0 && s.Step.Requires == "" && s.Step.MaxPerWorker == 0 {
+		sc.order(s.Job.Plan.Queue.Service).recordNoRoom(need)
+	}
+	return out
+}
+
+// advisedCandidates is candidates for a step that may run only on workers with a
+// ticket.
+func (sc *Scheduler) advisedCandidates(s *StepTasks, now time.Time) []*Worker {
+	var out []*Worker
+	for id := range s.advice.tickets {
+		w, ok := sc.workers[id]
+		if ok && sc.isUsableNow(w) && s.isAllowedOn(w, now) && sc.fits(s, w) && sc.isCandidate(s, w) {
+			out = append(out, w)
+		}
 	}
+	sc.sortRanked(s, out)
 	return out
 }
 
+// mayFit reports whether some worker of the service may have enough free capacity.
+func (sc *Scheduler) mayFit(s *StepTasks, need hoist.Resources) bool {
+	return need.Fits(sc.maxFree) && !sc.order(s.Job.Plan.Queue.Service).hasNoRoom(need)
+}
+
 // fits reports whether the worker has free capacity for one more task of a
 // step.
 func (sc *Scheduler) fits(s *StepTasks, w *Worker) bool {
@@ -395,16 +440,16 @@
 // for orphans.
 func (sc *Scheduler) dueStops(now time.Time) []Stop {
 	var out []Stop
-	for id, w := range sc.workers {
-		for t := range w.tasks {
-			if t.Phase != Stopping || t.stop.isInFlight || now.Sub(t.stop.sentAt) < stopRetryDelay {
-				continue
-			}
-			t.stop.sentAt = now
-			t.stop.isInFlight = true
-			out = append(out, Stop{id, t.Run()})
+	for t := range sc.stopping {
+		if t.stop.isInFlight || now.Sub(t.stop.sentAt) < stopRetryDelay {
+			continue
 		}
-		// The next report tells whether the orphans have ended.
+		t.stop.sentAt = now
+		t.stop.isInFlight = true
+		out = append(out, Stop{t.Worker.entry.Worker, t.Run()})
+	}
+	// The next report tells whether the orphans have ended.
+	for id, w := range sc.orphaned {
 		for run, sentAt := range w.orphans {
 			if now.Sub(sentAt) >= stopRetryDelay {
 				w.orphans[run] = now
@@ -448,7 +493,7 @@
 	j.Version = version
 	j.recordedChange = max(j.recordedChange, change)
 	if j.recordedChange == j.change {
-		delete(sc.changed, id)
+		delete(j.changed, id)
 	}
 	var out []Start
 	for _, s := range j.sortedSteps() {
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -185,7 +185,7 @@
 	// recordNotBefore is the earliest time to record the state again, after the store
 	// has refused it.
 	recordNotBefore time.Time
-	// changed is the scheduler's map of jobs with unrecorded state.
+	// changed is the scheduler's map of jobs with unrecorded state in the same part.
 	changed map[hoist.JobID]*Job
 }
 
@@ -221,8 +221,8 @@
 
 	term hoist.Term
 	jobs map[hoist.JobID]*Job
-	// changed holds the jobs with unrecorded state.
-	changed map[hoist.JobID]*Job
+	// changed holds the jobs with unrecorded state, by part.
+	changed map[hoist.PartName]map[hoist.JobID]*Job
 	workers map[hoist.WorkerID]*Worker
 	// Open bounds the tasks that the scheduler holds.
 	Open OpenLimits
@@ -242,10 +242,20 @@
 	// wait for them is over.
 	registryReadAt     time.Time
 	isPlacementEnabled bool
-	// usable, maxFree and shortestRefused are valid during one pass. usable
-	// lists the workers that may take tasks, maxFree is the most of each
-	// resource that any of them has free, and shortestRefused is the shortest
-	// request for advice that no host was free to send.
+	// stopping holds the tasks whose phase is Stopping, and orphaned the workers with
+	// orphans.
+	stopping map[*Task]bool
+	orphaned map[hoist.WorkerID]*Worker
+	// leasesCheckedAt is when the leases of all workers were last checked.
+	leasesCheckedAt time.Time
+	// orders sorts the workers of each service.
+	orders map[hoist.ServiceName]*workerOrder
+	// usable, maxFree and shortestRefused are valid during one pass, which passNo
+	// numbers and which runs at passAt. usable lists the workers that may take tasks,
+	// maxFree is the most of each resource that any of them has free, and
+	// shortestRefused is the shortest request for advice that no host was free to send.
+	passNo          uint64
+	passAt          time.Time
 	usable          []*Worker
 	maxFree         hoist.Resources
 	shortestRefused time.Duration
@@ -259,10 +269,13 @@
 		term: term, earlierLeasesExpire: earlierLeasesExpire, RemoteFactor: 2,
 		Open: DefaultOpenLimits, open: openTasks{beginnable: maxBegunPerTick},
 		jobs:    make(map[hoist.JobID]*Job),
-		changed: make(map[hoist.JobID]*Job),
+		changed: make(map[hoist.PartName]map[hoist.JobID]*Job),
 		workers: make(map[hoist.WorkerID]*Worker),
 
 		superseded: make(map[hoist.TaskRun]*Task),
+		stopping:   make(map[*Task]bool),
+		orphaned:   make(map[hoist.WorkerID]*Worker),
+		orders:     make(map[hoist.ServiceName]*workerOrder),
 		speeds:     newSpeeds(),
 	}
 }
@@ -309,7 +322,11 @@
 	j := &Job{
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		steps:           make(map[stepKey]*StepTasks),
-		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed,
+		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part],
+	}
+	if j.changed == nil {
+		j.changed = make(map[hoist.JobID]*Job)
+		sc.changed[p.Part] = j.changed
 	}
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
@@ -365,6 +382,7 @@
 	case Running, Recovered, Starting:
 		t.Phase = Stopping
 		t.stop = stopState{}
+		sc.stopping[t] = true
 	default:
 	}
 }
@@ -411,6 +429,7 @@
 
 // freeCapacity releases the capacity that a placed task holds on its worker.
 func (sc *Scheduler) freeCapacity(t *Task) {
+	delete(sc.stopping, t)
 	if t.Worker != nil {
 		delete(t.Worker.tasks, t)
 		t.Worker.used = t.Worker.used.Sub(demand(t.StepTasks.Step))
@@ -442,9 +461,11 @@
 		StepTasks: t.StepTasks, Index: t.Index, Phase: Stopping, Attempt: t.Attempt, Worker: t.Worker, phaseSince: t.phaseSince, isSuperseded: true,
 	}
 	delete(t.Worker.tasks, t)
+	delete(sc.stopping, t)
 	t.Worker.tasks[old] = true
 	t.Worker = nil
 	sc.superseded[old.Run()] = old
+	sc.stopping[old] = true
 }
 
 // complete records that a task succeeded in the given attempt, which need not
@@ -480,7 +501,7 @@
 func (sc *Scheduler) Remove(id hoist.JobID) {
 	if j, ok := sc.jobs[id]; ok {
 		sc.open.tasks -= j.numOpenTasks()
+		delete(j.changed, id)
 	}
 	delete(sc.jobs, id)
-	delete(sc.changed, id)
 }
--- a/internal/decide/sched/speeds.go
+++ b/internal/decide/sched/speeds.go
@@ -91,14 +91,14 @@
 
 // expectedRunTime estimates the run time of a task of the step on the worker.
 func (sc *Scheduler) expectedRunTime(s *StepTasks, w *Worker) time.Duration {
-	return time.Duration(float64(s.Step.Estimate) * sc.speeds.queue[s.Job.Plan.Queue.Name].orDefault(1) * sc.slowness(s, w))
+	return time.Duration(float64(s.Step.Estimate) * sc.speeds.queue[s.Job.Plan.Queue.Name].orDefault(1) * sc.slowness(w, sc.isRemote(s, w)))
 }
 
 // slowness returns how many times longer than the mean the worker takes for
-// tasks of the step.
-func (sc *Scheduler) slowness(s *StepTasks, w *Worker) float64 {
+// tasks, which may be remote from their data.
+func (sc *Scheduler) slowness(w *Worker, isRemote bool) float64 {
 	factor := sc.speeds.class[w.entry.Class].orDefault(1) * w.health.runTimeRatio
-	if sc.isRemote(s, w) {
+	if isRemote {
 		factor *= sc.RemoteFactor
 	}
 	return factor
@@ -110,16 +110,16 @@
 	return s.Step.PreferredRack != "" && s.Step.PreferredRack != w.entry.Rack
 }
 
-// rank orders the workers for a step; the lowest rank is the best. Fast
-// workers come first, then those with little free CPU; recent failures count
-// against a worker.
-func (sc *Scheduler) rank(s *StepTasks, w *Worker) float64 {
+// rank orders the workers for tasks that would be remote from their data there or
+// not; the lowest rank is the best. Fast workers come first, then those with little
+// free CPU; recent failures count against a worker.
+func (sc *Scheduler) rank(w *Worker, isRemote bool) float64 {
 	const freeWeight = 0.1
 	free := 1.0
 	if w.entry.Capacity.CPU > 0 {
 		free = float64(w.free().CPU) / float64(w.entry.Capacity.CPU)
 	}
-	return sc.slowness(s, w) + freeWeight*free + float64(w.health.failures)
+	return sc.slowness(w, isRemote) + freeWeight*free + float64(w.health.failures)
 }
 
 func (sp *speeds) recordGoodShare(queue hoist.QueueName, good, asked int) {
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -27,8 +27,8 @@
 func (sc *Scheduler) Unrecorded(part hoist.PartName, isAll bool, limit int, now time.Time) []UnrecordedState {
 	var changed []*Job
 	isDue := isAll
-	for _, j := range sc.changed {
-		if j.Plan.Part == part && !now.Before(j.recordNotBefore) {
+	for _, j := range sc.changed[part] {
+		if !now.Before(j.recordNotBefore) {
 			changed = append(changed, j)
 			isDue = isDue || j.urgentChange > j.recordedChange
 		}
@@ -46,6 +46,11 @@
 	return out
 }
 
+// HasUnrecorded reports whether any state of a part is not recorded.
+func (sc *Scheduler) HasUnrecorded(part hoist.PartName) bool {
+	return len(sc.changed[part]) > 0
+}
+
 // DeferRecording makes Unrecorded leave out a job until the given time, so that a
 // state which the store refuses does not keep others from being recorded.
 func (sc *Scheduler) DeferRecording(id hoist.JobID, until time.Time) {
@@ -166,7 +171,7 @@
 		}
 	}
 	j.change, j.recordedChange = 1, 1
-	delete(sc.changed, p.ID)
+	delete(j.changed, p.ID)
 	j.updateDue()
 	sc.beginOccurrences(j, now)
 	if len(j.unfinishedSteps) == 0 && j.nextOccurrence == j.numOccurrences() && !j.Phase.IsFinal() {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -35,6 +35,8 @@
 	lastPolledAt time.Time
 	used         hoist.Resources
 	tasks        map[*Task]bool
+	// usableInPass is the last pass in which the worker could take tasks.
+	usableInPass uint64
 	// orphans are attempts that run on the worker without a task that expects
 	// them, each with the time at which a stop was last sent.
 	orphans map[hoist.TaskRun]time.Time
--- a/internal/fake/memory/memory.go
+++ b/internal/fake/memory/memory.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -103,8 +104,9 @@
 		s.mu.Lock()
 		s.init()
 		var out []hoist.StoredRow
-		for _, row := range s.history {
-			if row.Version > after && row.Table == table {
+		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+		for _, row := range s.history[first:] {
+			if row.Table == table {
 				out = append(out, row)
 			}
 		}
