Call the workers of a large cell through relays

Cause: on a scratch site of 296 hosts and 3,000 executors the owner ran out of descriptors, 3 for each worker, and of processor, 0.1 to 0.15 ms for each call over HTTP.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -141,6 +141,8 @@
 	OccurrencesDelayed   = register(623, slog.LevelWarn, "occurrences that are due wait, as too many tasks are open")
 	OccurrencesResumed   = register(624, slog.LevelInfo, "no occurrence that is due waits any more")
 	QuarantineFailed     = register(625, slog.LevelWarn, "quarantine of a plan could not be recorded, released or dropped")
+	RelayLost            = register(627, slog.LevelWarn, "relay does not work; its workers move to others")
+	RelaysChanged        = register(628, slog.LevelInfo, "workers were assigned to relays")
 	WorkerEntryInvalid   = register(626, slog.LevelWarn, "registry entry is not valid; it names no worker to use")
 	PlanQueryFailed      = register(618, slog.LevelWarn, "query or cancellation of a plan could not be answered")
 )
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -15,6 +15,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -83,6 +84,9 @@
 	// tasks that the owner holds. Their zero values leave the defaults.
 	Limits limit.Plans
 	Open   sched.OpenLimits
+	// MaxDirect is the number of workers up to which the owner of the cell calls them
+	// itself. 0 leaves the default.
+	MaxDirect int
 	// StateRetention is how long the state of a plan is kept after the plan has ended.
 	StateRetention time.Duration
 	// MaxStopDelay is how long the host may go on owning the cell after it was told to
@@ -92,6 +96,7 @@
 	// data.
 	RemoteFactor float64
 
+	isLeaving atomic.Bool
 	once      sync.Once
 	monitored *monitoredStore
 	follower  *queues.Follower
@@ -154,6 +159,7 @@
 	g.Go(func() error {
 		defer stopManager()
 		<-ctx.Done()
+		h.isLeaving.Store(true)
 		h.delayStop()
 		return nil
 	})
@@ -172,6 +178,11 @@
 	}
 }
 
+// IsLeaving reports whether the host was told to stop.
+func (h *Host) IsLeaving() bool {
+	return h.isLeaving.Load()
+}
+
 // Health answers the health check of another host.
 func (h *Host) Health(from hoist.HostID) hoist.HostHealth {
 	h.init()
@@ -204,13 +215,14 @@
 	d := &plans.Driver{
 		Claim: o, Store: h.monitored, Registry: h.Registry, Dial: h.Dial, Advisers: &plans.AdviserPool{},
 		Queue: h.follower.Queue, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor,
-		Guard: h.Guard, Limits: h.Limits, Open: h.Open,
+		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect,
 	}
+	d.Relays = &plans.RelayPool{}
 	d.Advisers.Set(h.ID, h.Adviser)
 	h.setDriver(d)
 	defer h.setDriver(nil)
 	var wg sync.WaitGroup
-	wg.Go(func() { h.Guard.Loop(ctx, workHosts, func() { h.followHosts(ctx, d.Advisers) }) })
+	wg.Go(func() { h.Guard.Loop(ctx, workHosts, func() { h.followHosts(ctx, d) }) })
 	if h.Guard.Do(ctx, workOwner, func() { d.Run(ctx) }) != nil {
 		o.StepDown()
 	}
@@ -233,13 +245,25 @@
 	return d.Waiting()
 }
 
-// followHosts follows the table of hosts, and updates the adviser pool and the
-// possible standbys.
-func (h *Host) followHosts(ctx context.Context, pool *plans.AdviserPool) {
-	clients := make(map[hoist.HostID]*helper.Client)
+// hostClients are the clients of another host. Calls to workers do not share a
+// connection with requests for advice.
+type hostClients struct {
+	adviser *helper.Client
+	relay   *helper.Relay
+}
+
+func (c hostClients) close() {
+	c.adviser.Close()
+	c.relay.Close()
+}
+
+// followHosts follows the table of hosts, and updates the adviser pool, the relays and
+// the possible standbys.
+func (h *Host) followHosts(ctx context.Context, d *plans.Driver) {
+	clients := make(map[hoist.HostID]hostClients)
 	defer func() {
 		for _, c := range clients {
-			c.Close()
+			c.close()
 		}
 	}()
 	var after hoist.RowVersion
@@ -254,7 +278,7 @@
 		}
 		after = next
 		for _, row := range changed {
-			h.applyHost(row, clients, pool)
+			h.applyHost(row, clients, d)
 		}
 	}
 }
@@ -268,15 +292,16 @@
 	return h.monitored.Changes(ctx, keys.Hosts, after, hostChangesWait)
 }
 
-func (h *Host) applyHost(row hoist.StoredRow, clients map[hoist.HostID]*helper.Client, pool *plans.AdviserPool) {
+func (h *Host) applyHost(row hoist.StoredRow, clients map[hoist.HostID]hostClients, d *plans.Driver) {
 	id := hoist.HostID(row.Key)
 	if id == h.ID {
 		return
 	}
 	if old, ok := clients[id]; ok {
-		old.Close()
+		old.close()
 		delete(clients, id)
-		pool.Set(id, nil)
+		d.Advisers.Set(id, nil)
+		d.Relays.Set(id, 0, nil)
 		h.manager.SetHost(id, 0)
 	}
 	if row.IsRemoved {
@@ -287,7 +312,8 @@
 		events.RowUnreadable.Log(context.Background(), h.Log, "row", row.Key, "error", err)
 		return
 	}
-	clients[id] = &helper.Client{Addr: host.Addr}
-	pool.Set(id, clients[id])
+	clients[id] = hostClients{adviser: &helper.Client{Addr: host.Addr}, relay: &helper.Relay{Addr: host.Addr}}
+	d.Advisers.Set(id, clients[id].adviser)
+	d.Relays.Set(id, host.Weight, clients[id].relay)
 	h.manager.SetHost(id, claim.Weight(host.Weight))
 }
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -12,7 +12,8 @@
 //
 // One goroutine runs the scheduling passes, one follows the registry and one the
 // table of plans. Each part of the store has a goroutine that records states, and
-// each worker has one that polls it. A start, a stop or a request for advice has a
+// each worker has one that polls it, itself or through a relay; each relay has one that
+// pings it. A start, a stop or a request for advice has a
 // goroutine until it is answered. One mutex guards the scheduler; it is not held
 // during a call to another process.
 //
@@ -37,6 +38,7 @@
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
+	"fuchsiahoist.example/hoist/internal/decide/share"
 )
 
 const (
@@ -45,7 +47,7 @@
 	minPassInterval = 8 * time.Millisecond
 	// passPauseFactor is how many times as long as a pass the pause after it is, so
 	// that passes over a long backlog leave time for the calls to workers.
-	passPauseFactor = 3
+	passPauseFactor = 6
 	// maxPassInterval is the longest wait for an event before the next pass.
 	maxPassInterval = 200 * time.Millisecond
 	// storeTimeout bounds a call to the store.
@@ -65,6 +67,12 @@
 	Registry hoist.Registry
 	// Dial returns a client for a worker.
 	Dial func(hoist.WorkerEntry) hoist.Runner
+	// Relays are the hosts that can call workers for the owner; nil means that there are
+	// none.
+	Relays *RelayPool
+	// MaxDirect is the number of workers up to which the owner calls them itself. 0
+	// leaves share.DefaultMaxDirect.
+	MaxDirect int
 	// Advisers are the hosts through which the driver requests advice.
 	Advisers *AdviserPool
 	// Queue returns the current parameters of a queue.
@@ -101,6 +109,11 @@
 	// isDelaying is set while occurrences that are due wait.
 	isDelaying bool
 	links      map[hoist.WorkerID]*link
+	// listed holds the entries of the registry, and shares the relay of each worker.
+	listed []hoist.WorkerEntry
+	shares *share.Table
+	// reassignDue is a flag that is set when the relays have changed.
+	reassignDue chan struct{}
 	// awaiting holds the links whose next poll waits until ends are recorded.
 	awaiting map[*link]bool
 	// recordDue has a flag for each part, which is set when states of its plans may
@@ -134,6 +147,7 @@
 		wg.Go(func() { d.Guard.Loop(ctx, workRecord, func() { d.recordLoop(ctx, part, due) }) })
 	}
 	wg.Go(func() { d.Guard.Loop(ctx, workRegistry, func() { d.registryLoop(ctx) }) })
+	wg.Go(func() { d.Guard.Loop(ctx, workRelay, func() { d.reassignLoop(ctx) }) })
 	wg.Go(func() { d.Guard.Loop(ctx, workPlans, func() { d.plansLoop(ctx) }) })
 	wg.Go(func() { d.Guard.Loop(ctx, workPass, func() { d.passLoop(ctx) }) })
 	wg.Wait()
@@ -158,6 +172,14 @@
 	d.failures = make(map[hoist.JobID]int)
 	d.links = make(map[hoist.WorkerID]*link)
 	d.awaiting = make(map[*link]bool)
+	d.shares = share.NewTable()
+	d.shares.MaxDirect = d.MaxDirect
+	d.reassignDue = make(chan struct{}, 1)
+	if d.Relays == nil {
+		d.Relays = &RelayPool{}
+	}
+	d.Relays.Clock, d.Relays.Log, d.Relays.Guard = d.Clock, d.Log, d.Guard
+	d.Relays.changed = func() { clock.Signal(d.reassignDue) }
 	d.endedIn = make(map[hoist.JobID]hoist.PartName)
 	d.recordDue = make(map[hoist.PartName]chan struct{})
 	for _, part := range keys.Parts() {
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -21,6 +21,7 @@
 	workStop     guard.Work = "stop"
 	workAdvice   guard.Work = "advice"
 	workRemove   guard.Work = "remove"
+	workRelay    guard.Work = "relay"
 )
 
 // update runs f while no one else uses the scheduler or the fields that d.mu guards. It
--- a/internal/core/plans/workers.go
+++ b/internal/core/plans/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -39,6 +40,9 @@
 type link struct {
 	runner hoist.Runner
 	addr   string
+	// via is the relay through which the worker is called; it is empty if the owner
+	// calls the worker itself.
+	via    hoist.HostID
 	cancel context.CancelFunc
 	// recorded is a flag that is set when states have been recorded.
 	recorded chan struct{}
@@ -96,29 +100,66 @@
 			list = append(list, e)
 		}
 	}
-	d.update(ctx, workRegistry, func() { d.applyWorkers(ctx, list) })
+	if d.isFirstList() && d.shares.NeedsRelays(len(list)) {
+		d.Relays.await(ctx, len(list))
+	}
+	d.update(ctx, workRegistry, func() {
+		d.listed = list
+		d.applyWorkers(ctx)
+	})
 	d.requestPass()
 }
 
-// applyWorkers passes a list of workers to the scheduler and adjusts the goroutines
-// that poll them. d.mu must be held.
-func (d *Driver) applyWorkers(ctx context.Context, list []hoist.WorkerEntry) {
-	d.scheduler.SetWorkers(list, d.Clock.Now())
-	wanted := make(map[hoist.WorkerID]bool)
-	for _, id := range d.scheduler.WorkerIDs() {
+// isFirstList reports whether no list of workers has been applied yet.
+func (d *Driver) isFirstList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed == nil
+}
+
+// reassignLoop assigns the workers anew when the relays have changed.
+func (d *Driver) reassignLoop(ctx context.Context) {
+	for clock.SleepOr(ctx, time.Second, d.reassignDue) {
+		d.update(ctx, workRelay, func() {
+			if d.listed != nil {
+				d.applyLinks(ctx)
+			}
+		})
+		// Relays that come or go together cause one assignment.
+		clock.Sleep(ctx, reassignPause)
+	}
+}
+
+// reassignPause is the shortest time between two assignments because of a change of
+// the relays.
+const reassignPause = 50 * time.Millisecond
+
+// applyWorkers passes the list of workers to the scheduler and adjusts the links. d.mu
+// must be held.
+func (d *Driver) applyWorkers(ctx context.Context) {
+	d.scheduler.SetWorkers(d.listed, d.Clock.Now())
+	d.applyLinks(ctx)
+}
+
+// applyLinks assigns the workers to relays, and starts and stops goroutines so that each
+// worker of the scheduler is polled at its current address through its relay. d.mu must
+// be held.
+func (d *Driver) applyLinks(ctx context.Context) {
+	ids := d.scheduler.WorkerIDs()
+	d.assign(ctx, ids)
+	wanted := make(map[hoist.WorkerID]bool, len(ids))
+	for _, id := range ids {
 		wanted[id] = true
 		entry, _ := d.scheduler.WorkerEntry(id)
+		via, _ := d.shares.Relay(id)
 		l, ok := d.links[id]
-		if ok && l.addr == entry.Addr {
+		if ok && l.addr == entry.Addr && l.via == via {
 			continue
 		}
 		if ok {
 			l.cancel()
 		}
-		linkCtx, cancel := context.WithCancel(ctx)
-		l = &link{runner: d.Dial(entry), addr: entry.Addr, cancel: cancel, recorded: make(chan struct{}, 1)}
-		d.links[id] = l
-		d.calls.Go(func() { d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, id, l) }) })
+		d.openLink(ctx, entry, via)
 	}
 	for id, l := range d.links {
 		if !wanted[id] {
@@ -128,6 +169,46 @@
 	}
 }
 
+// assign assigns workers to relays. d.mu must be held.
+func (d *Driver) assign(ctx context.Context, ids []hoist.WorkerID) {
+	needed := 0
+	if d.shares.NeedsRelays(len(ids)) {
+		needed = len(ids)
+	}
+	d.Relays.watch(ctx, needed)
+	before := len(d.shares.Relays())
+	moved := d.shares.Update(ids, d.Relays.up())
+	if moved > 0 || len(d.shares.Relays()) != before {
+		events.RelaysChanged.Log(ctx, d.Log, "relays", len(d.shares.Relays()), "workers", len(ids), "moved", moved)
+	}
+}
+
+// openLink starts polling a worker through a relay, or directly if via is empty. d.mu
+// must be held.
+func (d *Driver) openLink(ctx context.Context, entry hoist.WorkerEntry, via hoist.HostID) {
+	runner := hoist.Runner(nil)
+	if relay, ok := d.Relays.relay(via); ok {
+		runner = relay.Runner(entry)
+	} else {
+		runner = d.Dial(entry)
+	}
+	linkCtx, cancel := context.WithCancel(ctx)
+	l := &link{runner: runner, addr: entry.Addr, via: via, cancel: cancel, recorded: make(chan struct{}, 1)}
+	d.links[entry.Worker] = l
+	d.calls.Go(func() {
+		defer closeRunner(runner)
+		d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, entry.Worker, l) })
+	})
+}
+
+// closeRunner closes the connections of a client of a worker, if it has any of its own.
+func closeRunner(r hoist.Runner) {
+	if c, ok := r.(io.Closer); ok {
+		// The client is discarded, so an error has no effect.
+		_ = c.Close()
+	}
+}
+
 // pollLoop polls one worker, which renews its lease and reports what runs there.
 func (d *Driver) pollLoop(ctx context.Context, id hoist.WorkerID, l *link) {
 	failures := 0
@@ -276,7 +357,8 @@
 		d.Claim.StepDown()
 		return
 	}
-	if !errors.Is(err, hoist.ErrNotListening) {
+	isRelayLost := l.via != "" && !d.Relays.isUp(l.via)
+	if !errors.Is(err, hoist.ErrNotListening) && !isRelayLost {
 		d.losses.record(id, d.Clock.Now())
 	}
 	wasUnresponsive := false
--- a/internal/decide/owner/shards.go
+++ b/internal/decide/owner/shards.go
@@ -50,7 +50,7 @@
 		if m.State != hoist.MemberLive || m.Weight <= 0 {
 			continue
 		}
-		score := score(shard, m)
+		score := Score(strconv.Itoa(int(shard)), m.Host, m.Weight)
 		if score > bestScore || (score == bestScore && m.Host < best) {
 			best, bestScore = m.Host, score
 		}
@@ -58,12 +58,13 @@
 	return best
 }
 
-// score is -weight/ln(h) with h uniform in (0,1), which makes each member rank
-// first in proportion to its weight.
-func score(shard hoist.ShardID, m hoist.Member) float64 {
-	h := xxhash.Sum64String(strconv.Itoa(int(shard)) + "/" + string(m.Host))
+// Score ranks a host for a key in weighted rendezvous hashing: the host with the
+// highest score comes first. The score is -weight/ln(h) with h uniform in (0,1), which
+// makes each host rank first in proportion to its weight.
+func Score(key string, host hoist.HostID, weight int) float64 {
+	h := xxhash.Sum64String(key + "/" + string(host))
 	uniform := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(m.Weight) / math.Log(uniform)
+	return -float64(weight) / math.Log(uniform)
 }
 
 // Claimable returns the shards for which self ranks first and that certainly
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -1,8 +1,7 @@
-// Package helper implements two kinds of calls between entry hosts as JSON-RPC 2.0
-// over TCP: with one, a host requests advice from an adviser through another host;
-// with the other, the standby hosts check the health of the owner of the cell.
-// Health checks use a connection of their own, so that slow advice does not delay
-// them.
+// Package helper implements the calls between entry hosts as JSON-RPC 2.0 over TCP: a
+// host requests advice from an adviser through another host, the owner of the cell
+// calls workers through other hosts, its relays, and the standby hosts check the health
+// of the owner. Each kind uses a connection of its own, so that none delays another.
 //
 // # Usage
 //
@@ -12,6 +11,9 @@
 //	c := &helper.Client{Addr: "10.0.0.2:7720"}
 //	advice, err := c.Advise(ctx, step, workers)
 //	health, err := c.CheckHealth(ctx, id)
+//
+//	r := &helper.Relay{Addr: "10.0.0.3:7720"}
+//	report, err := r.Runner(worker).Poll(ctx, request)
 package helper
 
 import (
@@ -150,8 +152,7 @@
 		return nil, err
 	}
 	// Later calls use the connection too, so it must not end with ctx.
-	stream := jsonrpc2.NewPlainObjectStream(conn)
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger))
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), ignoreCalls{}, jsonrpc2.SetLogger(discardLogger))
 	return c.conn, nil
 }
 
@@ -168,8 +169,14 @@
 	Adviser  hoist.Adviser
 	// Health returns the reply to a health check of the standby host from.
 	Health func(from hoist.HostID) hoist.HostHealth
+	// Dial returns a client of a worker, for calls on behalf of the owner.
+	Dial func(hoist.WorkerEntry) hoist.Runner
+	// IsLeaving reports whether this host is about to stop; nil means that it is not.
+	IsLeaving func() bool
 	// Guard recovers from panics; it may be nil.
 	Guard *guard.Guard
+
+	runners runners
 }
 
 // The kinds of work of a server, in logs and metrics.
@@ -183,6 +190,8 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer context.AfterFunc(ctx, func() { _ = s.Listener.Close() })()
+	s.runners.dial = s.Dial
+	wg.Go(func() { s.runners.closeIdle(ctx) })
 	for {
 		conn, err := s.Listener.Accept()
 		if err != nil {
@@ -196,7 +205,9 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	calls := &connHandler{ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls)}
+	calls := &connHandler{
+		ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls), relaySlots: make(chan struct{}, maxRelayCalls),
+	}
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), calls, jsonrpc2.SetLogger(discardLogger))
 	select {
 	case <-rpc.DisconnectNotify():
@@ -211,15 +222,26 @@
 	ctx         context.Context
 	server      *Server
 	adviceSlots chan struct{}
-	running     sync.WaitGroup
+	relaySlots  chan struct{}
+	// answers sends the answers of workers, once openOutbox is done.
+	openOutbox sync.Once
+	answers    outbox[rows.RelayAnswer]
+	running    sync.WaitGroup
 }
 
 // Handle implements jsonrpc2.Handler.
 func (c *connHandler) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Method == methodCheckHealth {
+	switch req.Method {
+	case methodCheckHealth:
 		answer, err := guarded(c, workHealth, req, c.checkHealth)
 		reply(conn, req, answer, err)
 		return
+	case methodRelayPing:
+		reply(conn, req, rows.RelayPong{Leaving: c.server.IsLeaving != nil && c.server.IsLeaving()}, nil)
+		return
+	case methodRelayCalls:
+		c.relayCalls(conn, req)
+		return
 	}
 	select {
 	case c.adviceSlots <- struct{}{}:
--- a/internal/peer/helper/helper_test.go
+++ b/internal/peer/helper/helper_test.go
@@ -41,7 +41,7 @@
 	go func() {
 		defer close(ended)
 		// Run returns no error after its context has ended.
-		_ = (&helper.Server{Listener: l, Adviser: fakeAdviser{}}).Run(ctx)
+		_ = (&helper.Server{Listener: l, Adviser: fakeAdviser{}, Dial: dialFake}).Run(ctx)
 	}()
 	stop := func() {
 		cancel()
--- a/internal/proto/codec/errors.go
+++ b/internal/proto/codec/errors.go
@@ -31,6 +31,10 @@
 	{"invalid", hoist.ErrInvalid},
 	{"not-found", hoist.ErrNotFound},
 	{"denied", hoist.ErrDenied},
+	{"not-listening", hoist.ErrNotListening},
+	{"replaced", hoist.ErrReplaced},
+	{"lease-expired", hoist.ErrLeaseExpired},
+	{"no-ticket", hoist.ErrTicket},
 }
 
 // ErrorCode returns the code of the domain error that err wraps, or CodeInternal
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -212,6 +212,200 @@
 	Stretch float64 `json:"stretch"`
 }
 
+// The answer to a call through a relay.
+type RelayAnswer struct {
+	// The clock of the worker, after a start.
+	ClockUs *int `json:"clock-us,omitempty,omitzero"`
+
+	// The code of the error, or empty after success.
+	Code *string `json:"code,omitempty,omitzero"`
+
+	// Error corresponds to the JSON schema field "error".
+	Error *string `json:"error,omitempty,omitzero"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id int `json:"id"`
+
+	// Report corresponds to the JSON schema field "report".
+	Report *RelayReport `json:"report,omitempty,omitzero"`
+}
+
+// Answers that a relay sends together.
+type RelayAnswers struct {
+	// Answers corresponds to the JSON schema field "answers".
+	Answers []RelayAnswer `json:"answers"`
+}
+
+// The parameters of a notification between an owner and its relay.
+type RelayBatch struct {
+	// relay-calls or relay-answers in CBOR, as base64: thousands of items a second
+	// cost a third of what they do as JSON.
+	Cbor string `json:"cbor"`
+}
+
+// A call to a worker that a relay makes for the owner: exactly one of poll, start,
+// stop and pace.
+type RelayCall struct {
+	// Addr corresponds to the JSON schema field "addr".
+	Addr string `json:"addr"`
+
+	// Identifies the answer on the connection.
+	Id int `json:"id"`
+
+	// Pace corresponds to the JSON schema field "pace".
+	Pace *RelayPace `json:"pace,omitempty,omitzero"`
+
+	// Poll corresponds to the JSON schema field "poll".
+	Poll *RelayPoll `json:"poll,omitempty,omitzero"`
+
+	// Start corresponds to the JSON schema field "start".
+	Start *RelayStart `json:"start,omitempty,omitzero"`
+
+	// Stop corresponds to the JSON schema field "stop".
+	Stop *RelayStop `json:"stop,omitempty,omitzero"`
+
+	// TimeoutMs corresponds to the JSON schema field "timeout-ms".
+	TimeoutMs int `json:"timeout-ms"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker string `json:"worker"`
+}
+
+// Calls that are sent to a relay together.
+type RelayCalls struct {
+	// Calls corresponds to the JSON schema field "calls".
+	Calls []RelayCall `json:"calls"`
+}
+
+// The end of an attempt on a worker.
+type RelayEnd struct {
+	// Kind corresponds to the JSON schema field "kind".
+	Kind string `json:"kind"`
+
+	// No corresponds to the JSON schema field "no".
+	No int `json:"no"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run RelayRun `json:"run"`
+
+	// Saved corresponds to the JSON schema field "saved".
+	Saved string `json:"saved"`
+}
+
+// Asks a relay to limit the speed of an attempt on a worker.
+type RelayPace struct {
+	// Percent corresponds to the JSON schema field "percent".
+	Percent float64 `json:"percent"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run RelayRun `json:"run"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
+// Asks a relay to poll a worker.
+type RelayPoll struct {
+	// Acked corresponds to the JSON schema field "acked".
+	Acked int `json:"acked"`
+
+	// EnablesAcks corresponds to the JSON schema field "enables-acks".
+	EnablesAcks bool `json:"enables-acks"`
+
+	// On the clock of the worker.
+	LeaseUs int `json:"lease-us"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+
+	// WaitMs corresponds to the JSON schema field "wait-ms".
+	WaitMs int `json:"wait-ms"`
+}
+
+// The answer of a relay to the question whether it works.
+type RelayPong struct {
+	// Whether the host stops soon and should get no workers.
+	Leaving bool `json:"leaving"`
+}
+
+// The report of a worker, passed on by a relay.
+type RelayReport struct {
+	// ClockUs corresponds to the JSON schema field "clock-us".
+	ClockUs int `json:"clock-us"`
+
+	// Ends corresponds to the JSON schema field "ends".
+	Ends []RelayEnd `json:"ends"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation int `json:"incarnation"`
+
+	// Running corresponds to the JSON schema field "running".
+	Running []RelayStatus `json:"running"`
+}
+
+// An attempt at a task.
+type RelayRun struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Index corresponds to the JSON schema field "index".
+	Index int `json:"index"`
+
+	// Job corresponds to the JSON schema field "job".
+	Job string `json:"job"`
+
+	// Occurrence corresponds to the JSON schema field "occurrence".
+	Occurrence int `json:"occurrence"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step"`
+}
+
+// Asks a relay to start an attempt on a worker.
+type RelayStart struct {
+	// On the clock of the worker.
+	LeaseUs int `json:"lease-us"`
+
+	// Payload corresponds to the JSON schema field "payload".
+	Payload string `json:"payload"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run RelayRun `json:"run"`
+
+	// Saved corresponds to the JSON schema field "saved".
+	Saved string `json:"saved"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+
+	// Ticket corresponds to the JSON schema field "ticket".
+	Ticket string `json:"ticket"`
+}
+
+// An attempt that runs on a worker.
+type RelayStatus struct {
+	// Measurement corresponds to the JSON schema field "measurement".
+	Measurement float64 `json:"measurement"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run RelayRun `json:"run"`
+
+	// Saved corresponds to the JSON schema field "saved".
+	Saved string `json:"saved"`
+
+	// In percent.
+	SpeedLimit float64 `json:"speed-limit"`
+}
+
+// Asks a relay to stop an attempt on a worker.
+type RelayStop struct {
+	// Run corresponds to the JSON schema field "run".
+	Run RelayRun `json:"run"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+}
+
 // The saved progress of a task.
 type Saved struct {
 	// Checkpoint corresponds to the JSON schema field "checkpoint".
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -19,12 +20,14 @@
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/core/plans"
 	"fuchsiahoist.example/hoist/internal/fake/memory"
+	"fuchsiahoist.example/hoist/internal/peer/helper"
 )
 
 // PlansInput describes a run of one owner of plans.
 type PlansInput struct {
 	Workers int
-	// Hosts is the number of hosts that send requests for advice.
+	// Hosts is the number of hosts that send requests for advice, and that can be relays
+	// of the owner. Calls through relays go over loopback.
 	Hosts int
 	// StartsPerWorker is the rate of starts for each worker.
 	StartsPerWorker float64
@@ -53,6 +56,8 @@
 	settleTime = 2 * time.Second
 	// maxWait bounds the histogram of waiting times.
 	maxWait = time.Minute
+	// relayWeight is the weight of each relay, which is that of a large host.
+	relayWeight = 800
 )
 
 var taskNeed = hoist.Resources{CPU: 7100, Memory: 2048}
@@ -115,12 +120,14 @@
 	version, _ := s.store.Commit(ctx, fences)
 	// The owner renews nothing here, so its grants must outlast the run.
 	renewed := time.Now().Add(time.Hour)
-	pool := &plans.AdviserPool{}
+	pool, relays := &plans.AdviserPool{}, &plans.RelayPool{}
 	for i := range s.input.Hosts {
-		pool.Set(hoist.HostID(fmt.Sprint("host-", i)), s)
+		id := hoist.HostID(fmt.Sprint("host-", i))
+		pool.Set(id, s)
+		relays.Set(id, relayWeight, s.startRelay(ctx))
 	}
 	d := &plans.Driver{
-		Claim: claim.NewOwnership(1, version, time.Now(), renewed, cancel), Store: s.store, Registry: s, Advisers: pool,
+		Claim: claim.NewOwnership(1, version, time.Now(), renewed, cancel), Store: s.store, Registry: s, Advisers: pool, Relays: relays,
 		Dial:  func(e hoist.WorkerEntry) hoist.Runner { return s.workers[e.Worker] },
 		Queue: func(name hoist.QueueName) (hoist.Queue, bool) { q, ok := simQueues[name]; return q, ok },
 		Clock: clock.System{}, Metrics: s, StateRetention: time.Hour,
@@ -142,6 +149,18 @@
 	return out
 }
 
+// startRelay starts a relay and returns a client of it, or nil if it cannot listen.
+func (s *planSim) startRelay(ctx context.Context) hoist.Relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil
+	}
+	server := &helper.Server{Listener: l, Dial: func(e hoist.WorkerEntry) hoist.Runner { return s.workers[e.Worker] }}
+	// Run returns no error after its context has ended.
+	go func() { _ = server.Run(ctx) }()
+	return &helper.Relay{Addr: l.Addr().String()}
+}
+
 // submitPlans submits plans at the rate of the input, as hosts do.
 func (s *planSim) submitPlans(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.input.Seed, 0))
--- a/runner.go
+++ b/runner.go
@@ -57,6 +57,18 @@
 	Throttle(ctx context.Context, run TaskRun, term Term, share Percent) error
 }
 
+// Relay is another host that calls workers on behalf of the owner of the cell. Its
+// methods may be called concurrently.
+type Relay interface {
+	// Runner returns a client that calls a worker through the relay. If the relay
+	// cannot be reached, its methods return ErrUnavailable if the call certainly was
+	// not passed on, and ErrOutcomeUnknown if it may be.
+	Runner(e WorkerEntry) Runner
+	// Ping returns nil if the relay works, and ErrLeaving if it is about to stop.
+	Ping(ctx context.Context) error
+	Close()
+}
+
 // Advice is an adviser's answer about the workers in a request.
 type Advice struct {
 	// Tickets maps the workers that may run the step to their tickets.
