Send relay messages as plain CBOR, and wake less in a large cell

Each recorded transaction woke all polls that waited for any recording; each pass woke the recording of all parts; the JSON of jsonrpc2 around a batch cost more than the batch; the garbage collector ran many times a second.

Change: a relay connection begins with a byte of its own and carries CBOR messages. A recording wakes the polls whose ends it recorded, a pass the parts with a start or end of a step. The registry is read less often, the more workers it has.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,9 @@
 	// hostChangesWait is how long the store waits for a change of the table of hosts
 	// before it answers.
 	hostChangesWait = 2 * time.Second
+	// ownerGCPercent is the GC percentage of a host while it owns the cell. The memory
+	// limit of the process goes before it.
+	ownerGCPercent = 300
 	// maxReadyStoreAge is how old the last answer of the store may be while the host
 	// is ready for new callers.
 	maxReadyStoreAge = 2500 * time.Millisecond
@@ -218,6 +222,9 @@
 		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect,
 	}
 	d.Relays = &plans.RelayPool{}
+	// An owner allocates much and keeps little: with the default it would collect garbage
+	// many times a second.
+	defer debug.SetGCPercent(debug.SetGCPercent(ownerGCPercent))
 	d.Advisers.Set(h.ID, h.Adviser)
 	h.setDriver(d)
 	defer h.setDriver(nil)
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -114,8 +114,9 @@
 	shares *share.Table
 	// reassignDue is a flag that is set when the relays have changed.
 	reassignDue chan struct{}
-	// awaiting holds the links whose next poll waits until ends are recorded.
-	awaiting map[*link]bool
+	// awaiting holds the links whose next poll waits until ends are recorded, with their
+	// workers.
+	awaiting map[*link]hoist.WorkerID
 	// recordDue has a flag for each part, which is set when states of its plans may
 	// have to be recorded.
 	recordDue map[hoist.PartName]chan struct{}
@@ -171,7 +172,7 @@
 	d.quarantined = make(map[hoist.JobID]hoist.PartName)
 	d.failures = make(map[hoist.JobID]int)
 	d.links = make(map[hoist.WorkerID]*link)
-	d.awaiting = make(map[*link]bool)
+	d.awaiting = make(map[*link]hoist.WorkerID)
 	d.shares = share.NewTable()
 	d.shares.MaxDirect = d.MaxDirect
 	d.reassignDue = make(chan struct{}, 1)
@@ -232,7 +233,7 @@
 			due = d.scheduler.Pass(now, d.Advisers.Reserve)
 		}
 		for part, due := range d.recordDue {
-			if d.scheduler.HasUnrecorded(part) {
+			if d.scheduler.HasUrgent(part) {
 				clock.Signal(due)
 			}
 		}
--- a/internal/core/plans/plans.go
+++ b/internal/core/plans/plans.go
@@ -341,7 +341,7 @@
 // has a loop of its own, as the store may be slow or unavailable for some parts.
 func (d *Driver) recordLoop(ctx context.Context, part hoist.PartName, due <-chan struct{}) {
 	rec := recorder{part: part, timeout: minRecordTimeout, lastAll: d.Clock.Now()}
-	for clock.SleepOr(ctx, time.Second, due) {
+	for clock.SleepOr(ctx, recordInterval, due) {
 		for ctx.Err() == nil {
 			now := d.Clock.Now()
 			isAll := rec.includesAll(now)
@@ -469,8 +469,10 @@
 				events.PlanEnded.Log(ctx, d.Log, "plan", u.Job, "phase", u.State.Phase, "version", version)
 			}
 		}
-		for l := range d.awaiting {
-			clock.Signal(l.recorded)
+		for l, id := range d.awaiting {
+			if !d.scheduler.HasUnrecordedEnds(id) {
+				clock.Signal(l.recorded)
+			}
 		}
 	})
 	for _, call := range startCalls {
--- a/internal/core/plans/workers.go
+++ b/internal/core/plans/workers.go
@@ -83,13 +83,18 @@
 			delete(entries, id)
 		}
 		d.setWorkers(ctx, entries)
-		clock.Sleep(ctx, minRegistryInterval)
+		clock.Sleep(ctx, minRegistryInterval+time.Duration(len(entries))*registryIntervalPerWorker)
 	}
 }
 
-// minRegistryInterval is the shortest time between two reads of the registry, which
-// every worker updates regularly.
-const minRegistryInterval = 150 * time.Millisecond
+const (
+	// minRegistryInterval is the shortest time between two reads of the registry, which
+	// every worker updates regularly.
+	minRegistryInterval = 150 * time.Millisecond
+	// registryIntervalPerWorker is added to it for each worker, as each read updates
+	// all of them.
+	registryIntervalPerWorker = 100 * time.Microsecond
+)
 
 // setWorkers passes the entries of the registry to the scheduler, and starts and stops
 // goroutines so that each worker of the scheduler is polled at its current address.
@@ -234,7 +239,7 @@
 		d.update(ctx, workPoll, func() {
 			isOpen = left > 0 && d.scheduler.HasUnrecordedEnds(id)
 			if isOpen {
-				d.awaiting[l] = true
+				d.awaiting[l] = id
 			} else {
 				delete(d.awaiting, l)
 			}
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -46,9 +46,15 @@
 	return out
 }
 
-// HasUnrecorded reports whether any state of a part is not recorded.
-func (sc *Scheduler) HasUnrecorded(part hoist.PartName) bool {
-	return len(sc.changed[part]) > 0
+// HasUrgent reports whether a start or the end of a step waits until a state of a part
+// is recorded.
+func (sc *Scheduler) HasUrgent(part hoist.PartName) bool {
+	for _, j := range sc.changed[part] {
+		if j.urgentChange > j.recordedChange {
+			return true
+		}
+	}
+	return false
 }
 
 // DeferRecording makes Unrecorded leave out a job until the given time, so that a
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -1,7 +1,9 @@
-// Package helper implements the calls between entry hosts as JSON-RPC 2.0 over TCP: a
-// host requests advice from an adviser through another host, the owner of the cell
-// calls workers through other hosts, its relays, and the standby hosts check the health
-// of the owner. Each kind uses a connection of its own, so that none delays another.
+// Package helper implements the calls between entry hosts over TCP: a host requests
+// advice from an adviser through another host, the owner of the cell calls workers
+// through other hosts, its relays, and the standby hosts check the health of the owner.
+// Each kind uses a connection of its own, so that none delays another. Calls through
+// relays are many and small; they travel several in one message of CBOR. All others are
+// JSON-RPC 2.0.
 //
 // # Usage
 //
@@ -17,6 +19,7 @@
 package helper
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -205,9 +208,36 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	calls := &connHandler{
-		ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls), relaySlots: make(chan struct{}, maxRelayCalls),
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	in := bufio.NewReader(conn)
+	first, err := in.ReadByte()
+	stop()
+	switch {
+	case err != nil:
+		_ = conn.Close()
+	case first == relayPreamble:
+		s.serveRelay(ctx, conn, in)
+	default:
+		// It is the first byte of a message.
+		_ = in.UnreadByte()
+		s.serveCalls(ctx, bufferedConn{in, conn})
 	}
+}
+
+// bufferedConn is a connection of which the first bytes have been read into a buffer.
+type bufferedConn struct {
+	*bufio.Reader
+	net.Conn
+}
+
+// Read implements io.Reader.
+func (c bufferedConn) Read(p []byte) (int, error) {
+	return c.Reader.Read(p)
+}
+
+// serveCalls serves the calls of JSON-RPC on a connection until it ends, or ctx does.
+func (s *Server) serveCalls(ctx context.Context, conn io.ReadWriteCloser) {
+	calls := &connHandler{ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls)}
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), calls, jsonrpc2.SetLogger(discardLogger))
 	select {
 	case <-rpc.DisconnectNotify():
@@ -222,26 +252,15 @@
 	ctx         context.Context
 	server      *Server
 	adviceSlots chan struct{}
-	relaySlots  chan struct{}
-	// answers sends the answers of workers, once openOutbox is done.
-	openOutbox sync.Once
-	answers    outbox[rows.RelayAnswer]
-	running    sync.WaitGroup
+	running     sync.WaitGroup
 }
 
 // Handle implements jsonrpc2.Handler.
 func (c *connHandler) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	switch req.Method {
-	case methodCheckHealth:
+	if req.Method == methodCheckHealth {
 		answer, err := guarded(c, workHealth, req, c.checkHealth)
 		reply(conn, req, answer, err)
 		return
-	case methodRelayPing:
-		reply(conn, req, rows.RelayPong{Leaving: c.server.IsLeaving != nil && c.server.IsLeaving()}, nil)
-		return
-	case methodRelayCalls:
-		c.relayCalls(conn, req)
-		return
 	}
 	select {
 	case c.adviceSlots <- struct{}{}:
--- a/internal/peer/helper/relay.go
+++ b/internal/peer/helper/relay.go
@@ -7,45 +7,24 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
 
 const (
-	// methodRelayCalls and methodRelayAnswers are notifications, which carry several
-	// calls to workers and several answers.
-	methodRelayCalls   = "relay-calls"
-	methodRelayAnswers = "relay-answers"
-	methodRelayPing    = "relay-ping"
+	// relayPreamble is the first byte on a connection between an owner and a relay. The
+	// messages of JSON-RPC, which the other calls use, begin with another one.
+	relayPreamble = 'R'
 	// relayMargin is how much longer a call through a relay may take than the call of
 	// the relay to the worker.
 	relayMargin = 200 * time.Millisecond
 	// relayCallTimeout bounds a call without a deadline.
 	relayCallTimeout = 2 * time.Second
+	// relayWriteTimeout bounds the write of a message to a peer that does not read.
+	relayWriteTimeout = 2 * time.Second
 )
 
-// notify sends a batch as a notification.
-func notify[T rows.RelayCalls | rows.RelayAnswers](ctx context.Context, conn *jsonrpc2.Conn, method string, v T) error {
-	batch, err := codec.EncodeRelayBatch(v)
-	if err != nil {
-		return err
-	}
-	return conn.Notify(ctx, method, batch)
-}
-
-// decodeBatch decodes the parameters of a notification.
-func decodeBatch[T rows.RelayCalls | rows.RelayAnswers](req *jsonrpc2.Request, method string) (T, error) {
-	batch, err := decodeParams[rows.RelayBatch](req, method)
-	if err != nil {
-		var none T
-		return none, err
-	}
-	return codec.DecodeRelayBatch[T](batch)
-}
-
 // Relay is a client of another host that calls workers for the owner of the cell. It
 // connects on the first call and again after a failure.
 type Relay struct {
@@ -66,16 +45,13 @@
 func (r *Relay) Ping(ctx context.Context) error {
 	conn, err := r.connection(ctx)
 	if err != nil {
-		return hoist.ConvertErrorf(hoist.ErrUnavailable, err, "relay at %s", r.Addr)
-	}
-	var pong rows.RelayPong
-	if err := conn.rpc.Call(ctx, methodRelayPing, struct{}{}, &pong); err != nil {
-		return hoist.ConvertErrorf(hoist.ErrOutcomeUnknown, err, "relay at %s", r.Addr)
+		return err
 	}
-	if pong.Leaving {
+	answer, err := conn.call(ctx, rows.RelayCall{})
+	if err == nil && answer.Leaving != nil && *answer.Leaving {
 		return hoist.ErrLeaving
 	}
-	return nil
+	return err
 }
 
 // Close implements hoist.Relay.
@@ -83,65 +59,102 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.conn != nil {
-		// The connection is discarded, so an error of Close has no effect.
-		_ = r.conn.rpc.Close()
+		r.conn.close()
 		r.conn = nil
 	}
 }
 
-// connection returns the open connection, or opens one if there is none.
+// connection returns the open connection, or opens one if there is none. Its error is
+// hoist.ErrUnavailable.
 func (r *Relay) connection(ctx context.Context) (*relayConn, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.conn != nil {
-		select {
-		case <-r.conn.rpc.DisconnectNotify():
-		default:
-			return r.conn, nil
-		}
+	if r.conn != nil && !r.conn.isClosed() {
+		return r.conn, nil
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", r.Addr)
+	if err == nil {
+		_, err = conn.Write([]byte{relayPreamble})
+	}
 	if err != nil {
-		return nil, err
+		return nil, hoist.ConvertErrorf(hoist.ErrUnavailable, err, "relay at %s", r.Addr)
 	}
-	r.conn = newRelayConn(context.WithoutCancel(ctx), conn)
+	r.conn = newRelayConn(conn)
 	return r.conn, nil
 }
 
 // relayConn is a connection to a relay with the calls in progress on it.
 type relayConn struct {
-	rpc *jsonrpc2.Conn
-	out outbox[rows.RelayCall]
+	conn net.Conn
+	out  outbox[rows.RelayCall]
+	// closed is closed when the connection is.
+	closed    chan struct{}
+	closeOnce sync.Once
 
 	mu      sync.Mutex
 	lastID  int
 	pending map[int]chan rows.RelayAnswer
 }
 
-func newRelayConn(ctx context.Context, conn net.Conn) *relayConn {
-	c := &relayConn{pending: make(map[int]chan rows.RelayAnswer)}
+func newRelayConn(conn net.Conn) *relayConn {
+	c := &relayConn{conn: conn, closed: make(chan struct{}), pending: make(map[int]chan rows.RelayAnswer)}
 	c.out.send = func(calls []rows.RelayCall) {
-		if notify(ctx, c.rpc, methodRelayCalls, rows.RelayCalls{Calls: calls}) != nil {
-			// The calls end once the connection is closed.
-			_ = c.rpc.Close()
+		if writeMessage(conn, rows.RelayCalls{Calls: calls}) != nil {
+			c.close()
 		}
 	}
-	c.rpc = jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), c, jsonrpc2.SetLogger(discardLogger))
+	go c.read()
 	return c
 }
 
-// Handle implements jsonrpc2.Handler. It passes answers on to the calls that wait for
-// them.
-func (c *relayConn) Handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	answers, err := decodeBatch[rows.RelayAnswers](req, methodRelayAnswers)
+// writeMessage writes a message of a relay connection.
+func writeMessage[T rows.RelayCalls | rows.RelayAnswers](conn net.Conn, v T) error {
+	encoded, err := codec.EncodeRelayMessage(v)
 	if err != nil {
-		// The calls end when their time is over.
-		return
+		return err
 	}
+	if err := conn.SetWriteDeadline(time.Now().Add(relayWriteTimeout)); err != nil {
+		return err
+	}
+	_, err = conn.Write(encoded)
+	return err
+}
+
+func (c *relayConn) close() {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		// The connection is discarded, so an error of Close has no effect.
+		_ = c.conn.Close()
+	})
+}
+
+func (c *relayConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// read passes answers on to the calls that wait for them, until the connection ends.
+func (c *relayConn) read() {
+	defer c.close()
+	decoder := codec.NewRelayDecoder(c.conn)
+	for {
+		var message rows.RelayAnswers
+		if decoder.Decode(&message) != nil {
+			return
+		}
+		c.deliver(message.Answers)
+	}
+}
+
+func (c *relayConn) deliver(answers []rows.RelayAnswer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, a := range answers.Answers {
+	for _, a := range answers {
 		if waiting, ok := c.pending[a.Id]; ok {
 			delete(c.pending, a.Id)
 			waiting <- a
@@ -178,8 +191,8 @@
 	select {
 	case a := <-answered:
 		return a, answerError(a)
-	case <-c.rpc.DisconnectNotify():
-		return rows.RelayAnswer{}, hoist.ConvertError(hoist.ErrOutcomeUnknown, jsonrpc2.ErrClosed)
+	case <-c.closed:
+		return rows.RelayAnswer{}, hoist.ConvertError(hoist.ErrOutcomeUnknown, net.ErrClosed)
 	case <-ctx.Done():
 		return rows.RelayAnswer{}, hoist.ConvertError(hoist.ErrOutcomeUnknown, ctx.Err())
 	}
@@ -260,7 +273,7 @@
 	})()
 	conn, err := r.relay.connection(callCtx)
 	if err != nil {
-		return rows.RelayAnswer{}, hoist.ConvertErrorf(hoist.ErrUnavailable, err, "relay at %s", r.relay.Addr)
+		return rows.RelayAnswer{}, err
 	}
 	return conn.call(callCtx, call)
 }
--- a/internal/peer/helper/runners.go
+++ b/internal/peer/helper/runners.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/guard"
@@ -89,66 +88,89 @@
 	}
 }
 
-// relayCalls makes the calls to workers that the owner of the cell asks for. The
-// answers are sent when they are there.
-func (c *connHandler) relayCalls(conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	calls, err := decodeBatch[rows.RelayCalls](req, methodRelayCalls)
-	if err != nil {
-		// The peer speaks another protocol.
-		_ = conn.Close()
-		return
+// relayServer makes the calls to workers that the owner of the cell asks for on one
+// connection.
+type relayServer struct {
+	ctx     context.Context
+	server  *Server
+	conn    net.Conn
+	answers outbox[rows.RelayAnswer]
+	// slots bounds the calls in progress.
+	slots   chan struct{}
+	running sync.WaitGroup
+}
+
+// serveRelay serves a connection of the owner of the cell until it ends, or ctx does.
+func (s *Server) serveRelay(ctx context.Context, conn net.Conn, in io.Reader) {
+	r := &relayServer{ctx: ctx, server: s, conn: conn, slots: make(chan struct{}, maxRelayCalls)}
+	defer r.running.Wait()
+	defer context.AfterFunc(ctx, r.close)()
+	defer r.close()
+	r.answers.send = func(answers []rows.RelayAnswer) {
+		if writeMessage(conn, rows.RelayAnswers{Answers: answers}) != nil {
+			r.close()
+		}
 	}
-	c.openOutbox.Do(func() {
-		c.answers.send = func(answers []rows.RelayAnswer) {
-			if notify(context.Background(), conn, methodRelayAnswers, rows.RelayAnswers{Answers: answers}) != nil {
-				_ = conn.Close()
-			}
+	decoder := codec.NewRelayDecoder(in)
+	for {
+		var message rows.RelayCalls
+		if decoder.Decode(&message) != nil {
+			return
+		}
+		for _, call := range message.Calls {
+			r.serve(call)
 		}
-	})
-	for _, call := range calls.Calls {
-		c.relay(call)
 	}
 }
 
-// relay makes a call to a worker in a goroutine of its own.
-func (c *connHandler) relay(call rows.RelayCall) {
+func (r *relayServer) close() {
+	// The connection is discarded, so an error of Close has no effect.
+	_ = r.conn.Close()
+}
+
+// serve makes a call in a goroutine of its own.
+func (r *relayServer) serve(call rows.RelayCall) {
 	select {
-	case c.relaySlots <- struct{}{}:
+	case r.slots <- struct{}{}:
 	default:
-		c.answer(rows.RelayAnswer{Id: call.Id}, hoist.ErrUnavailable)
+		r.answer(rows.RelayAnswer{Id: call.Id}, hoist.ErrUnavailable)
 		return
 	}
-	c.running.Go(func() {
-		defer func() { <-c.relaySlots }()
+	r.running.Go(func() {
+		defer func() { <-r.slots }()
 		answer, err := rows.RelayAnswer{}, error(hoist.ErrOutcomeUnknown)
-		panicked := c.server.Guard.Do(c.ctx, workRelay, func() { answer, err = c.callWorker(call) })
+		panicked := r.server.Guard.Do(r.ctx, workRelay, func() { answer, err = r.call(call) })
 		if panicked != nil {
 			err = panicked
 		}
 		answer.Id = call.Id
-		c.answer(answer, err)
+		r.answer(answer, err)
 	})
 }
 
 // answer sends the answer to a call.
-func (c *connHandler) answer(a rows.RelayAnswer, err error) {
+func (r *relayServer) answer(a rows.RelayAnswer, err error) {
 	if err != nil {
 		code, message := string(codec.ErrorCode(err)), err.Error()
 		a.Code, a.Error = &code, &message
 	}
 	// If too many answers wait, the call ends when its time is over.
-	_ = c.answers.add(a)
+	_ = r.answers.add(a)
 }
 
 // maxRelayTimeout bounds a call to a worker.
 const maxRelayTimeout = 5 * time.Second
 
-// callWorker makes a call to a worker.
-func (c *connHandler) callWorker(call rows.RelayCall) (rows.RelayAnswer, error) {
-	runner, release := c.server.runners.use(runnerKey{hoist.WorkerID(call.Worker), call.Addr})
+// call makes a call to a worker, or answers a ping.
+func (r *relayServer) call(call rows.RelayCall) (rows.RelayAnswer, error) {
+	if call.Worker == "" {
+		isLeaving := r.server.IsLeaving != nil && r.server.IsLeaving()
+		return rows.RelayAnswer{Leaving: &isLeaving}, nil
+	}
+	runner, release := r.server.runners.use(runnerKey{hoist.WorkerID(call.Worker), call.Addr})
 	defer release()
 	limit := max(time.Millisecond, min(time.Duration(call.TimeoutMs)*time.Millisecond, maxRelayTimeout))
-	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	ctx, cancel := context.WithTimeout(r.ctx, limit)
 	defer cancel()
 	switch {
 	case call.Poll != nil:
--- a/internal/proto/codec/relay.go
+++ b/internal/proto/codec/relay.go
@@ -1,8 +1,7 @@
 package codec
 
 import (
-	"encoding/base64"
-	"sync"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -64,38 +63,25 @@
 	}
 }
 
-// maxRelayBatch bounds the number of items in a batch, and maxRelayDepth its nesting.
+// The bounds of a message between an owner and a relay.
 const (
-	maxRelayBatch = 1 << 17
+	maxRelayItems = 1 << 17
 	maxRelayDepth = 16
 )
 
-// relayDecoder decodes batches within the bounds.
-var relayDecoder = sync.OnceValue(func() cbor.DecMode {
+// NewRelayDecoder returns a decoder of the messages between an owner and a relay, which
+// are in CBOR: thousands of items a second cost a third of what they do as JSON.
+func NewRelayDecoder(r io.Reader) *cbor.Decoder {
 	// The options are constant and valid.
-	mode, _ := cbor.DecOptions{MaxArrayElements: maxRelayBatch, MaxNestedLevels: maxRelayDepth}.DecMode()
-	return mode
-})
-
-// EncodeRelayBatch encodes calls through a relay or their answers.
-func EncodeRelayBatch[T rows.RelayCalls | rows.RelayAnswers](v T) (rows.RelayBatch, error) {
-	encoded, err := cbor.Marshal(v)
-	if err != nil {
-		return rows.RelayBatch{}, hoist.ConvertError(hoist.ErrInvalid, err)
-	}
-	return rows.RelayBatch{Cbor: base64.StdEncoding.EncodeToString(encoded)}, nil
+	mode, _ := cbor.DecOptions{MaxArrayElements: maxRelayItems, MaxNestedLevels: maxRelayDepth}.DecMode()
+	return mode.NewDecoder(r)
 }
 
-// DecodeRelayBatch decodes calls through a relay or their answers. It returns
-// hoist.ErrInvalid if the batch is not valid.
-func DecodeRelayBatch[T rows.RelayCalls | rows.RelayAnswers](b rows.RelayBatch) (T, error) {
-	var v T
-	encoded, err := base64.StdEncoding.DecodeString(b.Cbor)
-	if err == nil {
-		err = relayDecoder().Unmarshal(encoded, &v)
-	}
+// EncodeRelayMessage encodes calls through a relay or their answers.
+func EncodeRelayMessage[T rows.RelayCalls | rows.RelayAnswers](v T) ([]byte, error) {
+	encoded, err := cbor.Marshal(v)
 	if err != nil {
-		return v, hoist.ConvertError(hoist.ErrInvalid, err)
+		return nil, hoist.ConvertError(hoist.ErrInvalid, err)
 	}
-	return v, nil
+	return encoded, nil
 }
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -226,6 +226,9 @@
 	// Id corresponds to the JSON schema field "id".
 	Id int `json:"id"`
 
+	// Whether the relay stops soon and should get no workers.
+	Leaving *bool `json:"leaving,omitempty,omitzero"`
+
 	// Report corresponds to the JSON schema field "report".
 	Report *RelayReport `json:"report,omitempty,omitzero"`
 }
@@ -236,15 +239,8 @@
 	Answers []RelayAnswer `json:"answers"`
 }
 
-// The parameters of a notification between an owner and its relay.
-type RelayBatch struct {
-	// relay-calls or relay-answers in CBOR, as base64: thousands of items a second
-	// cost a third of what they do as JSON.
-	Cbor string `json:"cbor"`
-}
-
-// A call to a worker that a relay makes for the owner: exactly one of poll, start,
-// stop and pace.
+// A call to a worker that a relay makes for the owner: one of poll, start, stop
+// and pace. Without any of them the relay only answers.
 type RelayCall struct {
 	// Addr corresponds to the JSON schema field "addr".
 	Addr string `json:"addr"`
@@ -322,12 +318,6 @@
 	WaitMs int `json:"wait-ms"`
 }
 
-// The answer of a relay to the question whether it works.
-type RelayPong struct {
-	// Whether the host stops soon and should get no workers.
-	Leaving bool `json:"leaving"`
-}
-
 // The report of a worker, passed on by a relay.
 type RelayReport struct {
 	// ClockUs corresponds to the JSON schema field "clock-us".
