Give submissions more time instead of more parts while the store is slow

Change: the delay before the next part, and the time-out of a transaction, follow the time that the last one took, up to 2.8 s. A part that refuses is still followed by the next at once.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -38,8 +38,11 @@
 )
 
 const (
-	// storeTimeout bounds one call to the store.
-	storeTimeout = 1100 * time.Millisecond
+	// storeTimeout bounds one call to the store. While the store is slow, a transaction
+	// gets up to maxStoreTimeout: sending it again, or to another part, would triple the
+	// load where there is least room.
+	storeTimeout    = 1100 * time.Millisecond
+	maxStoreTimeout = 2800 * time.Millisecond
 	// retryDelay is the delay before a call is retried.
 	retryDelay = 60 * time.Millisecond
 	// maxCountAge is how old the cached numbers of waiting plans may be.
@@ -145,9 +148,10 @@
 	send := func() {
 		part := parts[sent]
 		sent++
+		limit := s.tryLimit()
 		go func() {
 			r := commitResult{part: part, err: hoist.ErrOutcomeUnknown}
-			_ = s.Guard.Do(ctx, workSubmit, func() { r = s.try(ctx, part, acceptTransaction(part, p), storeTimeout) })
+			_ = s.Guard.Do(ctx, workSubmit, func() { r = s.try(ctx, part, acceptTransaction(part, p), limit) })
 			results <- r
 		}()
 	}
@@ -251,7 +255,13 @@
 	if !s.hasAnswered {
 		return storeTimeout
 	}
-	return min(storeTimeout, max(minHedgeDelay, hedgeFactor*s.took))
+	return min(maxStoreTimeout, max(minHedgeDelay, hedgeFactor*s.took))
+}
+
+// tryLimit returns how long a transaction may take: longer than usual while the store
+// is slow.
+func (s *Service) tryLimit() time.Duration {
+	return max(storeTimeout, s.hedgeDelay())
 }
 
 // try sends a transaction to a part once, and updates the back-off of the part.
--- a/internal/core/intake/intake_test.go
+++ b/internal/core/intake/intake_test.go
@@ -157,6 +157,22 @@
 			is.Equal(time.Since(began), slow) // the first try is not cancelled
 		})
 	})
+	t.Run("store stays slow", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestService(t)
+			s.link.SetDelay(400 * time.Millisecond)
+			is.NoErr(s.Submit(ctx, hoist.Plan{ID: "0000000000000000", Queue: plan.Queue, Steps: plan.Steps}))
+			// A part that has transactions of others in its queue takes longer than usual.
+			s.link.SetDelay(1800 * time.Millisecond)
+			began := time.Now()
+			is.NoErr(s.submit())
+			is.Equal(time.Since(began), 1800*time.Millisecond)
+			row, err := s.link.Get(ctx, keys.Plan(spare, plan.ID))
+			is.NoErr(err)
+			is.Equal(row.Version, hoist.RowVersion(0)) // no other part got the plan as well
+		})
+	})
 	t.Run("submission does not wait for the numbers of waiting plans", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
