Keep the start of a plan whose occurrences are due since 1970

Cause: FuzzDecodePlan found that a submission with repetitions and without start-at-ms, which is 1970, was stored with a start of 0 and read back as the zero time, in the year 1: the next owner would quarantine an accepted plan as out of range.

Change: with occurrences, a stored start of 0 is 1970.

Measured: the finding is in the corpus of FuzzDecodePlan, which fails without the change; 30 s of it pass with it.

--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -47,13 +47,18 @@
 	if err != nil {
 		return hoist.Plan{}, err
 	}
+	start := timeFromUnixMillis(r.StartMs)
+	if r.Occurrences > 0 && r.StartMs == 0 {
+		// Here 0 is a time: occurrences may be due since 1970.
+		start = time.UnixMilli(0)
+	}
 	return hoist.Plan{
 		ID:          id,
 		Queue:       toPlanQueue(r.Queue),
 		Payload:     r.Payload,
 		Steps:       Map(r.Steps, toPlanStep),
 		Occurrences: r.Occurrences,
-		Start:       timeFromUnixMillis(r.StartMs),
+		Start:       start,
 		Interval:    durationFromMillis(r.IntervalMs),
 		Accepted:    timeFromUnixMillis(r.AcceptedMs),
 	}, nil
