--- a/internal/peer/entry/fuzz_test.go
+++ b/internal/peer/entry/fuzz_test.go
@@ -31,8 +31,8 @@
 func (idlePeer) Dispatch(context.Context, hoist.Attempt) (hoist.Answer, error) {
 	return hoist.Answer{}, nil
 }
-func (idlePeer) SubmitJob(context.Context, hoist.JobSpec) error { return nil }
-func (idlePeer) CancelJob(context.Context, hoist.JobRef) error  { return nil }
+func (idlePeer) SubmitJob(context.Context, hoist.JobSpec) error                   { return nil }
+func (idlePeer) CancelJob(context.Context, hoist.JobRef) error                    { return nil }
 func (idlePeer) ShowJobs(context.Context, hoist.TeamID) ([]hoist.JobState, error) { return nil, nil }
 
 func (idlePeer) Config(context.Context, hoist.ConfigVersion) ([]byte, error) { return nil, nil }
@@ -57,6 +57,8 @@
 			t.Fatal(err)
 		}
 		defer conn.Close()
+		// Without lingering, the port is free for the next message.
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		message := append([]byte(`{"jsonrpc":"2.0","id":1,"method":"`+method+`","params":`), params...)
 		if _, err := conn.Write(append(message, "}\n"...)); err != nil {
 			return
--- a/internal/peer/helper/fuzz_test.go
+++ b/internal/peer/helper/fuzz_test.go
@@ -23,15 +23,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.Cleanup(cancel)
 	go func() { _ = (&helper.Server{Listener: l, Adviser: fakeAdviser{}, Dial: dialFake}).Run(ctx) }()
+	r := &helper.Relay{Addr: l.Addr().String()}
+	f.Cleanup(r.Close)
 	f.Fuzz(func(t *testing.T, message []byte) {
 		conn, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		_, _ = conn.Write(message)
+		// Without lingering, the port is free for the next message.
+		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
-		r := &helper.Relay{Addr: l.Addr().String()}
-		defer r.Close()
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
 		if err := r.Ping(ctx); err != nil {
