Split the files of the plan driver and of the passes by their job

Change: links, polls, starts and record are files of their own, placement is one beside the pass; hoist.Runner has Close.

--- /dev/null
+++ b/internal/core/plans/links.go
@@ -0,0 +1,181 @@
+package plans
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/events"
+)
+
+// link is the connection to one worker, with the state of the polls.
+type link struct {
+	runner hoist.Runner
+	addr   string
+	// via is the relay through which the worker is called; it is empty if the owner
+	// calls the worker itself.
+	via    hoist.HostID
+	cancel context.CancelFunc
+	// recorded is a flag that is set when states have been recorded.
+	recorded chan struct{}
+	// workerClock is the reading of the worker's clock at clockReadAt, which is zero
+	// before the first answer.
+	workerClock hoist.WorkerClock
+	clockReadAt time.Time
+	// isUnresponsive is set if the last poll got no answer.
+	isUnresponsive bool
+	// isConnClosed is set when the connection that carries acknowledgements has been
+	// closed.
+	isConnClosed bool
+}
+
+// registryLoop follows the platform's registry of workers.
+func (d *Driver) registryLoop(ctx context.Context) {
+	entries := make(map[hoist.WorkerID]hoist.WorkerEntry)
+	var after hoist.RowVersion
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, changesWait+storeTimeout)
+		changes, err := d.Registry.Workers(callCtx, after, changesWait)
+		cancel()
+		if err != nil {
+			if errors.Is(err, hoist.ErrHistoryLost) {
+				after = 0
+			}
+			clock.Sleep(ctx, retryDelay)
+			continue
+		}
+		after = changes.Next
+		if changes.IsAll {
+			clear(entries)
+		}
+		for _, e := range changes.Changed {
+			entries[e.Worker] = e
+		}
+		for _, id := range changes.Removed {
+			delete(entries, id)
+		}
+		d.setWorkers(ctx, entries)
+		clock.Sleep(ctx, minRegistryInterval+time.Duration(len(entries))*registryIntervalPerWorker)
+	}
+}
+
+const (
+	// minRegistryInterval is the shortest time between two reads of the registry, which
+	// every worker updates regularly.
+	minRegistryInterval = 150 * time.Millisecond
+	// registryIntervalPerWorker is added to it for each worker, as each read updates
+	// all of them.
+	registryIntervalPerWorker = 100 * time.Microsecond
+)
+
+// setWorkers passes the entries of the registry to the scheduler, and starts and stops
+// goroutines so that each worker of the scheduler is polled at its current address.
+func (d *Driver) setWorkers(ctx context.Context, entries map[hoist.WorkerID]hoist.WorkerEntry) {
+	list := make([]hoist.WorkerEntry, 0, len(entries))
+	for _, e := range entries {
+		if d.HasService == nil || d.HasService(e.Service) {
+			list = append(list, e)
+		}
+	}
+	if d.isFirstList() && d.shares.NeedsRelays(len(list)) {
+		d.Relays.await(ctx, len(list))
+	}
+	d.update(ctx, workRegistry, func() {
+		d.listed = list
+		d.applyWorkers(ctx)
+	})
+	d.requestPass()
+}
+
+// isFirstList reports whether no list of workers has been applied yet.
+func (d *Driver) isFirstList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed == nil
+}
+
+// reassignLoop assigns the workers anew when the relays have changed.
+func (d *Driver) reassignLoop(ctx context.Context) {
+	for clock.SleepOr(ctx, time.Second, d.reassignDue) {
+		d.update(ctx, workRelay, func() {
+			if d.listed != nil {
+				d.applyLinks(ctx)
+			}
+		})
+		// Relays that come or go together cause one assignment.
+		clock.Sleep(ctx, reassignPause)
+	}
+}
+
+// reassignPause is the shortest time between two assignments because of a change of
+// the relays.
+const reassignPause = 50 * time.Millisecond
+
+// applyWorkers passes the list of workers to the scheduler and adjusts the links. d.mu
+// must be held.
+func (d *Driver) applyWorkers(ctx context.Context) {
+	d.scheduler.SetWorkers(d.listed, d.Clock.Now())
+	d.applyLinks(ctx)
+}
+
+// applyLinks assigns the workers to relays, and starts and stops goroutines so that each
+// worker of the scheduler is polled at its current address through its relay. d.mu must
+// be held.
+func (d *Driver) applyLinks(ctx context.Context) {
+	ids := d.scheduler.WorkerIDs()
+	d.assign(ctx, ids)
+	wanted := make(map[hoist.WorkerID]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+		entry, _ := d.scheduler.WorkerEntry(id)
+		via, _ := d.shares.Relay(id)
+		l, ok := d.links[id]
+		if ok && l.addr == entry.Addr && l.via == via {
+			continue
+		}
+		if ok {
+			l.cancel()
+		}
+		d.openLink(ctx, entry, via)
+	}
+	for id, l := range d.links {
+		if !wanted[id] {
+			l.cancel()
+			delete(d.links, id)
+		}
+	}
+}
+
+// assign assigns workers to relays. d.mu must be held.
+func (d *Driver) assign(ctx context.Context, ids []hoist.WorkerID) {
+	needed := 0
+	if d.shares.NeedsRelays(len(ids)) {
+		needed = len(ids)
+	}
+	d.Relays.watch(ctx, needed)
+	before := len(d.shares.Relays())
+	moved := d.shares.Update(ids, d.Relays.up())
+	if moved > 0 || len(d.shares.Relays()) != before {
+		events.RelaysChanged.Log(ctx, d.Log, "relays", len(d.shares.Relays()), "workers", len(ids), "moved", moved)
+	}
+}
+
+// openLink starts polling a worker through a relay, or directly if via is empty. d.mu
+// must be held.
+func (d *Driver) openLink(ctx context.Context, entry hoist.WorkerEntry, via hoist.HostID) {
+	runner := hoist.Runner(nil)
+	if relay, ok := d.Relays.relay(via); ok {
+		runner = relay.Runner(entry)
+	} else {
+		runner = d.Dial(entry)
+	}
+	linkCtx, cancel := context.WithCancel(ctx)
+	l := &link{runner: runner, addr: entry.Addr, via: via, cancel: cancel, recorded: make(chan struct{}, 1)}
+	d.links[entry.Worker] = l
+	d.calls.Go(func() {
+		defer runner.Close()
+		d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, entry.Worker, l) })
+	})
+}
--- /dev/null
+++ b/internal/core/plans/polls.go
@@ -0,0 +1,204 @@
+package plans
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/events"
+)
+
+const (
+	// pollWait is how long a worker waits for an end before it answers a poll.
+	pollWait = time.Second
+	// pollTimeout bounds the time for the answer, in addition to pollWait.
+	pollTimeout = 600 * time.Millisecond
+	// shortPollWait and shortPollTimeout replace them while calls are lost.
+	shortPollWait    = 300 * time.Millisecond
+	shortPollTimeout = 250 * time.Millisecond
+	// minPollInterval is the shortest time between two polls of a worker, so that
+	// ends which happen close together are read together.
+	minPollInterval = 20 * time.Millisecond
+	// ackWait is how long a poll is delayed until the ends of the last one are
+	// recorded, so that it can acknowledge them.
+	ackWait = 300 * time.Millisecond
+	// maxPollBackoff bounds the delay between polls of an unresponsive worker.
+	maxPollBackoff = 400 * time.Millisecond
+)
+
+// pollLoop polls one worker, which renews its lease and reports what runs there.
+func (d *Driver) pollLoop(ctx context.Context, id hoist.WorkerID, l *link) {
+	failures := 0
+	for ctx.Err() == nil {
+		d.awaitRecorded(ctx, id, l)
+		req := d.newPollRequest(ctx, id, l)
+		if d.poll(ctx, id, l, req) {
+			failures = 0
+			clock.Sleep(ctx, minPollInterval)
+			continue
+		}
+		failures++
+		clock.Sleep(ctx, min(maxPollBackoff, time.Duration(failures)*50*time.Millisecond))
+	}
+}
+
+// awaitRecorded waits until the ends that a worker listed are recorded, for at most
+// ackWait. The worker answers polls at once as long as it lists any end.
+func (d *Driver) awaitRecorded(ctx context.Context, id hoist.WorkerID, l *link) {
+	deadline := d.Clock.Now().Add(ackWait)
+	for ctx.Err() == nil {
+		isOpen, left := false, deadline.Sub(d.Clock.Now())
+		d.update(ctx, workPoll, func() {
+			isOpen = left > 0 && d.scheduler.HasUnrecordedEnds(id)
+			if isOpen {
+				d.awaiting[l] = id
+			} else {
+				delete(d.awaiting, l)
+			}
+		})
+		if !isOpen {
+			return
+		}
+		clock.SleepOr(ctx, left, l.recorded)
+	}
+	d.update(ctx, workPoll, func() { delete(d.awaiting, l) })
+}
+
+// newPollRequest returns a request that extends the lease as far as the ownership
+// allows. The first poll only reads the clock, and so does a poll after one without
+// an answer or after the connection was closed: the lease of an unresponsive worker
+// must expire, and if the worker has restarted, its ends have new numbers.
+func (d *Driver) newPollRequest(ctx context.Context, id hoist.WorkerID, l *link) hoist.PollRequest {
+	req := hoist.PollRequest{Term: d.Claim.Term, EnablesAcks: true}
+	d.update(ctx, workPoll, func() {
+		if l.clockReadAt.IsZero() || l.isUnresponsive || l.isConnClosed {
+			return
+		}
+		req.Acked = d.scheduler.AckableEnd(id)
+		req.Lease = d.lease(id, l, d.Clock.Now())
+		if !d.scheduler.HasUnrecordedEnds(id) {
+			// If ends are listed, the worker answers at once instead of waiting.
+			req.Wait = pollWait
+			if d.losses.isLossy(d.Clock.Now()) {
+				req.Wait = shortPollWait
+			}
+		}
+	})
+	return req
+}
+
+// pollLimit returns the time-out of a poll.
+func (d *Driver) pollLimit(req hoist.PollRequest) time.Duration {
+	if d.losses.isLossy(d.Clock.Now()) {
+		return req.Wait + shortPollTimeout
+	}
+	return req.Wait + pollTimeout
+}
+
+// lease returns the time, on the worker's clock, at which the lease to grant to the
+// worker expires, and records the lease. It returns 0 if no lease can be granted.
+// d.mu must be held.
+func (d *Driver) lease(id hoist.WorkerID, l *link, now time.Time) hoist.WorkerClock {
+	if l.clockReadAt.IsZero() {
+		return 0
+	}
+	left := min(claim.LeaseTime, d.Claim.GrantUntil().Sub(now))
+	if left <= 0 {
+		return 0
+	}
+	lease := l.workerClock + hoist.WorkerClock(now.Sub(l.clockReadAt)+left)
+	d.scheduler.RecordLease(id, lease, l.workerClock, l.clockReadAt)
+	return lease
+}
+
+// poll polls a worker and passes its report to the scheduler. It reports whether the
+// worker answered.
+func (d *Driver) poll(ctx context.Context, id hoist.WorkerID, l *link, req hoist.PollRequest) bool {
+	sentAt := d.Clock.Now()
+	callCtx, cancel := context.WithTimeout(ctx, d.pollLimit(req))
+	defer cancel()
+	report, err := l.runner.Poll(callCtx, req)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil && req.Acked > 0 && errors.Is(err, hoist.ErrUnavailable) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		l.isConnClosed = true
+		return false
+	}
+	if err != nil {
+		d.recordPollFailure(ctx, id, l, err)
+		return false
+	}
+	now := d.Clock.Now()
+	// Before the plans are recovered, ends of unknown plans would be acknowledged
+	// and lost.
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.restored:
+	}
+	isDone := d.update(ctx, workPoll, func() { d.applyReport(ctx, id, l, req, report, sentAt, now) })
+	d.requestPass()
+	return isDone
+}
+
+// applyReport passes the report of a worker to the scheduler. d.mu must be held.
+func (d *Driver) applyReport(
+	ctx context.Context, id hoist.WorkerID, l *link, req hoist.PollRequest, report hoist.RunnerReport, sentAt, now time.Time,
+) {
+	if l.isUnresponsive {
+		events.WorkerResponsive.Log(ctx, d.Log, "worker", id, "life", report.Incarnation)
+	}
+	l.isUnresponsive = false
+	if req.EnablesAcks {
+		l.isConnClosed = false
+	}
+	l.workerClock, l.clockReadAt = report.Clock, now
+	for _, e := range report.Ends {
+		if e.No > req.Acked && d.scheduler.IsNewEnd(id, e.No) {
+			events.RunEnded.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
+				"worker", id, "how", e.Kind, "end", e.No)
+			if d.Metrics != nil {
+				d.Metrics.RecordEnd(e.Kind)
+			}
+		}
+	}
+	d.scheduler.RecordReport(id, report, sentAt, now)
+}
+
+// recordPollFailure handles a poll without an answer.
+func (d *Driver) recordPollFailure(ctx context.Context, id hoist.WorkerID, l *link, err error) {
+	if errors.Is(err, hoist.ErrStaleTerm) {
+		d.Claim.StepDown()
+		return
+	}
+	isRelayLost := l.via != "" && !d.Relays.isUp(l.via)
+	if !errors.Is(err, hoist.ErrNotListening) && !isRelayLost {
+		d.losses.record(id, d.Clock.Now())
+	}
+	wasUnresponsive := false
+	d.update(ctx, workPoll, func() {
+		wasUnresponsive = l.isUnresponsive
+		l.isUnresponsive = true
+		if errors.Is(err, hoist.ErrNotListening) && d.scheduler.RecordExit(id, d.Clock.Now()) {
+			events.WorkerLeft.Log(ctx, d.Log, "worker", id)
+			d.requestPass()
+		}
+	})
+	if !wasUnresponsive {
+		events.WorkerUnresponsive.Log(ctx, d.Log, "worker", id, "error", err)
+	}
+}
+
+// pollNow polls a worker without waiting for an end, and acknowledges none. A poll
+// that is in flight may have been sent before the start or stop.
+func (d *Driver) pollNow(ctx context.Context, id hoist.WorkerID, l *link) {
+	req := d.newPollRequest(ctx, id, l)
+	req.Wait, req.Acked, req.EnablesAcks = 0, 0, false
+	d.poll(ctx, id, l, req)
+}
--- a/internal/core/plans/relays_test.go
+++ b/internal/core/plans/relays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -91,9 +92,11 @@
 	return nil
 }
 
+func (*relayedWorker) Close() {}
+
 func (w *relayedWorker) Poll(ctx context.Context, r hoist.PollRequest) (hoist.RunnerReport, error) {
 	if w.relay != nil {
-		if err := w.relay.Ping(ctx); err == hoist.ErrOutcomeUnknown {
+		if err := w.relay.Ping(ctx); errors.Is(err, hoist.ErrOutcomeUnknown) {
 			return hoist.RunnerReport{}, err
 		}
 	}
--- a/internal/peer/helper/relay.go
+++ b/internal/peer/helper/relay.go
@@ -256,6 +256,9 @@
 	}
 }
 
+// Close implements hoist.Runner. The connection is that of the relay.
+func (*relayedRunner) Close() {}
+
 // call makes a call to the worker. The relay gets the time that is left until the
 // deadline of ctx, and the answer a little longer.
 func (r *relayedRunner) call(ctx context.Context, call rows.RelayCall) (rows.RelayAnswer, error) {
--- a/internal/peer/helper/relay_test.go
+++ b/internal/peer/helper/relay_test.go
@@ -88,6 +88,8 @@
 	return w.outcome(ctx)
 }
 
+func (*fakeRunner) Close() {}
+
 // relayedWorker returns a client of a worker through a relay at addr.
 func relayedWorker(t *testing.T, addr string, id hoist.WorkerID) hoist.Runner {
 	r := &helper.Relay{Addr: addr}
--- a/internal/peer/helper/runners.go
+++ b/internal/peer/helper/runners.go
@@ -73,21 +73,13 @@
 		for key, c := range r.clients {
 			if c.calls == 0 && time.Since(c.lastUsed) > runnerIdleTime {
 				delete(r.clients, key)
-				closeRunner(c.Runner)
+				c.Close()
 			}
 		}
 		r.mu.Unlock()
 	}
 }
 
-// closeRunner closes the connections of a client of a worker, if it has any.
-func closeRunner(r hoist.Runner) {
-	if c, ok := r.(io.Closer); ok {
-		// The client is discarded, so an error has no effect.
-		_ = c.Close()
-	}
-}
-
 // relayServer makes the calls to workers that the owner of the cell asks for on one
 // connection.
 type relayServer struct {
@@ -138,7 +130,7 @@
 	}
 	r.running.Go(func() {
 		defer func() { <-r.slots }()
-		answer, err := rows.RelayAnswer{}, error(hoist.ErrOutcomeUnknown)
+		answer, err := rows.RelayAnswer{}, hoist.ErrOutcomeUnknown
 		panicked := r.server.Guard.Do(r.ctx, workRelay, func() { answer, err = r.call(call) })
 		if panicked != nil {
 			err = panicked
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -318,3 +318,6 @@
 func (*planWorker) Throttle(context.Context, hoist.TaskRun, hoist.Term, hoist.Percent) error {
 	return nil
 }
+
+// Close implements hoist.Runner.
+func (*planWorker) Close() {}
--- a/runner.go
+++ b/runner.go
@@ -55,6 +55,8 @@
 	Poll(ctx context.Context, r PollRequest) (RunnerReport, error)
 	// Throttle limits a task to a share of its full speed.
 	Throttle(ctx context.Context, run TaskRun, term Term, share Percent) error
+	// Close closes the connections that are not in use. Calls in progress go on.
+	Close()
 }
 
 // Relay is another host that calls workers on behalf of the owner of the cell. Its
