--- a/internal/core/plans/relays.go
+++ b/internal/core/plans/relays.go
@@ -185,7 +185,7 @@
 
 // pingLoop pings a host until ctx ends.
 func (p *RelayPool) pingLoop(ctx context.Context, id hoist.HostID, h *relayHost) {
-	pause, overrun := time.Duration(0), time.Duration(0)
+	pause, overrun := pingRetryDelay, time.Duration(0)
 	for {
 		began := p.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
