Keep the published numbers of waiting plans through a takeover

The owner released the cell at 29.1; the claim writes the renewal row without numbers, and an owner publishes none until it has recovered the plans.

Change: until an owner knows the numbers, it publishes those of the earlier one.

Measured: TestTakeoverKeepsWaitingCounts fails without the change (none instead of 5).

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -85,8 +85,9 @@
 	Log    *slog.Logger
 	// RunOwner acts for the cell until ctx ends.
 	RunOwner func(ctx context.Context, o *Ownership)
-	// Waiting returns how many plans wait in each queue. The owner publishes the
-	// numbers in the renewal row, so that every host can report them.
+	// Waiting returns how many plans wait in each queue, or nil if that is not known yet.
+	// The owner publishes the numbers in the renewal row, so that every host can report
+	// them.
 	Waiting func() map[hoist.QueueName]int
 	// Dial returns a client for health checks of the owner at an address. If it is
 	// nil, the owner is observed through the store only.
@@ -141,7 +142,7 @@
 		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: m.observed.ownerVersion}},
 		Writes: []hoist.Write{
 			{RowRef: keys.Owner, Value: codec.EncodeStoreRow(owner)},
-			{RowRef: keys.Renewal, Value: codec.EncodeStoreRow(rows.Beat{})},
+			{RowRef: keys.Renewal, Value: codec.EncodeStoreRow(rows.Beat{Waiting: m.waiting()})},
 		},
 	}
 	if reason != noOwner && !reason.replacesLiveOwner() {
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,6 +127,47 @@
 	return h.leaseWaits[id]
 }
 
+// waiting returns the numbers of waiting plans that the owner has published.
+func (h *hosts) waiting(t *testing.T) rows.BeatWaiting {
+	t.Helper()
+	row, err := h.store.Get(context.Background(), keys.Renewal)
+	is.New(t).NoErr(err)
+	renewal, err := codec.DecodeStoreRow[rows.Beat](row.Value)
+	is.New(t).NoErr(err)
+	return renewal.Waiting
+}
+
+// TestTakeoverKeepsWaitingCounts guards against hosts that report that no plan waits
+// while a new owner recovers the plans.
+func TestTakeoverKeepsWaitingCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHosts(t)
+		first := h.newManager("a", 1, 400, h.store)
+		first.Waiting = func() map[hoist.QueueName]int { return map[hoist.QueueName]int{"q": 5} }
+		stopFirst := h.start(first)
+		time.Sleep(time.Second)
+		second := h.newManager("b", 1, 400, h.store)
+		var recovered atomic.Bool
+		second.Waiting = func() map[hoist.QueueName]int {
+			if !recovered.Load() {
+				return nil
+			}
+			return map[hoist.QueueName]int{}
+		}
+		stopSecond := h.start(second)
+		time.Sleep(3 * time.Second)
+		stopFirst()
+		time.Sleep(time.Second)
+		h.wantOwner("b")
+		is.Equal(h.waiting(t), rows.BeatWaiting{"q": 5})
+		recovered.Store(true)
+		time.Sleep(time.Second)
+		is.Equal(len(h.waiting(t)), 0)
+		stopSecond()
+	})
+}
+
 // TestCellHasOneOwner guards against a cell without an owner, against several
 // owners, and against an owner that acts on after another host took over.
 func TestCellHasOneOwner(t *testing.T) {
--- a/internal/core/claim/renew.go
+++ b/internal/core/claim/renew.go
@@ -48,10 +48,7 @@
 // renew renews the ownership at the store. It returns hoist.ErrConflict if there is
 // another owner.
 func (m *Manager) renew(ctx context.Context, o *Ownership, count int) error {
-	waiting := make(rows.BeatWaiting)
-	for queue, n := range m.Waiting() {
-		waiting[string(queue)] = n
-	}
+	waiting := m.waiting()
 	sent := m.Clock.Now()
 	names := codec.Strings(m.standbys.choose(sent))
 	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -70,6 +67,21 @@
 	return err
 }
 
+// waiting returns the numbers of waiting plans to publish. Until this host knows them,
+// they are those that the earlier owner published last: without any, all hosts would
+// report that nothing waits during a recovery.
+func (m *Manager) waiting() rows.BeatWaiting {
+	counts := m.Waiting()
+	if counts == nil && m.observed.renewal.Waiting != nil {
+		return m.observed.renewal.Waiting
+	}
+	out := make(rows.BeatWaiting, len(counts))
+	for queue, n := range counts {
+		out[string(queue)] = n
+	}
+	return out
+}
+
 // release marks the cell as released. If that cannot be recorded, the other hosts
 // take over once the owner counts as unresponsive.
 func (m *Manager) release(o *Ownership) {
