Set up a relay pool before other goroutines use it

Change: the pool owns the flag for its changes, and its clock, log and guard are set where it is made.

Measured: go test -race of plans, hostd and standin passes.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -221,7 +221,7 @@
 		Queue: h.follower.Queue, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor,
 		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect,
 	}
-	d.Relays = &plans.RelayPool{}
+	d.Relays = &plans.RelayPool{Clock: h.Clock, Log: h.Log, Guard: h.Guard}
 	// An owner allocates much and keeps little: with the default it would collect garbage
 	// many times a second.
 	defer debug.SetGCPercent(debug.SetGCPercent(ownerGCPercent))
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -112,8 +112,6 @@
 	// listed holds the entries of the registry, and shares the relay of each worker.
 	listed []hoist.WorkerEntry
 	shares *share.Table
-	// reassignDue is a flag that is set when the relays have changed.
-	reassignDue chan struct{}
 	// awaiting holds the links whose next poll waits until ends are recorded, with their
 	// workers.
 	awaiting map[*link]hoist.WorkerID
@@ -175,12 +173,9 @@
 	d.awaiting = make(map[*link]hoist.WorkerID)
 	d.shares = share.NewTable()
 	d.shares.MaxDirect = d.MaxDirect
-	d.reassignDue = make(chan struct{}, 1)
 	if d.Relays == nil {
-		d.Relays = &RelayPool{}
+		d.Relays = &RelayPool{Clock: d.Clock, Log: d.Log, Guard: d.Guard}
 	}
-	d.Relays.Clock, d.Relays.Log, d.Relays.Guard = d.Clock, d.Log, d.Guard
-	d.Relays.changed = func() { clock.Signal(d.reassignDue) }
 	d.endedIn = make(map[hoist.JobID]hoist.PartName)
 	d.recordDue = make(map[hoist.PartName]chan struct{})
 	for _, part := range keys.Parts() {
--- a/internal/core/plans/links.go
+++ b/internal/core/plans/links.go
@@ -99,7 +99,7 @@
 
 // reassignLoop assigns the workers anew when the relays have changed.
 func (d *Driver) reassignLoop(ctx context.Context) {
-	for clock.SleepOr(ctx, time.Second, d.reassignDue) {
+	for changes := d.Relays.changes(); clock.SleepOr(ctx, time.Second, changes); {
 		d.update(ctx, workRelay, func() {
 			if d.listed != nil {
 				d.applyLinks(ctx)
--- a/internal/core/plans/relays.go
+++ b/internal/core/plans/relays.go
@@ -52,8 +52,23 @@
 
 	mu    sync.Mutex
 	hosts map[hoist.HostID]*relayHost
-	// changed is called when the hosts that are up have changed; it may be nil.
-	changed func()
+	// changed is a flag that is set when the hosts, or those that are up, have changed.
+	changed chan struct{}
+}
+
+// changes returns the flag that is set when the hosts, or those that are up, have changed.
+func (p *RelayPool) changes() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changeFlag()
+}
+
+// changeFlag is changes with p.mu held.
+func (p *RelayPool) changeFlag() chan struct{} {
+	if p.changed == nil {
+		p.changed = make(chan struct{}, 1)
+	}
+	return p.changed
 }
 
 // relayHost is a host that can be a relay.
@@ -75,9 +90,7 @@
 func (p *RelayPool) Set(id hoist.HostID, weight int, relay hoist.Relay) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.changed != nil {
-		defer p.changed()
-	}
+	clock.Signal(p.changeFlag())
 	if p.hosts == nil {
 		p.hosts = make(map[hoist.HostID]*relayHost)
 	}
@@ -209,6 +222,7 @@
 // record records the outcome of a ping and returns the pause before the next one.
 func (p *RelayPool) record(ctx context.Context, id hoist.HostID, h *relayHost, err error) time.Duration {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	wasUp := h.isUp
 	if err == nil {
 		h.failures = 0
@@ -221,20 +235,16 @@
 		h.isUp = h.isUp && !isCertain && h.failures < maxPingFailures
 	}
 	h.hasAnswer = true
-	isUp, changed := h.isUp, p.changed
-	p.mu.Unlock()
-	if isUp != wasUp {
-		if !isUp {
-			events.RelayLost.Log(ctx, p.Log, "relay", id, "error", err)
-		}
-		if changed != nil {
-			changed()
-		}
+	if h.isUp != wasUp {
+		clock.Signal(p.changeFlag())
+	}
+	if wasUp && !h.isUp {
+		events.RelayLost.Log(ctx, p.Log, "relay", id, "error", err)
 	}
 	switch {
-	case isUp && err == nil:
+	case h.isUp && err == nil:
 		return pingEvery
-	case isUp:
+	case h.isUp:
 		return pingRetryDelay
 	default:
 		return downPingEvery
--- a/internal/core/plans/relays_test.go
+++ b/internal/core/plans/relays_test.go
@@ -143,7 +143,7 @@
 		store := &memory.Store{}
 		version, err := store.Commit(ctx, hoist.Transaction{Writes: []hoist.Write{{RowRef: keys.Fence("00")}}})
 		is.New(t).NoErr(err)
-		pool := &RelayPool{}
+		pool := &RelayPool{Clock: clock.System{}}
 		c.pool = pool
 		for _, id := range []hoist.HostID{"a", "b", "c"} {
 			c.relays[id] = &fakeRelay{cell: c, id: id}
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -120,7 +120,7 @@
 	version, _ := s.store.Commit(ctx, fences)
 	// The owner renews nothing here, so its grants must outlast the run.
 	renewed := time.Now().Add(time.Hour)
-	pool, relays := &plans.AdviserPool{}, &plans.RelayPool{}
+	pool, relays := &plans.AdviserPool{}, &plans.RelayPool{Clock: clock.System{}}
 	for i := range s.input.Hosts {
 		id := hoist.HostID(fmt.Sprint("host-", i))
 		pool.Set(id, s)
