Use 24 executors in the case of the lasting job

Cause: with 12 executors each task soon has failed on all of them and waits a second between starts, so the failures come close to the end of the 40 s.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -126,7 +126,7 @@
 
 // crashLoop lets the tasks of a lasting job fail for some time.
 func crashLoop(c *cell, hasTrouble bool) ([]string, error) {
-	if err := c.start(12, 3); err != nil {
+	if err := c.start(24, 3); err != nil {
 		return nil, err
 	}
 	const (
