--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -20,8 +20,42 @@
 	gangWait      = 3 * time.Second
 	heartbeat     = 1500 * time.Millisecond
 	maxListedEnds = 500
+	maxConns      = 64
 )
 
+// limitedListener accepts at most maxConns connections at a time; others wait.
+type limitedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func limitConns(l net.Listener) net.Listener {
+	return &limitedListener{l, make(chan struct{}, maxConns)}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+// limitedConn is a connection that holds one of the slots of its listener.
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
 // order is the body of every call to an executor.
 type order struct {
 	Task     string `json:"task"`
@@ -103,7 +137,7 @@
 	e.running, e.last, e.changed = make(map[string]*run), make(map[string]uint64), make(chan struct{})
 	e.server = &http.Server{Handler: e.handler()}
 	server := e.server
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(limitConns(l)) }()
 }
 
 // crash ends the life of the executor: its connections break, and nothing of it is left.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -22,6 +22,8 @@
 	txnTime        = 3 * time.Millisecond
 	answerTime     = time.Millisecond
 	historyTime    = 20 * time.Second
+	writesPerSec   = 800
+	readsPerSec    = 2000
 )
 
 // rowID identifies a row.
@@ -62,6 +64,9 @@
 	downShare float64
 	// busy serialises the transactions of each part.
 	busy map[string]*sync.Mutex
+	// second is the second that writes and reads are counted in.
+	second        int64
+	writes, reads int
 }
 
 func newStore(log *record) *store {
@@ -124,7 +129,27 @@
 	return true
 }
 
+// isOverRate counts a call, and reports whether it is beyond the rate of the store.
+func (s *store) isOverRate(isWrite bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.writes, s.reads = now, 0, 0
+	}
+	if isWrite {
+		s.writes++
+		return s.writes > writesPerSec
+	}
+	s.reads++
+	return s.reads > readsPerSec
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isOverRate(r.Method == http.MethodPost) {
+		s.log.printf("store: %s %s is over the rate -> 429", r.Method, r.URL.Path)
+		reply(w, http.StatusTooManyRequests, nil)
+		return
+	}
 	switch {
 	case r.Method == http.MethodPost && r.URL.Path == "/api/rows-tx":
 		s.serveTxn(w, r)
