Log and count each attempt that counts as ended without a listed end

Change: the scheduler notes each presumed end with its reason, the age of the last answered poll and the time since the lease expired. The driver logs them (event 629) and counts them (hoist_presumed_ends_total by why).

--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -20,6 +20,7 @@
 	latency  *prometheus.HistogramVec
 	starts   *prometheus.CounterVec
 	ends     *prometheus.CounterVec
+	presumed *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
@@ -43,6 +44,9 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_ends_total", Help: "Ends of attempts that workers reported, by kind.",
 		}, []string{"kind"}),
+		presumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_presumed_ends_total", Help: "Attempts that count as ended although no worker listed their end, by reason.",
+		}, []string{"why"}),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "hoist_plan_wait_seconds", Help: "Time from the acceptance of a plan to its first start, by queue.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
@@ -57,7 +61,7 @@
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
 	return p
 }
 
@@ -77,6 +81,11 @@
 	p.ends.WithLabelValues(string(kind)).Inc()
 }
 
+// RecordPresumedEnd counts an attempt that counts as ended without a listed end.
+func (p *PlanMetrics) RecordPresumedEnd(reason string) {
+	p.presumed.WithLabelValues(reason).Inc()
+}
+
 // ObserveWait records the time from the acceptance of a plan to its first start.
 func (p *PlanMetrics) ObserveWait(queue hoist.QueueName, d time.Duration) {
 	p.waits.WithLabelValues(string(queue)).Observe(d.Seconds())
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -36,6 +36,7 @@
 	}
 	d.scheduler.Handling = ""
 	err := d.Guard.Do(ctx, work, f)
+	d.logPresumedEnds(ctx)
 	if err == nil {
 		return true
 	}
@@ -45,6 +46,19 @@
 	return false
 }
 
+// logPresumedEnds logs and counts the attempts that count as ended although no worker
+// listed their end. d.mu must be held.
+func (d *Driver) logPresumedEnds(ctx context.Context) {
+	for _, e := range d.scheduler.TakePresumedEnds() {
+		events.RunPresumedEnded.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
+			"worker", e.Worker, "why", e.Reason, "since-poll", e.SincePoll, "since-lease", e.SinceLease,
+			"listed", e.IsListed, "leaving", e.IsLeaving)
+		if d.Metrics != nil {
+			d.Metrics.RecordPresumedEnd(string(e.Reason))
+		}
+	}
+}
+
 // suspect returns the new quarantine entry of the plan that was being handled, or
 // the zero value if there is none. d.mu must be held.
 func (d *Driver) suspect(err error) quar.Entry {
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -113,9 +113,7 @@
 	found := sc.reconcile(w, report.Running, polledAt, now)
 	for t := range w.tasks {
 		if !found[t] && t.isAbsenceConclusive(polledAt) {
-			step := t.StepTasks
-			sc.requeue(t, now)
-			sc.stopIncompleteGang(step, now)
+			sc.presumeEnded(t, NotReported, now)
 		}
 	}
 }
@@ -150,9 +148,7 @@
 		}
 		switch t.Phase {
 		case Running, Recovered:
-			step := t.StepTasks
-			sc.requeue(t, now)
-			sc.stopIncompleteGang(step, now)
+			sc.presumeEnded(t, WorkerRestarted, now)
 		case Stopping:
 			t.stop = stopState{isInFlight: t.stop.isInFlight}
 		default:
@@ -284,7 +280,7 @@
 func (sc *Scheduler) expireLeases(now time.Time) {
 	for _, w := range sc.workers {
 		if len(w.tasks) > 0 && !now.Before(w.leaseExpiresAt) {
-			sc.releaseAll(w, now)
+			sc.releaseAll(w, LeaseExpired, now)
 		}
 	}
 }
--- /dev/null
+++ b/internal/decide/sched/presume.go
@@ -0,0 +1,60 @@
+package sched
+
+import (
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// EndReason tells why an attempt counts as ended although no worker has listed its
+// end.
+type EndReason string
+
+// The reasons.
+const (
+	// LeaseExpired means that the lease of the worker has expired even on a clock that
+	// runs slow.
+	LeaseExpired EndReason = "lease-expired"
+	// NotReported means that a report lists neither the attempt nor its end, and that
+	// its poll was sent after the start or the answered stop of the attempt.
+	NotReported EndReason = "not-reported"
+	// WorkerRestarted means that the worker began a new incarnation.
+	WorkerRestarted EndReason = "worker-restarted"
+	// WorkerExited means that the worker has left and nothing listens at its address.
+	WorkerExited EndReason = "worker-exited"
+)
+
+// PresumedEnd is an attempt that counts as ended although no worker has listed its end,
+// with what is known about the worker. Its task may start again elsewhere, so a wrong
+// one makes a task run twice.
+type PresumedEnd struct {
+	Run    hoist.TaskRun
+	Worker hoist.WorkerID
+	Reason EndReason
+	// SincePoll is the time since the last answered poll was sent, and SinceLease the
+	// time since the lease expired; it is negative while the lease is valid.
+	SincePoll, SinceLease time.Duration
+	// IsListed tells that the registry has an entry of the worker, and IsLeaving that the
+	// last one said that the worker leaves.
+	IsListed, IsLeaving bool
+}
+
+// TakePresumedEnds returns the presumed ends since the last call.
+func (sc *Scheduler) TakePresumedEnds() []PresumedEnd {
+	out := sc.presumedEnds
+	sc.presumedEnds = nil
+	return out
+}
+
+// presumeEnded makes the task of an attempt wait again although no worker has listed the
+// end of the attempt.
+func (sc *Scheduler) presumeEnded(t *Task, reason EndReason, now time.Time) {
+	w, step := t.Worker, t.StepTasks
+	sc.presumedEnds = append(sc.presumedEnds, PresumedEnd{
+		Run: t.Run(), Worker: w.entry.Worker, Reason: reason,
+		SincePoll: now.Sub(w.lastPolledAt), SinceLease: now.Sub(w.leaseExpiresAt),
+		IsListed: w.isListed, IsLeaving: w.entry.IsLeaving,
+	})
+	sc.requeue(t, now)
+	sc.stopIncompleteGang(step, now)
+}
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -246,6 +246,8 @@
 	// orphans.
 	stopping map[*Task]bool
 	orphaned map[hoist.WorkerID]*Worker
+	// presumedEnds holds the presumed ends that TakePresumedEnds has not returned yet.
+	presumedEnds []PresumedEnd
 	// leasesCheckedAt is when the leases of all workers were last checked.
 	leasesCheckedAt time.Time
 	// orders sorts the workers of each service.
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -204,21 +204,19 @@
 	if !ok || w.isListed || !w.entry.IsLeaving || len(w.tasks) == 0 {
 		return false
 	}
-	sc.releaseAll(w, now)
+	sc.releaseAll(w, WorkerExited, now)
 	return true
 }
 
 // releaseAll makes the tasks of a worker that runs nothing any more wait
 // again. Starts that are still being recorded are left alone; they are checked
 // again before they are sent.
-func (sc *Scheduler) releaseAll(w *Worker, now time.Time) {
+func (sc *Scheduler) releaseAll(w *Worker, reason EndReason, now time.Time) {
 	for t := range w.tasks {
 		if t.Phase == Recording {
 			continue
 		}
-		step := t.StepTasks
-		sc.requeue(t, now)
-		sc.stopIncompleteGang(step, now)
+		sc.presumeEnded(t, reason, now)
 	}
 }
 
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -230,6 +230,9 @@
 // RecordEnd implements hoist.PlanMetrics.
 func (*planSim) RecordEnd(hoist.EndKind) {}
 
+// RecordPresumedEnd implements hoist.PlanMetrics.
+func (*planSim) RecordPresumedEnd(string) {}
+
 // SetBacklog implements hoist.PlanMetrics.
 func (*planSim) SetBacklog(int, int, int) {}
 
--- a/runner.go
+++ b/runner.go
@@ -151,6 +151,9 @@
 	// RecordStart counts a start by its outcome: started, refused or unknown.
 	RecordStart(outcome string)
 	RecordEnd(kind EndKind)
+	// RecordPresumedEnd counts an attempt that counts as ended although no worker
+	// listed its end, by the reason.
+	RecordPresumedEnd(reason string)
 	// ObserveWait records the time from the acceptance of a plan to its first start.
 	ObserveWait(queue QueueName, d time.Duration)
 	// SetBacklog records how many tasks the owner holds, how many occurrences are due
