Keep the tasks of a worker that drains and refuses connections

Cause: RecordExit took a refused connection to a worker that had announced to leave and had lost its registry entry as proof that its process had ended. The entry is also removed when heartbeats stay away, and a cut or a closed listener refuses connections while the process runs on. Evidence: 12 records 629 with why "worker-exited" and since-lease -1.65 s. Ruled out by the same records: an expired lease, a report without the attempt, a new incarnation.

Change: RecordExit and event 619 are gone. Refused connections count as silence, so the tasks wait until the lease has expired even on a slow clock. It works because the worker itself ends what runs at that time. The subtest that demanded the early start is replaced by two that demand none before the lease has expired; they are as strict.

Test: TestLeavingWorkerKeepsItsTasks, both subtests. On the code before, both failed: tasks started on "other" while they ran on "leaving", also where the worker only accepts no new connections and the owner still polls it over an open one.

Tests of internal/ and platform/ pass.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -134,7 +134,6 @@
 	AdviceFailed         = register(615, slog.LevelWarn, "adviser did not answer")
 	PlanStateWriteFailed = register(616, slog.LevelWarn, "states of plans could not be written to the store")
 	PlanUnreadable       = register(617, slog.LevelError, "plan cannot be decoded and is skipped")
-	WorkerLeft           = register(619, slog.LevelInfo, "worker has left; its tasks are waiting again")
 	PlanDuplicate        = register(620, slog.LevelInfo, "plan was accepted in two parts of the store; one is removed")
 	PlanQuarantined      = register(621, slog.LevelError, "plan is quarantined")
 	PlanReleased         = register(622, slog.LevelInfo, "plan is released from quarantine")
--- /dev/null
+++ b/internal/core/plans/leaving_test.go
@@ -0,0 +1,267 @@
+package plans
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/fake/memory"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+)
+
+// leavingCell is an owner with fake workers that keep their leases. Its registry lists
+// the workers that are set in entries.
+type leavingCell struct {
+	t     *testing.T
+	store *memory.Store
+	began time.Time
+
+	mu      sync.Mutex
+	entries map[hoist.WorkerID]hoist.WorkerEntry
+	workers map[hoist.WorkerID]*leasedWorker
+}
+
+// leasedWorker is a worker whose tasks run until they are stopped or its lease expires.
+type leasedWorker struct {
+	cell *leavingCell
+	id   hoist.WorkerID
+	// refusesNew is set while the worker refuses new connections, and refusesAll while
+	// it has also closed those that were open.
+	refusesNew, refusesAll bool
+	running                map[hoist.TaskRun]bool
+	ends                   []hoist.RunEnd
+	leaseUntil             time.Time
+	starts                 int
+}
+
+// runLeavingCell runs an owner and calls during after a second.
+func runLeavingCell(t *testing.T, during func(c *leavingCell)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &leavingCell{
+			t: t, store: &memory.Store{}, began: time.Now(),
+			entries: make(map[hoist.WorkerID]hoist.WorkerEntry), workers: make(map[hoist.WorkerID]*leasedWorker),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var fences hoist.Transaction
+		for _, part := range keys.Parts() {
+			fences.Writes = append(fences.Writes, hoist.Write{RowRef: keys.Fence(part)})
+		}
+		version, err := c.store.Commit(ctx, fences)
+		is.New(t).NoErr(err)
+		ownership := claim.NewOwnership(1, version, time.Now(), time.Now().Add(time.Hour), cancel)
+		d := &Driver{
+			Claim: ownership, Store: c.store, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
+			Dial:  func(e hoist.WorkerEntry) hoist.Runner { return c.worker(e.Worker) },
+			Queue: func(hoist.QueueName) (hoist.Queue, bool) { return hoist.Queue{}, false },
+		}
+		var running sync.WaitGroup
+		running.Go(func() { d.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		time.Sleep(time.Second)
+		during(c)
+	})
+}
+
+func (c *leavingCell) worker(id hoist.WorkerID) *leasedWorker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok {
+		w = &leasedWorker{cell: c, id: id, running: make(map[hoist.TaskRun]bool)}
+		c.workers[id] = w
+	}
+	return w
+}
+
+// list adds or changes the registry entry of a worker.
+func (c *leavingCell) list(id hoist.WorkerID, isLeaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[id] = hoist.WorkerEntry{
+		Worker: id, Service: "lids", Addr: "10.0.0.1:80", IsLeaving: isLeaving, Capacity: hoist.Resources{CPU: 1000, Memory: 1000},
+	}
+}
+
+// unlist removes the registry entry of a worker.
+func (c *leavingCell) unlist(id hoist.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.entries, id)
+}
+
+// Workers implements hoist.Registry.
+func (c *leavingCell) Workers(ctx context.Context, _ hoist.RowVersion, _ time.Duration) (hoist.WorkerChanges, error) {
+	clock.Sleep(ctx, 50*time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := hoist.WorkerChanges{IsAll: true, Next: 1}
+	for _, e := range c.entries {
+		out.Changed = append(out.Changed, e)
+	}
+	return out, nil
+}
+
+// accept records a plan of one task.
+func (c *leavingCell) accept(id hoist.JobID) {
+	c.t.Helper()
+	part := keys.PartsOf(id)[0]
+	step := hoist.Step{Count: 1, Need: hoist.Resources{CPU: 100, Memory: 1}, MaxUnavailable: -1}
+	p := hoist.Plan{ID: id, Queue: hoist.Queue{Name: "q", Service: "lids"}, Steps: []hoist.Step{step}, Accepted: time.Now()}
+	_, err := c.store.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{
+		{RowRef: keys.Plan(part, id), Value: codec.EncodePlan(p)},
+		{RowRef: keys.State(part, id), Value: codec.EncodePlanState(hoist.PlanState{Queue: "q", Phase: hoist.PlanQueued})},
+	}})
+	is.New(c.t).NoErr(err)
+	time.Sleep(time.Second)
+}
+
+// cancel records the cancellation of a plan.
+func (c *leavingCell) cancel(id hoist.JobID) {
+	c.t.Helper()
+	_, err := c.store.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{
+		{RowRef: keys.Cancel(keys.PartsOf(id)[0], id), Value: []byte("{}")},
+	}})
+	is.New(c.t).NoErr(err)
+}
+
+// set changes a worker.
+func (w *leasedWorker) set(change func()) {
+	w.cell.mu.Lock()
+	defer w.cell.mu.Unlock()
+	change()
+}
+
+// numStarts returns how many starts the worker has carried out.
+func (w *leasedWorker) numStarts() int {
+	w.cell.mu.Lock()
+	defer w.cell.mu.Unlock()
+	return w.starts
+}
+
+// Start implements hoist.Runner. It fails the test if the task runs on another worker.
+func (w *leasedWorker) Start(_ context.Context, r hoist.StartRequest) (hoist.WorkerClock, error) {
+	c := w.cell
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w.refusesAll {
+		return 0, hoist.ErrNotListening
+	}
+	for _, other := range c.workers {
+		for run := range other.running {
+			if run.Task == r.Run.Task && other != w && time.Now().Before(other.leaseUntil) {
+				c.t.Errorf("task %v starts on %s while it runs on %s", run.Task, w.id, other.id)
+			}
+		}
+	}
+	w.running[r.Run] = true
+	w.starts++
+	w.extendLease(r.Lease)
+	return w.clock(), nil
+}
+
+// Stop implements hoist.Runner.
+func (w *leasedWorker) Stop(ctx context.Context, run hoist.TaskRun, _ hoist.Term) error {
+	clock.Sleep(ctx, time.Millisecond)
+	w.cell.mu.Lock()
+	defer w.cell.mu.Unlock()
+	if w.refusesAll {
+		return hoist.ErrNotListening
+	}
+	if w.running[run] {
+		delete(w.running, run)
+		w.ends = append(w.ends, hoist.RunEnd{No: hoist.EndNo(len(w.ends) + 1), Run: run, Kind: hoist.EndStopped})
+	}
+	return nil
+}
+
+// Poll implements hoist.Runner. Only polls that can acknowledge ends use a connection
+// that stays open.
+func (w *leasedWorker) Poll(ctx context.Context, r hoist.PollRequest) (hoist.RunnerReport, error) {
+	clock.Sleep(ctx, r.Wait)
+	w.cell.mu.Lock()
+	defer w.cell.mu.Unlock()
+	if w.refusesAll || (w.refusesNew && !r.EnablesAcks) {
+		return hoist.RunnerReport{}, hoist.ErrNotListening
+	}
+	w.extendLease(r.Lease)
+	report := hoist.RunnerReport{Clock: w.clock(), Incarnation: 1}
+	for _, e := range w.ends {
+		if e.No > r.Acked {
+			report.Ends = append(report.Ends, e)
+		}
+	}
+	for run := range w.running {
+		report.Running = append(report.Running, hoist.RunStatus{Run: run})
+	}
+	return report, ctx.Err()
+}
+
+// Throttle implements hoist.Runner.
+func (*leasedWorker) Throttle(context.Context, hoist.TaskRun, hoist.Term, hoist.Percent) error {
+	return nil
+}
+
+// Close implements hoist.Runner.
+func (*leasedWorker) Close() {}
+
+func (w *leasedWorker) clock() hoist.WorkerClock {
+	return hoist.WorkerClock(time.Since(w.cell.began))
+}
+
+func (w *leasedWorker) extendLease(lease hoist.WorkerClock) {
+	if until := w.cell.began.Add(time.Duration(lease)); until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+}
+
+// TestLeavingWorkerKeepsItsTasks guards against tasks that are started elsewhere while
+// they still run on a worker that drains: its registry entry may be gone and its address
+// may refuse connections, because it is cut off or accepts no new ones, before its
+// process has ended.
+func TestLeavingWorkerKeepsItsTasks(t *testing.T) {
+	const taskID, cancelledID = hoist.JobID("00000000000000a1"), hoist.JobID("00000000000000a2")
+	// runOnLeaving starts two tasks on a worker, which then drains and loses its registry
+	// entry, while another worker has room.
+	runOnLeaving := func(c *leavingCell) (leaving, other *leasedWorker) {
+		c.list("leaving", false)
+		time.Sleep(time.Second)
+		c.accept(taskID)
+		c.accept(cancelledID)
+		leaving, other = c.worker("leaving"), c.worker("other")
+		is.New(c.t).Equal(leaving.numStarts(), 2)
+		c.list("leaving", true)
+		c.list("other", false)
+		time.Sleep(time.Second)
+		c.unlist("leaving")
+		time.Sleep(time.Second)
+		return leaving, other
+	}
+	t.Run("address refuses connections", func(t *testing.T) {
+		runLeavingCell(t, func(c *leavingCell) {
+			leaving, other := runOnLeaving(c)
+			leaving.set(func() { leaving.refusesAll = true })
+			time.Sleep(4 * time.Second)
+			is.New(c.t).Equal(other.numStarts(), 0)
+			time.Sleep(4 * time.Second)
+			is.New(c.t).Equal(other.numStarts(), 2) // the lease has expired
+		})
+	})
+	t.Run("address refuses new connections only", func(t *testing.T) {
+		runLeavingCell(t, func(c *leavingCell) {
+			leaving, other := runOnLeaving(c)
+			leaving.set(func() { leaving.refusesNew = true })
+			c.cancel(cancelledID) // after the stop, the worker is polled over a new connection
+			time.Sleep(10 * time.Second)
+			is.New(c.t).Equal(other.numStarts(), 0) // the polls over the open connection renew the lease
+		})
+	})
+}
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -185,10 +185,6 @@
 	d.update(ctx, workPoll, func() {
 		wasUnresponsive = l.isUnresponsive
 		l.isUnresponsive = true
-		if errors.Is(err, hoist.ErrNotListening) && d.scheduler.RecordExit(id, d.Clock.Now()) {
-			events.WorkerLeft.Log(ctx, d.Log, "worker", id)
-			d.requestPass()
-		}
 	})
 	if !wasUnresponsive {
 		events.WorkerUnresponsive.Log(ctx, d.Log, "worker", id, "error", err)
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -280,7 +280,7 @@
 func (sc *Scheduler) expireLeases(now time.Time) {
 	for _, w := range sc.workers {
 		if len(w.tasks) > 0 && !now.Before(w.leaseExpiresAt) {
-			sc.releaseAll(w, LeaseExpired, now)
+			sc.releaseAll(w, now)
 		}
 	}
 }
--- a/internal/decide/sched/presume.go
+++ b/internal/decide/sched/presume.go
@@ -20,8 +20,6 @@
 	NotReported EndReason = "not-reported"
 	// WorkerRestarted means that the worker began a new incarnation.
 	WorkerRestarted EndReason = "worker-restarted"
-	// WorkerExited means that the worker has left and nothing listens at its address.
-	WorkerExited EndReason = "worker-exited"
 )
 
 // PresumedEnd is an attempt that counts as ended although no worker has listed its end,
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -220,25 +220,25 @@
 		c.report("w1", hoist.RunnerReport{Incarnation: 2})
 		c.wantStarts(c.pass(), 1)
 	})
-	t.Run("starts elsewhere after the worker has left and exited", func(t *testing.T) {
-		c := newCell(t, "w1")
-		c.submit("p", queue, step(1))
-		c.wantStarts(c.run(), 1)
-		c.is.True(!c.scheduler.RecordExit("w1", c.now)) // the host list still names the worker
-		c.changeEntry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = true })
-		c.scheduler.SetWorkers(nil, c.now)
-		c.is.True(c.scheduler.RecordExit("w1", c.now))
-		c.entries = nil
-		c.addWorkers("w2")
-		c.wantStarts(c.pass(), 1)
-	})
-	t.Run("a crash without leaving does not count as an exit", func(t *testing.T) {
-		c := newCell(t, "w1")
-		c.submit("p", queue, step(1))
-		c.wantStarts(c.run(), 1)
-		c.scheduler.SetWorkers(nil, c.now)
-		c.is.True(!c.scheduler.RecordExit("w1", c.now))
-	})
+	for _, isLeaving := range []bool{false, true} {
+		name := "the registry has removed the worker"
+		if isLeaving {
+			name += ", which leaves"
+		}
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, "w1")
+			c.submit("p", queue, step(1))
+			c.wantStarts(c.run(), 1)
+			c.changeEntry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = isLeaving })
+			c.entries = nil
+			c.now = start.Add(5 * time.Second)
+			c.addWorkers("w2") // the list no longer names w1
+			c.wantStarts(c.pass(), 0)
+			c.now = start.Add(6200 * time.Millisecond)
+			c.report("w2", hoist.RunnerReport{Incarnation: 1})
+			c.wantStarts(c.pass(), 1)
+		})
+	}
 }
 
 // TestLateSuccessKeepsCapacityReserved guards against using capacity twice when a
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -195,28 +195,14 @@
 	}
 }
 
-// RecordExit records that no process listens at the address of a worker. If
-// the worker had announced that it leaves and its registry entry was removed,
-// it has exited and runs nothing. RecordExit reports whether that is so and
-// tasks were placed there.
-func (sc *Scheduler) RecordExit(id hoist.WorkerID, now time.Time) bool {
-	w, ok := sc.workers[id]
-	if !ok || w.isListed || !w.entry.IsLeaving || len(w.tasks) == 0 {
-		return false
-	}
-	sc.releaseAll(w, WorkerExited, now)
-	return true
-}
-
-// releaseAll makes the tasks of a worker that runs nothing any more wait
-// again. Starts that are still being recorded are left alone; they are checked
+// releaseAll makes the tasks of a worker whose lease has expired wait again. Starts that are still being recorded are left alone; they are checked
 // again before they are sent.
-func (sc *Scheduler) releaseAll(w *Worker, reason EndReason, now time.Time) {
+func (sc *Scheduler) releaseAll(w *Worker, now time.Time) {
 	for t := range w.tasks {
 		if t.Phase == Recording {
 			continue
 		}
-		sc.presumeEnded(t, reason, now)
+		sc.presumeEnded(t, LeaseExpired, now)
 	}
 }
 
