Count the leases of all earlier owners after a release of the cell

Cause: a host that claimed from an owner which had released the cell, or from an earlier process of its own, waited 6.4 s from its claim for the leases of that owner only. The owner before it may still be alive, cut off from the store, and grants leases until 9 s after its last renewal. A claim whose answer was lost and that is repeated is the same case.

Change: the wait is at least until 9.5 s after the released owner's claim was first seen, as every earlier owner renewed before it. ownedSince is therefore kept while the term is the same, and set at a claim of this host. An owner that has had the cell for more than 3 s, the usual case, is waited for as before.

Test: TestTakeoverAfterFailedHealthChecks/owner_releases_the_cell_soon_ after_a_takeover. On the code before: "c counts the leases of a as expired 1.68 s too early". The existing bound of 7 s for a release holds.

Result: tests of internal/core pass.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -163,30 +163,44 @@
 		events.ClaimFailed.Log(ctx, m.Log, "term", term, "why", reason, "error", err)
 		return nil, false
 	}
-	leasesExpireAt := m.leasesExpireAt(reason, previous, m.Clock.Now())
+	now := m.Clock.Now()
+	leasesExpireAt := m.leasesExpireAt(reason, previous, now)
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
 		"silent", began.Sub(m.observed.renewed), "version", version)
-	m.observed.owner, m.observed.ownerVersion = owner, version
+	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
 	return NewOwnership(term, version, leasesExpireAt, began, nil), true
 }
 
-// leasesExpireAt returns the time at which all leases that a previous owner granted
-// have expired. An owner that has released the cell, or was an earlier process of this
-// host, grants no more; any other may grant leases until GrantTime after its last
-// renewal. An address that refuses connections proves nothing: the owner may be cut
-// off from this host, or accept no new connections.
+// leasesExpireAt returns the time at which all leases that previous owners granted have
+// expired. An owner that has released the cell, or was an earlier process of this host,
+// grants no more; any other may grant leases until GrantTime after its last renewal,
+// which was before the next owner's claim. An address that refuses connections proves
+// nothing: the owner may be cut off from this host, or accept no new connections.
 func (m *Manager) leasesExpireAt(reason claimReason, previous rows.Owner, now time.Time) time.Time {
-	const driftFactor = 1 + 1.0/clockDriftDivisor
 	switch {
 	case previous.Term == 0:
 		return now
 	case previous.Released || previous.Host == string(m.Host):
-		return now.Add(time.Duration(float64(LeaseTime)*driftFactor) + expiryMargin)
+		return later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime))
 	case reason.replacesLiveOwner():
-		return now.Add(time.Duration(float64(GrantTime)*driftFactor) + expiryMargin)
+		return expiry(now, GrantTime)
 	default:
-		return m.observed.renewed.Add(time.Duration(float64(GrantTime)*driftFactor) + expiryMargin)
+		return expiry(m.observed.renewed, GrantTime)
+	}
+}
+
+// expiry returns when a lease has expired for certain that was granted for the given
+// time to a worker whose clock may run slow.
+func expiry(granted time.Time, lease time.Duration) time.Time {
+	return granted.Add(lease + lease/clockDriftDivisor + expiryMargin)
+}
+
+// later returns the later of two times.
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
 	}
+	return y
 }
 
 // resolveClaim reads back whether a claim with an unknown outcome took effect. If it
--- a/internal/core/claim/follow.go
+++ b/internal/core/claim/follow.go
@@ -216,8 +216,10 @@
 			events.RowUnreadable.Log(context.Background(), m.Log, "row", row.Key, "error", err)
 			return
 		}
-		s.owner, s.ownerVersion = owner, row.Version
-		s.renewed, s.ownedSince = now, now
+		if owner.Term != s.owner.Term {
+			s.ownedSince = now
+		}
+		s.owner, s.ownerVersion, s.renewed = owner, row.Version, now
 		s.isChanged = true
 	case row.RowRef == keys.Renewal && row.Version > s.renewalVersion:
 		renewal, err := codec.DecodeStoreRow[rows.Beat](row.Value)
--- a/internal/core/claim/health_test.go
+++ b/internal/core/claim/health_test.go
@@ -79,12 +79,13 @@
 	*hosts
 	is    *is.I
 	links map[hoist.HostID]*storeLink
+	stops map[hoist.HostID]func()
 }
 
 // runMonitoredCell runs fn in a synctest bubble with a cell that the host a owns.
 func runMonitoredCell(t *testing.T, fn func(c *monitoredCell)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &monitoredCell{hosts: newHosts(t), is: is.New(t), links: make(map[hoist.HostID]*storeLink)}
+		c := &monitoredCell{hosts: newHosts(t), is: is.New(t), links: make(map[hoist.HostID]*storeLink), stops: make(map[hoist.HostID]func())}
 		for _, id := range []hoist.HostID{"a", "b", "c"} {
 			l := &storeLink{Link: &memory.Link{Store: c.store}}
 			c.links[id] = l
@@ -100,7 +101,8 @@
 			c.mu.Lock()
 			c.managers[id] = m
 			c.mu.Unlock()
-			defer c.start(m)()
+			c.stops[id] = sync.OnceFunc(c.start(m))
+			defer c.stops[id]()
 			time.Sleep(time.Second)
 		}
 		time.Sleep(5 * time.Second)
@@ -151,6 +153,21 @@
 			c.wantLeasesOf("a", "b", "c")
 		})
 	})
+	t.Run("owner releases the cell soon after a takeover", func(t *testing.T) {
+		runMonitoredCell(t, func(c *monitoredCell) {
+			c.links["a"].disconnect()
+			c.wantTakeover(500 * time.Millisecond)
+			second, third := hoist.HostID("b"), hoist.HostID("c")
+			if _, ok := c.ownership(second); !ok {
+				second, third = third, second
+			}
+			c.stops[second]()
+			time.Sleep(500 * time.Millisecond)
+			_, isOwner := c.ownership(third)
+			c.is.True(isOwner)
+			c.wantLeasesOf("a", third)
+		})
+	})
 	t.Run("owner cannot reach the store", func(t *testing.T) {
 		runMonitoredCell(t, func(c *monitoredCell) {
 			c.links["a"].disconnect()
