Keep what started on a new incarnation after its first poll was sent

Cause: when a report showed a new incarnation of a worker, every attempt that it did not list was given up. A start that the new incarnation had carried out after it answered that poll, and whose answer overtook that of the poll, was given up as well and started again elsewhere: the task ran twice, or the worker got more than its capacity.

The property test gets polls whose answers arrive late and out of order, entries that leave the registry and come back, and a check for starts after a success that is acknowledged later.

--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -31,10 +31,15 @@
 	workers   []*fakeWorker
 	store     map[hoist.JobID]storedPlan
 	requests  []*fakeRequest
+	// reports are answers to polls that are on their way to the owner.
+	reports []fakeReport
 	// done and failed hold the ends that were acknowledged.
 	done   map[hoist.TaskRef]bool
 	failed map[hoist.TaskRef]int
-	plans  int
+	// repeated holds the successes after which the task was started again. None of
+	// them may be acknowledged unless the lease of the worker has expired in between.
+	repeated map[success]string
+	plans    int
 }
 
 type storedPlan struct {
@@ -43,6 +48,13 @@
 	isWanted bool
 }
 
+// success is an end of a task as done that a worker lists.
+type success struct {
+	worker      *fakeWorker
+	incarnation hoist.Incarnation
+	no          hoist.EndNo
+}
+
 type fakeWorker struct {
 	entry       hoist.WorkerEntry
 	incarnation hoist.Incarnation
@@ -52,8 +64,20 @@
 	refused     map[hoist.TaskRef]hoist.AttemptNo
 	ends        []hoist.RunEnd
 	lastEnd     hoist.EndNo
+	// lapsedEnd is the last end at the time when the lease last expired.
+	lapsedEnd hoist.EndNo
 	// isDisconnected is set when the owner's connections are broken.
 	isDisconnected bool
+	// isUnlisted is set while the registry has no entry of the worker.
+	isUnlisted bool
+}
+
+// fakeReport is an answer to a poll. Answers may overtake each other.
+type fakeReport struct {
+	term     hoist.Term
+	worker   hoist.WorkerID
+	report   hoist.RunnerReport
+	polledAt time.Time
 }
 
 type fakeRequest struct {
@@ -70,7 +94,7 @@
 func newFixture(t *rapid.T) *fixture {
 	fx := &fixture{
 		t: t, now: start, store: make(map[hoist.JobID]storedPlan),
-		done: make(map[hoist.TaskRef]bool), failed: make(map[hoist.TaskRef]int),
+		done: make(map[hoist.TaskRef]bool), failed: make(map[hoist.TaskRef]int), repeated: make(map[success]string),
 	}
 	for i := range 3 {
 		fx.workers = append(fx.workers, &fakeWorker{
@@ -94,15 +118,11 @@
 	}
 	fx.renewed = fx.now
 	fx.scheduler = sched.NewScheduler(fx.term, earlierLeasesExpire)
-	var entries []hoist.WorkerEntry
-	for _, fake := range fx.workers {
-		entries = append(entries, fake.entry)
-	}
 	for _, id := range slices.Sorted(maps.Keys(fx.store)) {
 		s := fx.store[id]
 		fx.scheduler.Restore(s.plan, s.state, 1, fx.now)
 	}
-	fx.scheduler.SetWorkers(entries, fx.now)
+	fx.scheduler.SetWorkers(fx.entries(), fx.now)
 }
 
 // submit accepts a plan of one or two steps.
@@ -248,6 +268,7 @@
 			fx.t.Fatalf("task %v attempt %d starts on %s while attempt %d runs on %s", task, req.run.Attempt, f.entry.Worker, a, other.entry.Worker)
 		}
 	}
+	fx.recordRepetition(f, req)
 	if fx.done[task] {
 		fx.t.Fatalf("task %v attempt %d starts after its success was acknowledged", task, req.run.Attempt)
 	}
@@ -264,6 +285,19 @@
 	}
 }
 
+// recordRepetition records the successes of a task that is started again.
+func (fx *fixture) recordRepetition(f *fakeWorker, req *fakeRequest) {
+	for _, other := range fx.workers {
+		for _, e := range other.ends {
+			if e.Kind == hoist.EndDone && e.Run.Task == req.run.Task && e.No > other.lapsedEnd {
+				fx.repeated[success{other, other.incarnation, e.No}] = fmt.Sprintf(
+					"attempt %d at task %v started on %s after attempt %d had succeeded on %s",
+					req.run.Attempt, req.run.Task, f.entry.Worker, e.Run.Attempt, other.entry.Worker)
+			}
+		}
+	}
+}
+
 func (f *fakeWorker) used(fx *fixture) int64 {
 	var sum int64
 	for task := range f.running {
@@ -291,6 +325,9 @@
 		switch e.Kind {
 		case hoist.EndDone:
 			fx.done[e.Run.Task] = true
+			if what, ok := fx.repeated[success{f, f.incarnation, e.No}]; ok && e.No > f.lapsedEnd {
+				fx.t.Fatalf("%s, which is acknowledged now", what)
+			}
 		case hoist.EndFailed:
 			fx.failed[e.Run.Task]++
 		default:
@@ -299,15 +336,60 @@
 	if lease := fx.grantLease(id); lease.After(f.lease) {
 		f.lease = lease
 	}
+	fx.reports = append(fx.reports, fakeReport{fx.term, id, f.report(), fx.now})
+	fx.now = fx.now.Add(time.Millisecond)
+	fx.deliverReport(len(fx.reports) - 1)
+	fx.now = fx.now.Add(time.Millisecond)
+}
+
+// pollBeside sends a poll that acknowledges nothing, as the owner does beside the
+// polls that follow each other. Its answer arrives later.
+func (fx *fixture) pollBeside(f *fakeWorker) {
+	if f.term > fx.term {
+		return
+	}
+	f.term = fx.term
+	if lease := fx.grantLease(f.entry.Worker); lease.After(f.lease) {
+		f.lease = lease
+	}
+	fx.reports = append(fx.reports, fakeReport{fx.term, f.entry.Worker, f.report(), fx.now})
+}
+
+// report returns what the worker runs and which ends it lists.
+func (f *fakeWorker) report() hoist.RunnerReport {
 	report := hoist.RunnerReport{Incarnation: f.incarnation, Ends: slices.Clone(f.ends)}
 	for _, task := range f.tasks() {
 		attempt := f.running[task]
 		report.Running = append(report.Running, hoist.RunStatus{Run: hoist.TaskRun{Task: task, Attempt: attempt}})
 	}
-	polledAt := fx.now
-	fx.now = fx.now.Add(time.Millisecond)
-	fx.scheduler.RecordReport(id, report, polledAt, fx.now)
-	fx.now = fx.now.Add(time.Millisecond)
+	return report
+}
+
+// deliverReport delivers one of the answers to polls that are on their way.
+func (fx *fixture) deliverReport(i int) {
+	r := fx.reports[i]
+	fx.reports = slices.Delete(fx.reports, i, i+1)
+	if r.term == fx.term {
+		fx.scheduler.RecordReport(r.worker, r.report, r.polledAt, fx.now)
+	}
+}
+
+// setListed sets whether the registry lists a worker, which goes on running, and
+// whether it leaves.
+func (fx *fixture) setListed(f *fakeWorker, isListed, isLeaving bool) {
+	f.isUnlisted, f.entry.IsLeaving = !isListed, isLeaving
+	fx.scheduler.SetWorkers(fx.entries(), fx.now)
+}
+
+// entries returns the registry.
+func (fx *fixture) entries() []hoist.WorkerEntry {
+	var out []hoist.WorkerEntry
+	for _, f := range fx.workers {
+		if !f.isUnlisted {
+			out = append(out, f.entry)
+		}
+	}
+	return out
 }
 
 // endRun ends one of the tasks that run on a worker. The tasks of a gang
@@ -367,7 +449,7 @@
 // restart begins a new incarnation of a worker without any of its state.
 func (f *fakeWorker) restart() {
 	f.incarnation++
-	f.term, f.lease, f.lastEnd, f.isDisconnected = 0, time.Time{}, 0, true
+	f.term, f.lease, f.lastEnd, f.lapsedEnd, f.isDisconnected = 0, time.Time{}, 0, 0, true
 	clear(f.running)
 	clear(f.refused)
 	f.ends = nil
@@ -384,6 +466,7 @@
 		for _, task := range f.tasks() {
 			f.end(task, hoist.EndLeaseExpired)
 		}
+		f.lapsedEnd = f.lastEnd
 	}
 }
 
@@ -396,7 +479,7 @@
 		fx.submit()
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
 			f := fx.workers[rapid.IntRange(0, len(fx.workers)-1).Draw(t, "worker")]
-			switch rapid.IntRange(0, 15).Draw(t, "action") {
+			switch rapid.IntRange(0, 19).Draw(t, "action") {
 			case 0:
 				fx.submit()
 			case 1, 2, 3:
@@ -423,6 +506,14 @@
 				if rapid.IntRange(0, 3).Draw(t, "crash") == 0 {
 					f.restart()
 				}
+			case 16:
+				fx.pollBeside(f)
+			case 17, 18:
+				if len(fx.reports) > 0 {
+					fx.deliverReport(rapid.IntRange(0, len(fx.reports)-1).Draw(t, "report"))
+				}
+			case 19:
+				fx.setListed(f, rapid.Bool().Draw(t, "listed"), rapid.IntRange(0, 3).Draw(t, "leaving") == 0)
 			}
 			fx.advance(time.Millisecond)
 		}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -97,8 +97,10 @@
 	if !ok {
 		return
 	}
+	absence := NotReported
 	if w.isConfirmed && report.Incarnation != w.incarnation {
-		sc.recordRestart(w, report.Running, now)
+		absence = WorkerRestarted
+		sc.recordRestart(w)
 	}
 	w.isConfirmed = true
 	w.incarnation = report.Incarnation
@@ -113,7 +115,7 @@
 	found := sc.reconcile(w, report.Running, polledAt, now)
 	for t := range w.tasks {
 		if !found[t] && t.isAbsenceConclusive(polledAt) {
-			sc.presumeEnded(t, NotReported, now)
+			sc.presumeEnded(t, absence, now)
 		}
 	}
 }
@@ -132,26 +134,16 @@
 	}
 }
 
-// recordRestart handles a new incarnation of a worker, in which no earlier
-// attempt runs. A start that is in flight may still reach the new incarnation,
-// or may have reached it.
-func (sc *Scheduler) recordRestart(w *Worker, statuses []hoist.RunStatus, now time.Time) {
+// recordRestart handles a new incarnation of a worker. The report that showed it need
+// not list what was started in the new incarnation after its poll was sent, so the rules
+// for absent attempts apply as to any other report. A start that is in flight may still
+// reach the new incarnation, so attempts must be stopped there again.
+func (sc *Scheduler) recordRestart(w *Worker) {
 	w.ends = endLog{}
 	sc.setOrphans(w, nil)
-	running := make(map[hoist.TaskRun]bool, len(statuses))
-	for _, status := range statuses {
-		running[status.Run] = true
-	}
 	for t := range w.tasks {
-		if running[t.Run()] {
-			continue
-		}
-		switch t.Phase {
-		case Running, Recovered:
-			sc.presumeEnded(t, WorkerRestarted, now)
-		case Stopping:
+		if t.Phase == Stopping {
 			t.stop = stopState{isInFlight: t.stop.isInFlight}
-		default:
 		}
 	}
 }
--- a/internal/decide/sched/presume.go
+++ b/internal/decide/sched/presume.go
@@ -18,7 +18,7 @@
 	// NotReported means that a report lists neither the attempt nor its end, and that
 	// its poll was sent after the start or the answered stop of the attempt.
 	NotReported EndReason = "not-reported"
-	// WorkerRestarted means that the worker began a new incarnation.
+	// WorkerRestarted is NotReported in the first report of a new incarnation.
 	WorkerRestarted EndReason = "worker-restarted"
 )
 
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -220,6 +220,15 @@
 		c.report("w1", hoist.RunnerReport{Incarnation: 2})
 		c.wantStarts(c.pass(), 1)
 	})
+	t.Run("keeps what started on the next incarnation after the poll was sent", func(t *testing.T) {
+		c := newCell(t, "w1")
+		c.submit("p", queue, step(1))
+		polledAt := c.now
+		c.wantStarts(c.run(), 1) // the next incarnation answers the poll first, then the start
+		c.now = c.now.Add(time.Millisecond)
+		c.scheduler.RecordReport("w1", hoist.RunnerReport{Incarnation: 2}, polledAt, c.now)
+		c.wantStarts(c.pass(), 0)
+	})
 	for _, isLeaving := range []bool{false, true} {
 		name := "the registry has removed the worker"
 		if isLeaving {
