Count suspended time against the leases that an owner grants

Cause: the steady clock of the system stands still while the machine is suspended. An owner whose machine was suspended for longer than the 9 s for which it may grant leases took its last renewal for recent, read the clocks of its workers anew and granted leases of 6 s, while the next owner counted all of them as expired. On a worker that only the earlier owner reaches a task would run on while it is started elsewhere.

Change: clock.Lease is a clock whose readings include suspended time, from CLOCK_BOOTTIME.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -81,8 +81,10 @@
 	// and a host of twice the weight of the owner replaces it.
 	Weight Weight
 	Store  hoist.Store
-	Clock  hoist.Clock
-	Log    *slog.Logger
+	// Clock counts the time in which the machine was suspended, in which leases that
+	// this host may grant expire as well; see clock.Lease.
+	Clock hoist.Clock
+	Log   *slog.Logger
 	// RunOwner acts for the cell until ctx ends.
 	RunOwner func(ctx context.Context, o *Ownership)
 	// Waiting returns how many plans wait in each queue, or nil if that is not known yet.
@@ -168,7 +170,7 @@
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
 		"silent", began.Sub(m.observed.renewed), "version", version)
 	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
-	return NewOwnership(term, version, leasesExpireAt, began, nil), true
+	return &Ownership{Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, clock: m.Clock, renewed: began}, true
 }
 
 // leasesExpireAt returns the time at which all leases that previous owners granted have
--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -136,7 +136,7 @@
 	if !ok {
 		h.t.Fatalf("host %s does not act as the owner any more", earlier)
 	}
-	lastLease := first.GrantUntil().Add(claim.LeaseTime / 50)
+	lastLease := time.Now().Add(first.GrantTimeLeft() + claim.LeaseTime/50)
 	for _, id := range later {
 		if o, ok := h.ownership(id); ok && o.EarlierLeasesExpire.Before(lastLease) {
 			h.t.Fatalf("%s counts the leases of %s as expired %s too early", id, earlier, lastLease.Sub(o.EarlierLeasesExpire))
@@ -185,6 +185,47 @@
 	})
 }
 
+// suspendedClock is the clock of a host whose machine can be suspended.
+type suspendedClock struct {
+	mu        sync.Mutex
+	suspended time.Duration
+}
+
+// Now implements hoist.Clock.
+func (c *suspendedClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.suspended)
+}
+
+// suspend adds time during which nothing of the host ran.
+func (c *suspendedClock) suspend(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspended += d
+}
+
+// TestSuspendedOwnerGrantsNoLeases guards against an owner that grants leases after its
+// machine was suspended for longer than other hosts wait for them.
+func TestSuspendedOwnerGrantsNoLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHosts(t)
+		machine := &suspendedClock{}
+		m := h.newManager("a", 1, 400, h.store)
+		m.Clock = machine
+		defer h.start(m)()
+		time.Sleep(time.Second)
+		o, ok := h.ownership("a")
+		is.True(ok)
+		is.True(o.GrantTimeLeft() > 8*time.Second)
+		machine.suspend(claim.GrantTime)
+		is.True(o.GrantTimeLeft() <= 0)
+		time.Sleep(time.Second)
+		is.True(o.GrantTimeLeft() > 8*time.Second) // it has renewed
+	})
+}
+
 // TestCellHasOneOwner guards against a cell without an owner, against several
 // owners, and against an owner that acts on after another host took over.
 func TestCellHasOneOwner(t *testing.T) {
--- a/internal/core/claim/owner.go
+++ b/internal/core/claim/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 )
 
 // Ownership is the right to act for the cell in one term.
@@ -14,25 +15,37 @@
 	// Version is the version of the fence rows, which the owner's transactions
 	// expect.
 	Version hoist.RowVersion
-	// EarlierLeasesExpire is when all leases of earlier owners have expired.
+	// EarlierLeasesExpire is when all leases of earlier owners have expired, on the clock
+	// of the manager.
 	EarlierLeasesExpire time.Time
 
+	// clock is the clock of EarlierLeasesExpire and of the renewals.
+	clock hoist.Clock
+
 	mu             sync.Mutex
 	renewed        time.Time
 	renewalVersion hoist.RowVersion
 	cancel         context.CancelFunc
 }
 
-// NewOwnership returns an ownership that was renewed at the given time. StepDown calls
-// cancel.
+// NewOwnership returns an ownership that was renewed at the given time of the system
+// clock. StepDown calls cancel.
 func NewOwnership(term hoist.Term, version hoist.RowVersion, earlierLeasesExpire, renewed time.Time, cancel context.CancelFunc) *Ownership {
-	return &Ownership{Term: term, Version: version, EarlierLeasesExpire: earlierLeasesExpire, renewed: renewed, cancel: cancel}
+	return &Ownership{
+		Term: term, Version: version, EarlierLeasesExpire: earlierLeasesExpire, clock: clock.System{}, renewed: renewed, cancel: cancel,
+	}
+}
+
+// EarlierLeasesLeft returns how long leases of earlier owners may still be valid.
+func (o *Ownership) EarlierLeasesLeft() time.Duration {
+	return o.EarlierLeasesExpire.Sub(o.clock.Now())
 }
 
-// GrantUntil returns the grant limit: the time until which leases may be granted.
-func (o *Ownership) GrantUntil() time.Time {
+// GrantTimeLeft returns for how long leases may still be granted. It is not positive
+// after GrantTime since the last renewal was sent.
+func (o *Ownership) GrantTimeLeft() time.Duration {
 	renewed, _ := o.lastRenewal()
-	return renewed.Add(GrantTime)
+	return GrantTime - o.clock.Now().Sub(renewed)
 }
 
 // StepDown ends the ownership. Callers use it when they find that there is a later
--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -24,6 +24,42 @@
 	return time.Now()
 }
 
+// Lease is the clock for leases that this host holds or grants. The time between two of
+// its readings includes the time in which the machine was suspended, which other hosts
+// have measured and time.Now does not count. Its readings are not to be compared with
+// those of System or with a time of day.
+type Lease struct {
+	// startedAt and startedSinceBoot are readings at the same moment.
+	startedAt        time.Time
+	startedSinceBoot time.Duration
+	// sinceBoot returns the time since the machine was started.
+	sinceBoot func() (time.Duration, bool)
+}
+
+var _ hoist.Clock = (*Lease)(nil)
+
+// NewLease returns a clock that starts now.
+func NewLease() *Lease {
+	return newLease(sinceBoot)
+}
+
+func newLease(sinceBoot func() (time.Duration, bool)) *Lease {
+	l := &Lease{startedAt: time.Now(), sinceBoot: sinceBoot}
+	l.startedSinceBoot, _ = sinceBoot()
+	return l
+}
+
+// Now implements hoist.Clock.
+func (l *Lease) Now() time.Time {
+	now := time.Now()
+	total, ok := l.sinceBoot()
+	if !ok {
+		return now
+	}
+	suspended := total - l.startedSinceBoot - now.Sub(l.startedAt)
+	return now.Add(max(0, suspended))
+}
+
 // Signal sets a flag that a goroutine waits for with SleepOr. A flag is a channel with a
 // buffer of one element. Signal does nothing if the flag is set already.
 func Signal(flag chan struct{}) {
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -80,8 +80,10 @@
 	Dial     func(hoist.WorkerEntry) hoist.Runner
 	Adviser  hoist.Adviser
 	Clock    hoist.Clock
-	Log      *slog.Logger
-	Metrics  hoist.PlanMetrics
+	// LeaseClock is the clock of the ownership of the cell; see claim.Manager.
+	LeaseClock hoist.Clock
+	Log        *slog.Logger
+	Metrics    hoist.PlanMetrics
 	// Guard recovers from panics; it may be nil.
 	Guard *guard.Guard
 	// Limits are what a plan must keep to be accepted and handled, and Open bounds the
@@ -114,7 +116,7 @@
 		h.monitored = &monitoredStore{Store: h.Store, clock: h.Clock, log: h.Log}
 		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome}
 		h.manager = &claim.Manager{
-			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.Clock, Log: h.Log,
+			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.LeaseClock, Log: h.Log,
 			RunOwner: h.runOwner, Waiting: h.waiting, Dial: h.dialOwner, StoreAge: h.monitored.outage,
 		}
 	})
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -157,7 +157,7 @@
 	// The host may call Waiting concurrently.
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.scheduler = sched.NewScheduler(d.Claim.Term, d.Claim.EarlierLeasesExpire)
+	d.scheduler = sched.NewScheduler(d.Claim.Term, d.Clock.Now().Add(d.Claim.EarlierLeasesLeft()))
 	if d.RemoteFactor > 0 {
 		d.scheduler.RemoteFactor = d.RemoteFactor
 	}
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -105,7 +105,7 @@
 	if l.clockReadAt.IsZero() {
 		return 0
 	}
-	left := min(claim.LeaseTime, d.Claim.GrantUntil().Sub(now))
+	left := min(claim.LeaseTime, d.Claim.GrantTimeLeft())
 	if left <= 0 {
 		return 0
 	}
