Let the first answer to a stop count

Cause: while the end of a stopped attempt is not listed, the stop is sent again every 0.4 s, and each answer replaced the time of the one before. An absent attempt counts as ended only in a report whose poll was sent after the answer. A poll that waits for an end takes a second, so a stop was answered during each of them. A poll right after a stop normally settles it, but needs a new connection: on a worker that accepts none, the attempt kept its task and its capacity for as long as the worker was polled.

Change: the first answer counts. The worker refuses the attempt from then on; a new incarnation resets it, as before.

Test: TestAnsweredStopEndsAttempt. Before: "0 starts, expected 1".

Result: tests of internal/decide/sched and 60,000 checks of TestInvariantsUnderFaults pass.

--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -63,14 +63,15 @@
 	return ""
 }
 
-// RecordStop records the outcome of a stop.
+// RecordStop records the outcome of a stop. The first answer counts: the worker refuses
+// the attempt from then on.
 func (sc *Scheduler) RecordStop(id hoist.WorkerID, run hoist.TaskRun, err error, now time.Time) {
 	t, ok := sc.placedTask(id, run)
 	if !ok {
 		return
 	}
 	t.stop.isInFlight = false
-	if err == nil {
+	if err == nil && t.stop.answeredAt.IsZero() {
 		t.stop.answeredAt = now
 	}
 }
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -183,6 +183,24 @@
 	c.is.True(again[0].Run.Attempt > run.Attempt)
 }
 
+// TestAnsweredStopEndsAttempt guards against an attempt that counts as running for ever:
+// while its worker accepts no new connections, only the polls that wait for an end are
+// answered, and a stop is answered during each of them.
+func TestAnsweredStopEndsAttempt(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.scheduler.RecordStart(s.Worker, s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.wantStarts(c.pass(), 0)
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	polledAt := c.now.Add(10 * time.Millisecond)
+	c.now = polledAt.Add(500 * time.Millisecond)
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	c.now = polledAt.Add(time.Second)
+	c.scheduler.RecordReport(s.Worker, hoist.RunnerReport{Incarnation: 1}, polledAt, c.now)
+	c.wantStarts(c.pass(), 1)
+}
+
 // TestReportedAttemptIsNotStopped guards against stopping an attempt that a report
 // lists as running because the answer to its start was lost.
 func TestReportedAttemptIsNotStopped(t *testing.T) {
