Stop an attempt that its worker no longer lists, before it starts again

Cause: an attempt that a worker had confirmed counted as ended as soon as one report listed neither it nor its end. A worker that keeps its contract lists one of the two, so such a report is itself in doubt: the list may lag behind the start, or be cut. As with refused connections, what is missing was taken as proof.

Change: the attempt is stopped, and counts as ended once the worker has answered the stop and a later report lacks it; from then on the worker refuses it. Event 630 and the reason "missing" of hoist_presumed_ends_total tell an operator. Attempts of an earlier owner and those of an earlier incarnation count as ended by one report, as before: the term and the restart keep them from running.

Test: TestMissingAttemptIsStoppedFirst. Before: "1 starts, expected 0".

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -143,6 +143,7 @@
 	RelayLost            = register(627, slog.LevelWarn, "relay does not work; its workers move to others")
 	RelaysChanged        = register(628, slog.LevelInfo, "workers were assigned to relays")
 	RunPresumedEnded     = register(629, slog.LevelWarn, "attempt counts as ended although no worker listed its end")
+	RunMissing           = register(630, slog.LevelWarn, "worker no longer lists an attempt that it had confirmed; the attempt is stopped")
 	WorkerEntryInvalid   = register(626, slog.LevelWarn, "registry entry is not valid; it names no worker to use")
 	PlanQueryFailed      = register(618, slog.LevelWarn, "query or cancellation of a plan could not be answered")
 )
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -8,6 +8,7 @@
 	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/core/quar"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
 // The kinds of work of an owner, in logs and metrics.
@@ -50,7 +51,11 @@
 // listed their end. d.mu must be held.
 func (d *Driver) logPresumedEnds(ctx context.Context) {
 	for _, e := range d.scheduler.TakePresumedEnds() {
-		events.RunPresumedEnded.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
+		event := events.RunPresumedEnded
+		if e.Reason == sched.Missing {
+			event = events.RunMissing
+		}
+		event.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
 			"worker", e.Worker, "why", e.Reason, "since-poll", e.SincePoll, "since-lease", e.SinceLease,
 			"listed", e.IsListed, "leaving", e.IsLeaving)
 		if d.Metrics != nil {
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -115,15 +115,18 @@
 	}
 	found := sc.reconcile(w, report.Running, polledAt, now)
 	for t := range w.tasks {
-		if !found[t] && t.isAbsenceConclusive(polledAt) {
+		switch {
+		case found[t] || !t.isAbsenceConclusive(polledAt):
+		case t.Phase == Running && absence == NotReported:
+			sc.stopMissing(t, now)
+		default:
 			sc.presumeEnded(t, absence, now)
 		}
 	}
 }
 
-// isAbsenceConclusive reports whether a report that does not list the task
-// proves that it does not run: the poll was sent after the start of the task
-// or its stop was answered.
+// isAbsenceConclusive reports whether a report that does not list the task was made up
+// after its start, or after its stop was answered.
 func (t *Task) isAbsenceConclusive(polledAt time.Time) bool {
 	switch t.Phase {
 	case Running, Recovered:
--- a/internal/decide/sched/presume.go
+++ b/internal/decide/sched/presume.go
@@ -6,8 +6,8 @@
 	hoist "fuchsiahoist.example/hoist"
 )
 
-// EndReason tells why an attempt counts as ended although no worker has listed its
-// end.
+// EndReason tells why an attempt counts as ended, or is in doubt, although no worker has
+// listed its end.
 type EndReason string
 
 // The reasons.
@@ -16,8 +16,12 @@
 	// runs slow.
 	LeaseExpired EndReason = "lease-expired"
 	// NotReported means that a report lists neither the attempt nor its end, and that
-	// its poll was sent after the start or the answered stop of the attempt.
+	// its poll was sent after the answered stop of the attempt, or by a later owner than
+	// the start.
 	NotReported EndReason = "not-reported"
+	// Missing means the same of an attempt that the worker has confirmed to this owner. It
+	// does not count as ended yet, but is stopped.
+	Missing EndReason = "missing"
 	// WorkerRestarted is NotReported in the first report of a new incarnation.
 	WorkerRestarted EndReason = "worker-restarted"
 )
@@ -47,12 +51,27 @@
 // presumeEnded makes the task of an attempt wait again although no worker has listed the
 // end of the attempt.
 func (sc *Scheduler) presumeEnded(t *Task, reason EndReason, now time.Time) {
-	w, step := t.Worker, t.StepTasks
-	sc.presumedEnds = append(sc.presumedEnds, PresumedEnd{
+	sc.presumedEnds = append(sc.presumedEnds, t.presumedEnd(reason, now))
+	step := t.StepTasks
+	sc.requeue(t, now)
+	sc.stopIncompleteGang(step, now)
+}
+
+// stopMissing stops an attempt that its worker has confirmed and no longer lists. It
+// counts as ended only once the worker has answered the stop: it should have listed the
+// end, so that its report alone is no proof.
+func (sc *Scheduler) stopMissing(t *Task, now time.Time) {
+	sc.presumedEnds = append(sc.presumedEnds, t.presumedEnd(Missing, now))
+	sc.endAttempt(t, now)
+	sc.stopIncompleteGang(t.StepTasks, now)
+}
+
+// presumedEnd describes the current attempt at a placed task.
+func (t *Task) presumedEnd(reason EndReason, now time.Time) PresumedEnd {
+	w := t.Worker
+	return PresumedEnd{
 		Run: t.Run(), Worker: w.entry.Worker, Reason: reason,
 		SincePoll: now.Sub(w.lastPolledAt), SinceLease: now.Sub(w.leaseExpiresAt),
 		IsListed: w.isListed, IsLeaving: w.entry.IsLeaving,
-	})
-	sc.requeue(t, now)
-	sc.stopIncompleteGang(step, now)
+	}
 }
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -201,6 +201,22 @@
 	c.wantStarts(c.pass(), 1)
 }
 
+// TestMissingAttemptIsStoppedFirst guards against starting a task again that a worker has
+// confirmed and leaves out of one report, although it runs.
+func TestMissingAttemptIsStoppedFirst(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.submit("p", queue, step(1))
+	s := c.run()[0]
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 0)
+	c.is.Equal(c.stops, []sched.Stop{{Worker: s.Worker, Run: s.Run}})
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: s.Run}}})
+	c.wantStarts(c.pass(), 0) // it runs after all
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 1)
+}
+
 // TestReportedAttemptIsNotStopped guards against stopping an attempt that a report
 // lists as running because the answer to its start was lost.
 func TestReportedAttemptIsNotStopped(t *testing.T) {
