Ignore late reports of an earlier incarnation of a worker

Cause: a report that was made up before a worker restarted, and read after one of the new incarnation, counted as another restart. The owner then went on with the numbers of the earlier incarnation's ends and could acknowledge them to the new one, which discards its own ends up to that number: an end as done that nobody has read is lost, and its task starts again. It takes a process that is paused between an answer and its handling while an executor restarts.

Change: a report with another incarnation is ignored if its poll was sent before the one that first showed the present incarnation.

Test: TestLateReportOfEarlierIncarnation.

--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -100,11 +100,17 @@
 	}
 	absence := NotReported
 	if w.isConfirmed && report.Incarnation != w.incarnation {
+		if polledAt.Before(w.incarnationPolledAt) {
+			// A late report of an earlier incarnation.
+			return
+		}
 		absence = WorkerRestarted
 		sc.recordRestart(w)
 	}
+	if !w.isConfirmed || report.Incarnation != w.incarnation {
+		w.incarnation, w.incarnationPolledAt = report.Incarnation, polledAt
+	}
 	w.isConfirmed = true
-	w.incarnation = report.Incarnation
 	if polledAt.After(w.lastPolledAt) {
 		w.lastPolledAt = polledAt
 	}
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -201,6 +201,22 @@
 	c.wantStarts(c.pass(), 1)
 }
 
+// TestLateReportOfEarlierIncarnation guards against acknowledging ends to a worker that
+// has restarted by the numbers of its earlier incarnation: it would discard new ends that
+// nobody has read.
+func TestLateReportOfEarlierIncarnation(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	s := c.run()[0]
+	polledAt := c.now
+	c.report("w1", hoist.RunnerReport{Incarnation: 2})
+	late := hoist.RunnerReport{Incarnation: 1, Ends: []hoist.RunEnd{{No: 3, Run: s.Run, Kind: hoist.EndFailed}}}
+	c.scheduler.RecordReport("w1", late, polledAt, c.now)
+	c.record()
+	c.is.Equal(c.scheduler.AckableEnd("w1"), hoist.EndNo(0))
+	c.wantStarts(c.pass(), 1)
+}
+
 // TestMissingAttemptIsStoppedFirst guards against starting a task again that a worker has
 // confirmed and leaves out of one report, although it runs.
 func TestMissingAttemptIsStoppedFirst(t *testing.T) {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -31,6 +31,9 @@
 	// current incarnation.
 	isConfirmed bool
 	incarnation hoist.Incarnation
+	// incarnationPolledAt is when the poll was sent that first showed the incarnation. It is
+	// zero before the first report.
+	incarnationPolledAt time.Time
 	// lastPolledAt is when the last answered poll was sent.
 	lastPolledAt time.Time
 	used         hoist.Resources
