Begin the ends of a new incarnation anew after a refused start

Cause: a start that another worker at the address answered (421) left the worker without a confirmed incarnation. The next report was then not compared with the last incarnation: if the worker had restarted, its ends with numbers up to those of the earlier one were skipped, and later acknowledged. A success among them was lost and its task started again.

Change: incarnations are compared whenever one is known.

Test: TestRestartAfterReplacedAnswer. Before: plan p is "running", expected "done".

Result: tests of internal/decide/sched pass. No run has shown the fault.

--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -99,15 +99,15 @@
 		return
 	}
 	absence := NotReported
-	if w.isConfirmed && report.Incarnation != w.incarnation {
+	if report.Incarnation != w.incarnation || w.incarnationPolledAt.IsZero() {
 		if polledAt.Before(w.incarnationPolledAt) {
 			// A late report of an earlier incarnation.
 			return
 		}
-		absence = WorkerRestarted
-		sc.recordRestart(w)
-	}
-	if !w.isConfirmed || report.Incarnation != w.incarnation {
+		if !w.incarnationPolledAt.IsZero() {
+			absence = WorkerRestarted
+			sc.recordRestart(w)
+		}
 		w.incarnation, w.incarnationPolledAt = report.Incarnation, polledAt
 	}
 	w.isConfirmed = true
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -217,6 +217,21 @@
 	c.wantStarts(c.pass(), 1)
 }
 
+// TestRestartAfterReplacedAnswer guards against skipping, and then acknowledging, the ends
+// of a new incarnation that is first seen after another worker has answered a start.
+func TestRestartAfterReplacedAnswer(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("q", queue, step(1))
+	c.reportEnd(1, c.run()[0], hoist.EndDone)
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrReplaced, c.now)
+	c.report("w1", hoist.RunnerReport{Incarnation: 2})
+	again := c.run()[0]
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Ends: []hoist.RunEnd{{No: 1, Run: again.Run, Kind: hoist.EndDone}}})
+	c.wantPhase(hoist.PlanDone)
+}
+
 // TestMissingAttemptIsStoppedFirst guards against starting a task again that a worker has
 // confirmed and leaves out of one report, although it runs.
 func TestMissingAttemptIsStoppedFirst(t *testing.T) {
