Keep the clock of the present incarnation of a worker

Cause: a late report of an earlier incarnation still replaced the reading of the worker's clock, which begins anew with each incarnation. The next lease was then a time far ahead on the new clock, which the worker shortens to the platform's 10 s, while the owner counted 6 s.

Change: RecordReport tells whether it took the report, and the clock is taken only then.

Test: TestLateReportOfEarlierIncarnation checks the result.

--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -158,7 +158,6 @@
 	if req.EnablesAcks {
 		l.isConnClosed = false
 	}
-	l.workerClock, l.clockReadAt = report.Clock, now
 	for _, e := range report.Ends {
 		if e.No > req.Acked && d.scheduler.IsNewEnd(id, e.No) {
 			events.RunEnded.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
@@ -168,7 +167,9 @@
 			}
 		}
 	}
-	d.scheduler.RecordReport(id, report, sentAt, now)
+	if d.scheduler.RecordReport(id, report, sentAt, now) {
+		l.workerClock, l.clockReadAt = report.Clock, now
+	}
 }
 
 // recordPollFailure handles a poll without an answer.
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -91,18 +91,18 @@
 	}
 }
 
-// RecordReport records what a worker runs and which attempts have ended there.
-// polledAt is when the poll was sent.
-func (sc *Scheduler) RecordReport(id hoist.WorkerID, report hoist.RunnerReport, polledAt, now time.Time) {
+// RecordReport records what a worker runs and which attempts have ended there. polledAt
+// is when the poll was sent. It reports false, and records nothing, if the worker is
+// unknown or the report is a late one of an earlier incarnation.
+func (sc *Scheduler) RecordReport(id hoist.WorkerID, report hoist.RunnerReport, polledAt, now time.Time) bool {
 	w, ok := sc.workers[id]
 	if !ok {
-		return
+		return false
 	}
 	absence := NotReported
 	if report.Incarnation != w.incarnation || w.incarnationPolledAt.IsZero() {
 		if polledAt.Before(w.incarnationPolledAt) {
-			// A late report of an earlier incarnation.
-			return
+			return false
 		}
 		if !w.incarnationPolledAt.IsZero() {
 			absence = WorkerRestarted
@@ -129,6 +129,7 @@
 			sc.presumeEnded(t, absence, now)
 		}
 	}
+	return true
 }
 
 // isAbsenceConclusive reports whether a report that does not list the task was made up
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -211,7 +211,7 @@
 	polledAt := c.now
 	c.report("w1", hoist.RunnerReport{Incarnation: 2})
 	late := hoist.RunnerReport{Incarnation: 1, Ends: []hoist.RunEnd{{No: 3, Run: s.Run, Kind: hoist.EndFailed}}}
-	c.scheduler.RecordReport("w1", late, polledAt, c.now)
+	c.is.True(!c.scheduler.RecordReport("w1", late, polledAt, c.now))
 	c.record()
 	c.is.Equal(c.scheduler.AckableEnd("w1"), hoist.EndNo(0))
 	c.wantStarts(c.pass(), 1)
