Count suspended time against the lease of a daemon

Cause: the lease of a host in hoistd is measured on the steady clock, which stands still while the machine is suspended, as was the ownership of the cell. After 5 s of suspension the host still passed as the owner of its shards, while another had taken them over; workers and executors refuse its term only once they know the later one.

Change: member.Manager has a LeaseClock for its own lease; the daemon sets clock.Lease. What it observes of other hosts, votes and horizons stay on the system clock: there a suspension only makes it wait longer. The window for writing a fence is still a time-out of the steady clock.

--- a/internal/core/daemon/daemon.go
+++ b/internal/core/daemon/daemon.go
@@ -59,10 +59,12 @@
 	cost     metric.Cost
 	// entry, admin and caller are the listeners for other hosts, operators and
 	// callers. admin is nil if the settings have no address for it.
-	entry        net.Listener
-	admin        net.Listener
-	certs        *certs.Files
-	caller       net.Listener
+	entry  net.Listener
+	admin  net.Listener
+	certs  *certs.Files
+	caller net.Listener
+	// leaseClock is nil unless the clock is that of the system.
+	leaseClock   hoist.Clock
 	workerHTTP   *http.Client
 	callerServer *caller.Server
 	stop         context.CancelFunc
@@ -73,7 +75,7 @@
 // AdminAddr return the addresses in use.
 func (d *Daemon) Listen() error {
 	if d.Clock == nil {
-		d.Clock = clock.System{}
+		d.Clock, d.leaseClock = clock.System{}, clock.NewLease()
 	}
 	d.started = make(chan struct{})
 	if err := d.loadCerts(); err != nil {
@@ -241,6 +243,7 @@
 		Table:      d.Table,
 		Dial:       d.dialHost,
 		Clock:      d.Clock,
+		LeaseClock: d.leaseClock,
 		Log:        d.Log,
 		Heartbeats: d,
 		JoinDelay:  time.Duration(d.Params.JoinDelay),
--- a/internal/core/member/join.go
+++ b/internal/core/member/join.go
@@ -54,7 +54,7 @@
 	member.State = hoist.MemberLive
 	member.Renewals = 1
 	member.Electorate = owner.Electorate(m.Member, m.members)
-	sent := m.Clock.Now()
+	sent := m.leaseNow()
 	m.mu.Unlock()
 	m.joinTxn = m.txnID()
 	err := m.commit(ctx, hoist.Txn{
--- a/internal/core/member/lease.go
+++ b/internal/core/member/lease.go
@@ -78,7 +78,7 @@
 	if !m.row.HasElectorate(row.Electorate) {
 		puts = append(puts, electoratePut(row.Electorate))
 	}
-	sent := m.Clock.Now()
+	sent := m.leaseNow()
 	m.mu.Unlock()
 	err := m.commit(ctx, hoist.Txn{
 		ID:     m.txnID(),
@@ -112,8 +112,8 @@
 	}
 	lease := hoist.LeaseRef{Host: m.Member.Host, Epoch: m.epoch, Renewals: m.row.Renewals}
 	electorates := m.row.Electorates()
-	sent := m.Clock.Now()
-	self := m.voter.Promise(lease, sent)
+	sent := m.leaseNow()
+	self := m.voter.Promise(lease, m.Clock.Now())
 	m.mu.Unlock()
 	granted := m.vote(ctx, electorates, self, func(ctx context.Context, p hoist.Peer) (bool, error) {
 		return p.Promise(ctx, lease)
@@ -128,7 +128,7 @@
 		m.logged.isPromised = true
 		m.logged.isExpired = false
 	}
-	if !m.lease.IsValid(m.Clock.Now()) && !m.logged.isExpired {
+	if !m.lease.IsValid(m.leaseNow()) && !m.logged.isExpired {
 		m.logged.isExpired = true
 		m.logged.isPromised = false
 		events.LeaseExpired.Log(ctx, m.Log, "promises", len(granted))
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -70,8 +70,11 @@
 	Member hoist.Member
 	Table  hoist.Table
 	// Dial returns a client for the host at an address. It does not connect.
-	Dial       func(addr string) hoist.Peer
-	Clock      hoist.Clock
+	Dial  func(addr string) hoist.Peer
+	Clock hoist.Clock
+	// LeaseClock is the clock of this host's lease, which counts the time in which the
+	// machine was suspended; see clock.Lease. If it is nil, Clock is used.
+	LeaseClock hoist.Clock
 	Log        *slog.Logger
 	Holders    []hoist.ShardHolder
 	Heartbeats hoist.HeartbeatHandler
@@ -280,7 +283,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	term := m.held[shard].term
-	if term == 0 || term < m.seenTerms[shard] || !m.lease.IsValid(m.Clock.Now()) {
+	if term == 0 || term < m.seenTerms[shard] || !m.lease.IsValid(m.leaseNow()) {
 		return 0, false
 	}
 	return term, true
@@ -305,12 +308,20 @@
 	return true
 }
 
+// leaseNow returns the time on the clock of the lease.
+func (m *Manager) leaseNow() time.Time {
+	if m.LeaseClock != nil {
+		return m.LeaseClock.Now()
+	}
+	return m.Clock.Now()
+}
+
 // IsReady reports whether the host holds a valid lease and is not leaving, for
 // health checks.
 func (m *Manager) IsReady() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lease.IsValid(m.Clock.Now()) && !m.isLeaving
+	return m.lease.IsValid(m.leaseNow()) && !m.isLeaving
 }
 
 // TableAge returns the time since the last answer of the table.
