--- /dev/null
+++ b/internal/decide/sched/absence_test.go
@@ -0,0 +1,187 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
+)
+
+// TestUnknownStartIsNotRepeated guards against starting a task again while its first
+// start, whose outcome is unknown, may still take effect.
+func TestUnknownStartIsNotRepeated(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.submit("p", queue, step(1))
+	starts := c.pass()
+	run, on := starts[0].Run, starts[0].Worker
+	c.scheduler.RecordStart(on, run, hoist.ErrOutcomeUnknown, c.now)
+	c.wantStarts(c.pass(), 0)
+	c.is.Equal(c.stops, []sched.Stop{{Worker: on, Run: run}})
+	c.report(on, hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 0) // the stop is not answered yet
+	c.scheduler.RecordStop(on, run, nil, c.now)
+	c.wantStarts(c.pass(), 0) // no report since the stop
+	c.report(on, hoist.RunnerReport{Incarnation: 1})
+	again := c.pass()
+	c.wantStarts(again, 1)
+	c.is.True(again[0].Run.Attempt > run.Attempt)
+}
+
+// TestAnsweredStopEndsAttempt guards against an attempt that counts as running for ever:
+// while its worker accepts no new connections, only the polls that wait for an end are
+// answered, and a stop is answered during each of them.
+func TestAnsweredStopEndsAttempt(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.scheduler.RecordStart(s.Worker, s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.wantStarts(c.pass(), 0)
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	polledAt := c.now.Add(10 * time.Millisecond)
+	c.now = polledAt.Add(500 * time.Millisecond)
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	c.now = polledAt.Add(time.Second)
+	c.scheduler.RecordReport(s.Worker, hoist.RunnerReport{Incarnation: 1}, polledAt, c.now)
+	c.wantStarts(c.pass(), 1)
+}
+
+// TestLateReportOfEarlierIncarnation guards against acknowledging ends to a worker that
+// has restarted by the numbers of its earlier incarnation: it would discard new ends that
+// nobody has read.
+func TestLateReportOfEarlierIncarnation(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	s := c.run()[0]
+	polledAt := c.now
+	c.report("w1", hoist.RunnerReport{Incarnation: 2})
+	late := hoist.RunnerReport{Incarnation: 1, Ends: []hoist.RunEnd{{No: 3, Run: s.Run, Kind: hoist.EndFailed}}}
+	c.is.True(!c.scheduler.RecordReport("w1", late, polledAt, c.now))
+	c.record()
+	c.is.Equal(c.scheduler.AckableEnd("w1"), hoist.EndNo(0))
+	c.wantStarts(c.pass(), 1)
+}
+
+// TestRestartAfterReplacedAnswer guards against skipping, and then acknowledging, the ends
+// of a new incarnation that is first seen after another worker has answered a start.
+func TestRestartAfterReplacedAnswer(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("q", queue, step(1))
+	c.reportEnd(1, c.run()[0], hoist.EndDone)
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrReplaced, c.now)
+	c.report("w1", hoist.RunnerReport{Incarnation: 2})
+	again := c.run()[0]
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Ends: []hoist.RunEnd{{No: 1, Run: again.Run, Kind: hoist.EndDone}}})
+	c.wantPhase(hoist.PlanDone)
+}
+
+// TestMissingAttemptIsStoppedFirst guards against starting a task again that a worker has
+// confirmed and leaves out of one report, although it runs.
+func TestMissingAttemptIsStoppedFirst(t *testing.T) {
+	c := newCell(t, "w1", "w2")
+	c.submit("p", queue, step(1))
+	s := c.run()[0]
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 0)
+	c.is.Equal(c.stops, []sched.Stop{{Worker: s.Worker, Run: s.Run}})
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: s.Run}}})
+	c.wantStarts(c.pass(), 0) // it runs after all
+	c.scheduler.RecordStop(s.Worker, s.Run, nil, c.now)
+	c.report(s.Worker, hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 1)
+}
+
+// TestReportedAttemptIsNotStopped guards against stopping an attempt that a report
+// lists as running because the answer to its start was lost.
+func TestReportedAttemptIsNotStopped(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	c.report("w1", hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: s.Run}}})
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.wantStarts(c.pass(), 0)
+	c.is.Equal(len(c.stops), 0)
+	c.wantPhase(hoist.PlanRunning)
+}
+
+// TestRestartFromUnreachableWorker guards against starting a task elsewhere while it
+// may still run on a worker that cannot be reached.
+func TestRestartFromUnreachableWorker(t *testing.T) {
+	t.Run("starts elsewhere after the lease has expired", func(t *testing.T) {
+		c := newCell(t, "w1")
+		c.submit("p", queue, step(1))
+		c.wantStarts(c.run(), 1)
+		c.now = start.Add(2 * time.Second)
+		c.addWorkers("w2")
+		c.wantStarts(c.pass(), 0)
+		c.now = start.Add(6 * time.Second)
+		c.report("w2", hoist.RunnerReport{Incarnation: 1})
+		c.wantStarts(c.pass(), 0) // the lease of 6 s has not expired on a clock that runs 2% slow
+		c.now = start.Add(6200 * time.Millisecond)
+		c.report("w2", hoist.RunnerReport{Incarnation: 1})
+		c.wantStarts(c.pass(), 1)
+	})
+	t.Run("starts again on the next incarnation of the worker", func(t *testing.T) {
+		c := newCell(t, "w1")
+		c.submit("p", queue, step(1))
+		c.wantStarts(c.run(), 1)
+		c.report("w1", hoist.RunnerReport{Incarnation: 2})
+		c.wantStarts(c.pass(), 1)
+	})
+	t.Run("keeps what started on the next incarnation after the poll was sent", func(t *testing.T) {
+		c := newCell(t, "w1")
+		c.submit("p", queue, step(1))
+		polledAt := c.now
+		c.wantStarts(c.run(), 1) // the next incarnation answers the poll first, then the start
+		c.now = c.now.Add(time.Millisecond)
+		c.scheduler.RecordReport("w1", hoist.RunnerReport{Incarnation: 2}, polledAt, c.now)
+		c.wantStarts(c.pass(), 0)
+	})
+	for _, isLeaving := range []bool{false, true} {
+		name := "the registry has removed the worker"
+		if isLeaving {
+			name += ", which leaves"
+		}
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, "w1")
+			c.submit("p", queue, step(1))
+			c.wantStarts(c.run(), 1)
+			c.changeEntry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = isLeaving })
+			c.entries = nil
+			c.now = start.Add(5 * time.Second)
+			c.addWorkers("w2") // the list no longer names w1
+			c.wantStarts(c.pass(), 0)
+			c.now = start.Add(6200 * time.Millisecond)
+			c.report("w2", hoist.RunnerReport{Incarnation: 1})
+			c.wantStarts(c.pass(), 1)
+		})
+	}
+}
+
+// TestLateSuccessKeepsCapacityReserved guards against using capacity twice when a
+// worker that was unreachable reports the success of an attempt after its task was
+// started elsewhere.
+func TestLateSuccessKeepsCapacityReserved(t *testing.T) {
+	c := newCell(t, "w1")
+	c.submit("p", queue, step(1))
+	first := c.run()
+	c.now = start.Add(6200 * time.Millisecond)
+	c.addWorkers("w2")
+	second := c.run()
+	c.wantStarts(second, 1)
+	c.is.Equal(second[0].Worker, hoist.WorkerID("w2"))
+	c.reportEnd(1, first[0], hoist.EndDone)
+	c.wantPhase(hoist.PlanDone)
+	c.is.True(!c.scheduler.IsEndRecorded("p")) // the second attempt may still run
+	c.changeEntry("w1", func(e *hoist.WorkerEntry) { e.IsLeaving = true })
+	c.submit("q", queue, step(8))
+	c.wantStarts(c.pass(), 7)
+	c.is.Equal(c.stops, []sched.Stop{{Worker: "w2", Run: second[0].Run}})
+	c.scheduler.RecordStop("w2", second[0].Run, nil, c.now)
+	c.report("w2", hoist.RunnerReport{Incarnation: 1, Ends: []hoist.RunEnd{{No: 1, Run: second[0].Run, Kind: hoist.EndStopped}}})
+	c.record()
+	c.is.True(c.scheduler.IsEndRecorded("p"))
+	c.wantStarts(c.pass(), 1)
+}
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -48,30 +47,6 @@
 	isWanted bool
 }
 
-// success is an end of a task as done that a worker lists.
-type success struct {
-	worker      *fakeWorker
-	incarnation hoist.Incarnation
-	no          hoist.EndNo
-}
-
-type fakeWorker struct {
-	entry       hoist.WorkerEntry
-	incarnation hoist.Incarnation
-	term        hoist.Term
-	lease       time.Time
-	running     map[hoist.TaskRef]hoist.AttemptNo
-	refused     map[hoist.TaskRef]hoist.AttemptNo
-	ends        []hoist.RunEnd
-	lastEnd     hoist.EndNo
-	// lapsedEnd is the last end at the time when the lease last expired.
-	lapsedEnd hoist.EndNo
-	// isDisconnected is set when the owner's connections are broken.
-	isDisconnected bool
-	// isUnlisted is set while the registry has no entry of the worker.
-	isUnlisted bool
-}
-
 // fakeReport is an answer to a poll. Answers may overtake each other.
 type fakeReport struct {
 	term     hoist.Term
@@ -217,49 +192,6 @@
 	fx.scheduler.RecordStart(id, req.run, err, fx.now)
 }
 
-func (f *fakeWorker) handle(fx *fixture, req *fakeRequest) error {
-	if req.incarnation != f.incarnation {
-		// Requests that a worker has received and not handled end with its
-		// process.
-		return hoist.ErrOutcomeUnknown
-	}
-	if req.term < f.term {
-		return hoist.ErrStaleTerm
-	}
-	f.term = req.term
-	task := req.run.Task
-	if req.isStop {
-		if f.running[task] == req.run.Attempt {
-			f.end(task, hoist.EndStopped)
-		}
-		f.refused[task] = max(f.refused[task], req.run.Attempt)
-		return nil
-	}
-	if f.running[task] == req.run.Attempt {
-		return nil
-	}
-	if req.run.Attempt <= f.refused[task] {
-		return hoist.ErrConflict
-	}
-	if !req.lease.After(fx.now) {
-		return hoist.ErrLeaseExpired
-	}
-	fx.checkStart(f, req)
-	f.running[task] = req.run.Attempt
-	if req.lease.After(f.lease) {
-		f.lease = req.lease
-	}
-	return nil
-}
-
-func (f *fakeWorker) end(task hoist.TaskRef, kind hoist.EndKind) {
-	attempt := f.running[task]
-	delete(f.running, task)
-	f.refused[task] = max(f.refused[task], attempt)
-	f.lastEnd++
-	f.ends = append(f.ends, hoist.RunEnd{No: f.lastEnd, Run: hoist.TaskRun{Task: task, Attempt: attempt}, Kind: kind})
-}
-
 // checkStart fails the test if a worker starts a task that it must not start.
 func (fx *fixture) checkStart(f *fakeWorker, req *fakeRequest) {
 	task := req.run.Task
@@ -298,14 +230,6 @@
 	}
 }
 
-func (f *fakeWorker) used(fx *fixture) int64 {
-	var sum int64
-	for task := range f.running {
-		sum += int64(fx.store[task.Job].plan.Steps[task.Step].Need.CPU)
-	}
-	return sum
-}
-
 // poll sends a poll of the owner to a worker and records the report.
 func (fx *fixture) poll(f *fakeWorker) {
 	id := f.entry.Worker
@@ -355,16 +279,6 @@
 	fx.reports = append(fx.reports, fakeReport{fx.term, f.entry.Worker, f.report(), fx.now})
 }
 
-// report returns what the worker runs and which ends it lists.
-func (f *fakeWorker) report() hoist.RunnerReport {
-	report := hoist.RunnerReport{Incarnation: f.incarnation, Ends: slices.Clone(f.ends)}
-	for _, task := range f.tasks() {
-		attempt := f.running[task]
-		report.Running = append(report.Running, hoist.RunStatus{Run: hoist.TaskRun{Task: task, Attempt: attempt}})
-	}
-	return report
-}
-
 // deliverReport delivers one of the answers to polls that are on their way.
 func (fx *fixture) deliverReport(i int) {
 	r := fx.reports[i]
@@ -438,23 +352,6 @@
 	return out
 }
 
-// tasks returns the running tasks in a fixed order, so that a seed reproduces
-// a run.
-func (f *fakeWorker) tasks() []hoist.TaskRef {
-	return slices.SortedFunc(maps.Keys(f.running), func(x, y hoist.TaskRef) int {
-		return strings.Compare(fmt.Sprint(x), fmt.Sprint(y))
-	})
-}
-
-// restart begins a new incarnation of a worker without any of its state.
-func (f *fakeWorker) restart() {
-	f.incarnation++
-	f.term, f.lease, f.lastEnd, f.lapsedEnd, f.isDisconnected = 0, time.Time{}, 0, 0, true
-	clear(f.running)
-	clear(f.refused)
-	f.ends = nil
-}
-
 // advance moves the time forward and ends the attempts whose lease has
 // expired.
 func (fx *fixture) advance(d time.Duration) {
