Share the set-up of plans and fences between the tests of plans

Cause: three test files wrote the fences and recorded plans each by itself.

What the tests check is as before.

--- a/internal/core/plans/duplicate_test.go
+++ b/internal/core/plans/duplicate_test.go
@@ -41,18 +41,13 @@
 
 func (p *duplicatePlan) commit(txn hoist.Transaction) {
 	p.t.Helper()
-	_, err := p.store.Commit(context.Background(), txn)
-	is.New(p.t).NoErr(err)
+	commit(p.t, p.store, txn)
 }
 
 // accept records the plan in a part, as a host does that accepts it.
 func (p *duplicatePlan) accept(part hoist.PartName) {
 	p.t.Helper()
-	plan := hoist.Plan{ID: duplicateID, Queue: hoist.Queue{Name: "q"}, Steps: []hoist.Step{{Count: 1, MaxUnavailable: -1}}}
-	p.commit(hoist.Transaction{Writes: []hoist.Write{
-		{RowRef: keys.Plan(part, duplicateID), Value: codec.EncodePlan(plan)},
-		{RowRef: keys.State(part, duplicateID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "q", Phase: hoist.PlanQueued})},
-	}})
+	accept(p.t, p.store, part, hoist.Plan{ID: duplicateID, Queue: hoist.Queue{Name: "q"}, Steps: []hoist.Step{{Count: 1, MaxUnavailable: -1}}})
 }
 
 // setState records a state of the plan, as an owner does.
@@ -73,14 +68,8 @@
 func (p *duplicatePlan) runOwner(during func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var fences hoist.Transaction
-	for _, part := range keys.Parts() {
-		fences.Writes = append(fences.Writes, hoist.Write{RowRef: keys.Fence(part)})
-	}
-	version, err := p.store.Commit(ctx, fences)
-	is.New(p.t).NoErr(err)
 	d := &Driver{
-		Claim: claim.NewOwnership(1, version, time.Now(), time.Now(), cancel),
+		Claim: claim.NewOwnership(1, writeFences(p.t, p.store), time.Now(), time.Now(), cancel),
 		Store: p.store, Registry: emptyRegistry{}, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
 		Queue: func(hoist.QueueName) (hoist.Queue, bool) { return hoist.Queue{}, false },
 	}
--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -14,7 +14,6 @@
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/keys"
 	"fuchsiahoist.example/hoist/internal/fake/memory"
-	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
 // leavingCell is an owner with fake workers that keep their leases. Its registry lists
@@ -50,13 +49,7 @@
 			entries: make(map[hoist.WorkerID]hoist.WorkerEntry), workers: make(map[hoist.WorkerID]*leasedWorker),
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		var fences hoist.Transaction
-		for _, part := range keys.Parts() {
-			fences.Writes = append(fences.Writes, hoist.Write{RowRef: keys.Fence(part)})
-		}
-		version, err := c.store.Commit(ctx, fences)
-		is.New(t).NoErr(err)
-		ownership := claim.NewOwnership(1, version, time.Now(), time.Now().Add(time.Hour), cancel)
+		ownership := claim.NewOwnership(1, writeFences(t, c.store), time.Now(), time.Now().Add(time.Hour), cancel)
 		d := &Driver{
 			Claim: ownership, Store: c.store, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
 			Dial:  func(e hoist.WorkerEntry) hoist.Runner { return c.worker(e.Worker) },
@@ -113,24 +106,18 @@
 // accept records a plan of one task.
 func (c *leavingCell) accept(id hoist.JobID) {
 	c.t.Helper()
-	part := keys.PartsOf(id)[0]
 	step := hoist.Step{Count: 1, Need: hoist.Resources{CPU: 100, Memory: 1}, MaxUnavailable: -1}
 	p := hoist.Plan{ID: id, Queue: hoist.Queue{Name: "q", Service: "lids"}, Steps: []hoist.Step{step}, Accepted: time.Now()}
-	_, err := c.store.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{
-		{RowRef: keys.Plan(part, id), Value: codec.EncodePlan(p)},
-		{RowRef: keys.State(part, id), Value: codec.EncodePlanState(hoist.PlanState{Queue: "q", Phase: hoist.PlanQueued})},
-	}})
-	is.New(c.t).NoErr(err)
+	accept(c.t, c.store, keys.PartsOf(id)[0], p)
 	time.Sleep(time.Second)
 }
 
 // cancel records the cancellation of a plan.
 func (c *leavingCell) cancel(id hoist.JobID) {
 	c.t.Helper()
-	_, err := c.store.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{
+	commit(c.t, c.store, hoist.Transaction{Writes: []hoist.Write{
 		{RowRef: keys.Cancel(keys.PartsOf(id)[0], id), Value: []byte("{}")},
 	}})
-	is.New(c.t).NoErr(err)
 }
 
 // set changes a worker.
--- a/internal/core/plans/quarantine_test.go
+++ b/internal/core/plans/quarantine_test.go
@@ -39,11 +39,9 @@
 	return &quarantineTest{t: t, store: &memory.Store{}}
 }
 
-func (q *quarantineTest) commit(txn hoist.Transaction) hoist.RowVersion {
+func (q *quarantineTest) commit(txn hoist.Transaction) {
 	q.t.Helper()
-	version, err := q.store.Commit(context.Background(), txn)
-	is.New(q.t).NoErr(err)
-	return version
+	commit(q.t, q.store, txn)
 }
 
 // accept records a plan of the given number of steps.
@@ -53,13 +51,12 @@
 	for range steps {
 		p.Steps = append(p.Steps, hoist.Step{Count: 1, MaxUnavailable: -1})
 	}
-	q.acceptRow(id, codec.EncodePlan(p), codec.EncodePlanState(hoist.PlanState{Queue: queue, Phase: hoist.PlanQueued}))
+	accept(q.t, q.store, keys.PartsOf(id)[0], p)
 }
 
 func (q *quarantineTest) acceptRow(id hoist.JobID, plan, state []byte) {
 	q.t.Helper()
-	part := keys.PartsOf(id)[0]
-	q.commit(hoist.Transaction{Writes: []hoist.Write{{RowRef: keys.Plan(part, id), Value: plan}, {RowRef: keys.State(part, id), Value: state}}})
+	acceptRow(q.t, q.store, keys.PartsOf(id)[0], id, plan, state)
 }
 
 // run runs an owner for two seconds. It reports whether the owner gave the cell up.
@@ -68,11 +65,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	q.term++
-	var fences hoist.Transaction
-	for _, part := range keys.Parts() {
-		fences.Writes = append(fences.Writes, hoist.Write{RowRef: keys.Fence(part)})
-	}
-	version := q.commit(fences)
+	version := writeFences(q.t, q.store)
 	limits := limit.DefaultPlans
 	limits.MaxSteps = 1
 	driver := &Driver{
@@ -291,11 +284,8 @@
 		q.accept(oddID, "q", 1)
 		// goodID is accepted in the same part, as a spare part.
 		part := keys.PartsOf(oddID)[0]
-		p := hoist.Plan{Queue: hoist.Queue{Name: "q"}, Steps: []hoist.Step{{Count: 1, MaxUnavailable: -1}}, Accepted: time.Now()}
-		q.commit(hoist.Transaction{Writes: []hoist.Write{
-			{RowRef: keys.Plan(part, goodID), Value: codec.EncodePlan(p)},
-			{RowRef: keys.State(part, goodID), Value: codec.EncodePlanState(hoist.PlanState{Queue: "q", Phase: hoist.PlanQueued})},
-		}})
+		p := hoist.Plan{ID: goodID, Queue: hoist.Queue{Name: "q"}, Steps: []hoist.Step{{Count: 1, MaxUnavailable: -1}}, Accepted: time.Now()}
+		accept(t, q.store, part, p)
 		q.run(func(d *Driver) {
 			for _, id := range []hoist.JobID{oddID, goodID} {
 				d.update(t.Context(), workPlans, func() { d.scheduler.Cancel(id, time.Now()) })
