--- a/internal/peer/helper/relay_test.go
+++ b/internal/peer/helper/relay_test.go
@@ -160,7 +160,7 @@
 		w := relayedWorker(t, "127.0.0.1:1", "w")
 		_, err := w.Start(withTimeout(t, time.Second), hoist.StartRequest{})
 		is.New(t).True(errors.Is(err, hoist.ErrUnavailable))
-		is.New(t).True(!errors.Is(err, hoist.ErrNotListening)) // that would mean that the worker has exited
+		is.New(t).True(!errors.Is(err, hoist.ErrNotListening)) // it is the relay that does not listen
 		is.New(t).True(errors.Is((&helper.Relay{Addr: "127.0.0.1:1"}).Ping(withTimeout(t, time.Second)), hoist.ErrUnavailable))
 	})
 	t.Run("worker does not answer", func(t *testing.T) {
