Ignore the time since boot if it was not known at the start

If the kernel had refused CLOCK_BOOTTIME to the first reading only, the lease clock would have counted the whole time since boot as suspended, and the host would never have granted a lease. The two first readings were taken in the order that counts a pause between them against later suspensions.

Change: the clock counts suspended time only if both readings were known, and reads the time since boot first.

Test: TestLeaseCountsSuspendedTime/kernel_tells_only_later. Before: 1h0m0s, expected 0s.

Result: tests of internal/core/clock and internal/decide/sched pass.

--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -29,9 +29,11 @@
 // have measured and time.Now does not count. Its readings are not to be compared with
 // those of System or with a time of day.
 type Lease struct {
-	// startedAt and startedSinceBoot are readings at the same moment.
-	startedAt        time.Time
+	// startedSinceBoot and startedAt are readings at the same moment. isBootKnown is set
+	// if the kernel told the first.
 	startedSinceBoot time.Duration
+	startedAt        time.Time
+	isBootKnown      bool
 	// sinceBoot returns the time since the machine was started.
 	sinceBoot func() (time.Duration, bool)
 }
@@ -44,8 +46,9 @@
 }
 
 func newLease(sinceBoot func() (time.Duration, bool)) *Lease {
-	l := &Lease{startedAt: time.Now(), sinceBoot: sinceBoot}
-	l.startedSinceBoot, _ = sinceBoot()
+	l := &Lease{sinceBoot: sinceBoot}
+	l.startedSinceBoot, l.isBootKnown = sinceBoot()
+	l.startedAt = time.Now()
 	return l
 }
 
@@ -53,7 +56,7 @@
 func (l *Lease) Now() time.Time {
 	now := time.Now()
 	total, ok := l.sinceBoot()
-	if !ok {
+	if !ok || !l.isBootKnown {
 		return now
 	}
 	suspended := total - l.startedSinceBoot - now.Sub(l.startedAt)
--- a/internal/core/clock/clock_test.go
+++ b/internal/core/clock/clock_test.go
@@ -35,6 +35,15 @@
 			})
 		})
 	}
+	t.Run("kernel tells only later", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			isKnown := false
+			l := newLease(func() (time.Duration, bool) { return time.Hour, isKnown })
+			began := l.Now()
+			isKnown = true
+			is.New(t).Equal(l.Now().Sub(began), time.Duration(0))
+		})
+	})
 	t.Run("clock of this system", func(t *testing.T) {
 		l := NewLease()
 		began := l.Now()
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -21,8 +21,10 @@
 // attempt may run. An attempt whose start has an unknown outcome keeps its task
 // and its capacity until one of these events: the attempt was stopped and a
 // later report of the worker does not list it, the worker has started a new
-// incarnation, or the lease has expired even on a clock that runs slow. An end
-// is acknowledged to the worker only after it was recorded.
+// incarnation, or the lease has expired even on a clock that runs slow. The same
+// holds for an attempt that the worker has confirmed, unless the worker lists its
+// end; that the worker refuses connections, leaves or is no longer listed proves
+// nothing. An end is acknowledged to the worker only after it was recorded.
 //
 // Scheduler is not safe for concurrent use and reads no clock.
 package sched
