--- a/internal/core/clock/clock_test.go
+++ b/internal/core/clock/clock_test.go
@@ -37,10 +37,10 @@
 	}
 	t.Run("kernel tells only later", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			isKnown := false
-			l := newLease(func() (time.Duration, bool) { return time.Hour, isKnown })
+			sinceBoot := time.Duration(0)
+			l := newLease(func() (time.Duration, bool) { return sinceBoot, sinceBoot > 0 })
 			began := l.Now()
-			isKnown = true
+			sinceBoot = time.Hour
 			is.New(t).Equal(l.Now().Sub(began), time.Duration(0))
 		})
 	})
