--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -198,8 +198,8 @@
 	}
 }
 
-// releaseAll makes the tasks of a worker whose lease has expired wait again. Starts that are still being recorded are left alone; they are checked
-// again before they are sent.
+// releaseAll makes the tasks of a worker whose lease has expired wait again. Starts that
+// are still being recorded are left alone; they are checked again before they are sent.
 func (sc *Scheduler) releaseAll(w *Worker, now time.Time) {
 	for t := range w.tasks {
 		if t.Phase == Recording {
