--- a/internal/core/clock/clock_test.go
+++ b/internal/core/clock/clock_test.go
@@ -48,6 +48,6 @@
 		l := NewLease()
 		began := l.Now()
 		is.New(t).True(!l.Now().Before(began))
-		is.New(t).True(l.Now().Sub(time.Now()) < time.Second)
+		is.New(t).True(time.Until(l.Now()) < time.Second)
 	})
 }
--- a/internal/core/plans/quarantine_test.go
+++ b/internal/core/plans/quarantine_test.go
@@ -54,9 +54,10 @@
 	accept(q.t, q.store, keys.PartsOf(id)[0], p)
 }
 
-func (q *quarantineTest) acceptRow(id hoist.JobID, plan, state []byte) {
+// acceptOdd records the rows of the odd plan.
+func (q *quarantineTest) acceptOdd(plan, state []byte) {
 	q.t.Helper()
-	acceptRow(q.t, q.store, keys.PartsOf(id)[0], id, plan, state)
+	acceptRow(q.t, q.store, keys.PartsOf(oddID)[0], oddID, plan, state)
 }
 
 // run runs an owner for two seconds. It reports whether the owner gave the cell up.
@@ -140,10 +141,10 @@
 		// isOld is set if only an owner that finds the plan reads what is odd in it.
 		isOld bool
 	}{
-		{"row that is no JSON", func(q *quarantineTest) { q.acceptRow(oddID, []byte("\xff{"), queued) }, false},
-		{"empty row", func(q *quarantineTest) { q.acceptRow(oddID, nil, queued) }, false},
-		{"state that is no JSON", func(q *quarantineTest) { q.acceptRow(oddID, codec.EncodePlan(good), []byte("[[")) }, true},
-		{"state of another plan", func(q *quarantineTest) { q.acceptRow(oddID, codec.EncodePlan(good), oddState) }, true},
+		{"row that is no JSON", func(q *quarantineTest) { q.acceptOdd([]byte("\xff{"), queued) }, false},
+		{"empty row", func(q *quarantineTest) { q.acceptOdd(nil, queued) }, false},
+		{"state that is no JSON", func(q *quarantineTest) { q.acceptOdd(codec.EncodePlan(good), []byte("[[")) }, true},
+		{"state of another plan", func(q *quarantineTest) { q.acceptOdd(codec.EncodePlan(good), oddState) }, true},
 		{"plan that an earlier version accepted beyond the limits", func(q *quarantineTest) { q.accept(oddID, "q", 2) }, false},
 		{"plan whose handling panics", func(q *quarantineTest) { q.accept(oddID, "odd", 1) }, false},
 	}
