Record the team of a plan in its rows

Quotas and keys need the team that a plan is charged to. The plan and its state get an optional field team, the configuration of the queues gets teams, and the owner's driver a way to read them. Rows without a team encode as before, so a cell without teams stores the same bytes. No behaviour changes yet.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -222,7 +222,7 @@
 func (h *Host) runOwner(ctx context.Context, o *claim.Ownership) {
 	d := &plans.Driver{
 		Claim: o, Store: h.monitored, Registry: h.Registry, Dial: h.Dial, Advisers: &plans.AdviserPool{},
-		Queue: h.follower.Queue, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor, MaxLease: h.MaxLease,
+		Queue: h.follower.Queue, Teams: h.follower.Teams, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor, MaxLease: h.MaxLease,
 		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect,
 	}
 	d.Relays = &plans.RelayPool{Clock: h.Clock, Log: h.Log, Guard: h.Guard}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -237,7 +237,7 @@
 
 // acceptTransaction returns the transaction that accepts a plan in a part.
 func acceptTransaction(part hoist.PartName, p hoist.Plan) hoist.Transaction {
-	state := hoist.PlanState{Queue: p.Queue.Name, Phase: hoist.PlanQueued}
+	state := hoist.PlanState{Queue: p.Queue.Name, Team: p.Team, Phase: hoist.PlanQueued}
 	return hoist.Transaction{
 		Preconditions: []hoist.Precondition{{RowRef: keys.State(part, p.ID)}},
 		Writes: []hoist.Write{
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -77,6 +77,9 @@
 	Advisers *AdviserPool
 	// Queue returns the current parameters of a queue.
 	Queue func(hoist.QueueName) (hoist.Queue, bool)
+	// Teams returns the configured teams, and false before there is a configuration. nil
+	// means that there are no teams.
+	Teams func() ([]hoist.TeamConfig, bool)
 	// HasService reports whether the configuration has a service; nil means that it has
 	// each. Workers of other services are not used.
 	HasService func(hoist.ServiceName) bool
--- a/internal/core/quar/quar.go
+++ b/internal/core/quar/quar.go
@@ -136,11 +136,10 @@
 		return err
 	}
 	entry, _ := Decode(quarantine)
-	queue := entry.Queue
+	ended := hoist.PlanState{Queue: entry.Queue, Phase: hoist.PlanCancelled, Ended: now}
 	if old, err := codec.DecodePlanState(state.Value); err == nil {
-		queue = old.Queue
+		ended.Queue, ended.Team = old.Queue, old.Team
 	}
-	ended := hoist.PlanState{Queue: queue, Phase: hoist.PlanCancelled, Ended: now}
 	_, err = store.Commit(ctx, hoist.Transaction{
 		Preconditions: []hoist.Precondition{
 			{RowRef: quarantine.RowRef, Version: quarantine.Version}, {RowRef: state.RowRef, Version: state.Version},
--- a/internal/core/queues/queues.go
+++ b/internal/core/queues/queues.go
@@ -139,6 +139,14 @@
 	return len(f.config.Services) == 0 || slices.Contains(f.config.Services, name)
 }
 
+// Teams returns the configured teams, and false before there is a configuration. The
+// caller must not modify them.
+func (f *Follower) Teams() ([]hoist.TeamConfig, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.config.Teams, f.config.Version > 0
+}
+
 // Queue returns the current parameters of a queue, and whether the queue exists.
 func (f *Follower) Queue(name hoist.QueueName) (hoist.Queue, bool) {
 	f.mu.RLock()
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -73,7 +73,7 @@
 }
 
 func (j *Job) state() hoist.PlanState {
-	s := hoist.PlanState{Queue: j.Plan.Queue.Name, Phase: j.Phase, Next: j.nextOccurrence, Ended: j.Ended}
+	s := hoist.PlanState{Queue: j.Plan.Queue.Name, Team: j.Plan.Team, Phase: j.Phase, Next: j.nextOccurrence, Ended: j.Ended}
 	for _, step := range j.sortedSteps() {
 		s.Steps = append(s.Steps, step.state())
 	}
--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -31,6 +31,7 @@
 func EncodePlan(p hoist.Plan) []byte {
 	return EncodeStoreRow(rows.Plan{
 		Queue:       planQueue(p.Queue),
+		Team:        string(p.Team),
 		Payload:     p.Payload,
 		Steps:       Map(p.Steps, planStep),
 		Occurrences: p.Occurrences,
@@ -55,6 +56,7 @@
 	return hoist.Plan{
 		ID:          id,
 		Queue:       toPlanQueue(r.Queue),
+		Team:        hoist.TeamID(r.Team),
 		Payload:     r.Payload,
 		Steps:       Map(r.Steps, toPlanStep),
 		Occurrences: r.Occurrences,
@@ -141,7 +143,7 @@
 // EncodePlanState encodes the state of a plan as the value of its row.
 func EncodePlanState(s hoist.PlanState) []byte {
 	return EncodeStoreRow(rows.PlanState{
-		Queue: string(s.Queue), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended),
+		Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended),
 		Steps: Map(s.Steps, stepState),
 	})
 }
@@ -154,7 +156,7 @@
 		return hoist.PlanState{}, err
 	}
 	return hoist.PlanState{
-		Queue: hoist.QueueName(r.Queue), Phase: hoist.PlanPhase(r.Phase), Next: hoist.Occurrence(r.Next),
+		Queue: hoist.QueueName(r.Queue), Team: hoist.TeamID(r.Team), Phase: hoist.PlanPhase(r.Phase), Next: hoist.Occurrence(r.Next),
 		Ended: timeFromUnixMillis(r.EndedMs), Steps: Map(r.Steps, toStepState),
 	}, nil
 }
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -105,6 +105,9 @@
 
 	// Steps corresponds to the JSON schema field "steps".
 	Steps []Step `json:"steps"`
+
+	// The team that the plan is charged to; absent if there is none.
+	Team string `json:"team,omitempty,omitzero"`
 }
 
 // The state of a plan.
@@ -123,6 +126,9 @@
 
 	// Steps corresponds to the JSON schema field "steps".
 	Steps []StepState `json:"steps"`
+
+	// The team of the plan; absent if there is none.
+	Team string `json:"team,omitempty,omitzero"`
 }
 
 // The reply to a health check.
--- a/plan.go
+++ b/plan.go
@@ -97,6 +97,8 @@
 type Plan struct {
 	ID    JobID
 	Queue Queue
+	// Team is the team that the plan is charged to, or empty if there is none.
+	Team TeamID
 	// Payload is passed to the tasks unchanged.
 	Payload string
 	Steps   []Step
--- a/planstate.go
+++ b/planstate.go
@@ -5,6 +5,8 @@
 // PlanState is the recorded state of a job besides its plan.
 type PlanState struct {
 	Queue QueueName
+	// Team is the team of the plan, or empty if there is none.
+	Team  TeamID
 	Phase PlanPhase
 	// Next is the first occurrence that has not begun.
 	Next Occurrence
--- a/runner.go
+++ b/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 )
 
@@ -112,6 +113,26 @@
 	Queues  []QueueEntry
 	// Services names the services that workers can belong to.
 	Services []ServiceName
+	// Teams are the teams that may submit plans. NeedsKeys tells that a call to a queue
+	// that is not public must carry the key of one of them.
+	Teams     []TeamConfig
+	NeedsKeys bool
+}
+
+// KeyHash is the SHA-256 hash of a team's key.
+type KeyHash [sha256.Size]byte
+
+// TeamConfig is the configuration of one team.
+type TeamConfig struct {
+	Team TeamID
+	// Keys are the hashes of the keys that identify the team's calls.
+	Keys []KeyHash
+	// Weight is the team's share of the room when all is in use, and the number of
+	// plans a second up to which the team is owed service.
+	Weight float64
+	// Quota bounds what the team may have running on all workers together. A component
+	// of 0 means that the resource is not limited.
+	Quota Resources
 }
 
 // QueueEntry is a queue with the address at which plans are submitted to it.
@@ -120,6 +141,8 @@
 	// HostName and the path prefix Prefix select the queue of a submission.
 	HostName string
 	Prefix   string
+	// IsPublic tells that calls need no key.
+	IsPublic bool
 }
 
 // QueueSource provides the operators' configuration of the queues.
