Wait for near placements where that pays

Cause: a step with a preferred rack took a remote worker at once if no near one had room, and a same-rack gang was spread over racks, although a remote task holds its place RemoteFactor times as long.

A waiting step holds no room. Steps without such a preference are placed as before. The state is not recorded; a later owner starts steps that were ready at once.

--- a/internal/decide/sched/bench_test.go
+++ b/internal/decide/sched/bench_test.go
@@ -42,3 +42,44 @@
 		})
 	}
 }
+
+// BenchmarkNearWaits measures a pass in which many steps wait for their full preferred
+// rack although other racks have room.
+func BenchmarkNearWaits(b *testing.B) {
+	const racks, plans = 29, 1000
+	scheduler := sched.NewScheduler(1, start.Add(time.Hour))
+	var entries []hoist.WorkerEntry
+	for i := range racks * workersPerRack {
+		entries = append(entries, hoist.WorkerEntry{
+			Worker: hoist.WorkerID(fmt.Sprint("w", i)), Service: "lids", Addr: "x", Class: "a",
+			Capacity: hoist.Resources{CPU: 16_000, Memory: 64_000}, Rack: hoist.RackID(fmt.Sprint("r", i/workersPerRack)),
+		})
+	}
+	scheduler.SetWorkers(entries, start)
+	for _, e := range entries {
+		scheduler.RecordReport(e.Worker, hoist.RunnerReport{Incarnation: 1}, start, start)
+	}
+	noFreeHost := func(time.Duration, time.Time) (hoist.HostID, bool) { return "", false }
+	for i := range racks {
+		full := hoist.Plan{ID: hoist.JobID(fmt.Sprint("f", i)), Queue: other, Accepted: start}
+		full.Steps = []hoist.Step{step(16*workersPerRack, onRack(hoist.RackID(fmt.Sprint("r", i))), taking(time.Second/2))}
+		if i > 0 {
+			scheduler.Tick(start)
+			scheduler.Add(full, 1, start)
+		}
+	}
+	scheduler.Pass(start, noFreeHost)
+	scheduler.Tick(start)
+	now := start.Add(200 * time.Millisecond)
+	for i := range plans {
+		p := hoist.Plan{ID: hoist.JobID(fmt.Sprintf("%016x", i)), Queue: patient, Accepted: now}
+		p.Steps = []hoist.Step{step(2, onRack(hoist.RackID(fmt.Sprint("r", 1+i%(racks-1)))), taking(2*time.Second))}
+		scheduler.Add(p, 1, now)
+	}
+	for b.Loop() {
+		// The choice is made again every 25 ms, which few of these passes reach.
+		now = now.Add(time.Microsecond)
+		scheduler.Pass(now, noFreeHost)
+	}
+	b.ReportMetric(float64(scheduler.TakeNearWaits().Begun), "waits")
+}
--- a/internal/decide/sched/order.go
+++ b/internal/decide/sched/order.go
@@ -122,7 +122,10 @@
 	o := sc.order(s.Job.Plan.Queue.Service)
 	near, remote := o.near, []rankedWorker(nil)
 	if rack := s.Step.PreferredRack; rack != "" {
-		near, remote = o.byRack[rack], sc.remoteOrder(o)
+		near = o.byRack[rack]
+		if !sc.considersNearOnly(s) {
+			remote = sc.remoteOrder(o)
+		}
 	}
 	return func(yield func(*Worker) bool) {
 		for w := range merge(near, remote, s.Step.PreferredRack) {
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -9,6 +9,13 @@
 
 // placeTasks chooses workers for the waiting tasks of a step.
 func (sc *Scheduler) placeTasks(s *StepTasks, now time.Time) {
+	sc.placeOnCandidates(s, now)
+	if rack := s.wantedRack(now); rack != "" && s.waiting > 0 {
+		sc.claim(rackKey{s.Job.Plan.Queue.Service, rack}, s)
+	}
+}
+
+func (sc *Scheduler) placeOnCandidates(s *StepTasks, now time.Time) {
 	workers := sc.candidates(s, now)
 	if len(workers) == 0 {
 		return
@@ -18,6 +25,7 @@
 		return
 	}
 	next, left := 0, s.Job.maxPlacements()
+	isDecided, waitsNear := false, false
 	for _, t := range s.Tasks {
 		if left == 0 {
 			return
@@ -41,7 +49,19 @@
 				w = other
 			}
 		}
+		if sc.isRemote(s, w) {
+			if !isDecided {
+				isDecided, waitsNear = true, sc.tasksWaitNear(s, w, min(left, s.waiting), now)
+			}
+			if waitsNear {
+				if w = sc.nearWorker(t, workers[next+1:]); w == nil {
+					continue
+				}
+			}
+		}
 		sc.assign(t, w, sc.newAttempt(s.Job), now)
+		sc.recordTaken(t, now)
+		sc.endNearWait(s)
 		left--
 	}
 }
@@ -57,6 +77,18 @@
 	return nil
 }
 
+// nearWorker returns the first worker on the preferred rack that has enough free capacity
+// and that the task has not failed on, or nil.
+func (sc *Scheduler) nearWorker(t *Task, workers []*Worker) *Worker {
+	s := t.StepTasks
+	for _, w := range workers {
+		if !sc.isRemote(s, w) && sc.fits(s, w) && !slices.Contains(t.failedWorkers, w.entry.Worker) {
+			return w
+		}
+	}
+	return nil
+}
+
 // assign places a task on a worker. The start is sent once it is recorded.
 func (sc *Scheduler) assign(t *Task, w *Worker, attempt hoist.AttemptNo, now time.Time) {
 	sc.place(t, w, attempt, Recording, now)
@@ -93,7 +125,7 @@
 			return out
 		}
 	}
-	if len(out) == 0 && s.Step.Requires == "" && s.Step.MaxPerWorker == 0 {
+	if len(out) == 0 && !sc.considersNearOnly(s) && s.Step.Requires == "" && s.Step.MaxPerWorker == 0 {
 		sc.order(s.Job.Plan.Queue.Service).recordNoRoom(need)
 	}
 	return out
@@ -140,20 +172,47 @@
 
 // placeGang places all tasks of a gang in one attempt, or none. A gang that
 // prefers a single rack is spread over racks only if it fits into no single
-// one.
+// one and waiting for one does not pay.
 func (sc *Scheduler) placeGang(s *StepTasks, workers []*Worker, now time.Time) {
 	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > s.Job.maxPlacements() {
 		return
 	}
 	attempt := sc.newAttempt(s.Job)
-	if s.Step.PrefersSameRack {
-		for _, rack := range groupByRack(workers) {
-			if sc.placeAllOrNone(s, rack, attempt, now) {
-				return
-			}
+	near, others := nearGroups(s, workers)
+	for _, group := range near {
+		if sc.placeAllOrNone(s, group, attempt, now) {
+			sc.endNearWait(s)
+			return
+		}
+	}
+	if s.hasNear() && sc.gangWaitsNear(s, workers, now) {
+		return
+	}
+	for _, group := range others {
+		if sc.placeAllOrNone(s, group, attempt, now) {
+			sc.endNearWait(s)
+			return
 		}
 	}
-	sc.placeAllOrNone(s, workers, attempt, now)
+}
+
+// nearGroups returns the groups of workers on which a gang may be placed: those where
+// it is near, and those to fall back on, both best first. A gang without any preference
+// has only the latter.
+func nearGroups(s *StepTasks, workers []*Worker) (near, others [][]*Worker) {
+	preferred := s.Step.PreferredRack
+	if !s.hasNear() {
+		return nil, [][]*Worker{workers}
+	}
+	for _, group := range groupByRack(workers) {
+		switch {
+		case preferred == "" || group[0].entry.Rack == preferred:
+			near = append(near, group)
+		case s.Step.PrefersSameRack:
+			others = append(others, group)
+		}
+	}
+	return near, append(others, workers)
 }
 
 // groupByRack groups workers by rack; the group of the best worker comes
@@ -191,5 +250,8 @@
 		sc.assign(t, workers[next], attempt, now)
 		t.Saved = s.saved
 	}
+	for _, t := range s.Tasks {
+		sc.recordTaken(t, now)
+	}
 	return true
 }
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -138,6 +138,7 @@
 	// saved is the newest checkpoint of a gang.
 	saved  hoist.Checkpoint
 	advice adviceState
+	near   nearWait
 }
 
 // Ref identifies the occurrence of the step.
@@ -190,6 +191,8 @@
 	objective      time.Duration
 	due            time.Time
 	deprioritiseAt time.Time
+	// rests holds the result of restTimes once it is needed.
+	rests []time.Duration
 	// change counts the changes of the state. Changes up to recordedChange are
 	// in the store.
 	change, recordedChange uint64
@@ -256,6 +259,9 @@
 	// RemoteFactor is how many times longer a task runs when it is remote from its
 	// data.
 	RemoteFactor float64
+	// MaxNearWait is the longest time that a step waits for a near placement while there
+	// is room elsewhere. 0 makes all steps take the best free placement at once.
+	MaxNearWait time.Duration
 	// registryReadAt is when the registry of workers was first read.
 	// isPlacementEnabled is set once most of its workers have reported, or the
 	// wait for them is over.
@@ -275,7 +281,8 @@
 	// leasesCheckedAt is when the leases of all workers were last checked.
 	leasesCheckedAt time.Time
 	// orders sorts the workers of each service.
-	orders map[hoist.ServiceName]*workerOrder
+	orders     map[hoist.ServiceName]*workerOrder
+	localities localities
 	// usable, maxFree and shortestRefused are valid during one pass, which passNo
 	// numbers and which runs at passAt. usable lists the workers that may take tasks,
 	// maxFree is the most of each resource that any of them has free, and
@@ -292,7 +299,7 @@
 // have expired.
 func NewScheduler(term hoist.Term, earlierLeasesExpire time.Time) *Scheduler {
 	return &Scheduler{
-		term: term, earlierLeasesExpire: earlierLeasesExpire, RemoteFactor: 2, MaxLease: hoist.MaxLease, MaxReportedEnds: hoist.MaxReportedEnds,
+		term: term, earlierLeasesExpire: earlierLeasesExpire, RemoteFactor: 2, MaxNearWait: DefaultMaxNearWait, MaxLease: hoist.MaxLease, MaxReportedEnds: hoist.MaxReportedEnds,
 		Open: DefaultOpenLimits, open: openTasks{beginnable: maxBegunPerTick},
 		jobs:    make(map[hoist.JobID]*Job),
 		changed: make(map[hoist.PartName]map[hoist.JobID]*Job),
@@ -303,6 +310,7 @@
 		orphaned:   make(map[hoist.WorkerID]*Worker),
 		doubted:    make(map[hoist.WorkerID]*Worker),
 		orders:     make(map[hoist.ServiceName]*workerOrder),
+		localities: newLocalities(),
 		speeds:     newSpeeds(),
 	}
 }
--- a/internal/decide/sched/speeds.go
+++ b/internal/decide/sched/speeds.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -27,6 +28,10 @@
 	minWorkerRatio = 0.5
 	// initialGoodShare is the share of good workers assumed before any answer.
 	initialGoodShare = 0.4
+	// initialScatter is the scatter of run times assumed before any run, and maxScatter the
+	// largest one assumed.
+	initialScatter = 0.25
+	maxScatter     = 0.5
 	// minGoodShare is the smallest share of good workers assumed.
 	minGoodShare = 0.05
 )
@@ -59,6 +64,9 @@
 	class map[hoist.Label]average
 	queue map[hoist.QueueName]average
 	good  map[hoist.QueueName]average
+	// deviation is the mean deviation of run times from the expected ones, as a share of
+	// the expected ones.
+	deviation map[hoist.QueueName]average
 }
 
 func newSpeeds() speeds {
@@ -66,6 +74,8 @@
 		class: make(map[hoist.Label]average),
 		queue: make(map[hoist.QueueName]average),
 		good:  make(map[hoist.QueueName]average),
+
+		deviation: make(map[hoist.QueueName]average),
 	}
 }
 
@@ -83,6 +93,8 @@
 	}
 	queue, class := s.Job.Plan.Queue.Name, w.entry.Class
 	queueRatio, classRatio := sc.speeds.queue[queue].orDefault(1), sc.speeds.class[class].orDefault(1)
+	deviation := math.Abs(ratio/(queueRatio*classRatio*w.health.runTimeRatio) - 1)
+	sc.speeds.deviation[queue] = sc.speeds.deviation[queue].add(min(maxScatter, deviation), queueWeight)
 	sc.speeds.queue[queue] = sc.speeds.queue[queue].add(min(maxRunTimeRatio, ratio/classRatio), queueWeight)
 	sc.speeds.class[class] = sc.speeds.class[class].add(min(maxRunTimeRatio, ratio/queueRatio), classWeight)
 	w.health.runTimeRatio += workerWeight * (min(maxRunTimeRatio, ratio/(queueRatio*classRatio)) - w.health.runTimeRatio)
@@ -91,7 +103,13 @@
 
 // expectedRunTime estimates the run time of a task of the step on the worker.
 func (sc *Scheduler) expectedRunTime(s *StepTasks, w *Worker) time.Duration {
-	return time.Duration(float64(s.Step.Estimate) * sc.speeds.queue[s.Job.Plan.Queue.Name].orDefault(1) * sc.slowness(w, sc.isRemote(s, w)))
+	return sc.runTime(s, sc.slowness(w, sc.isRemote(s, w)))
+}
+
+// runTime estimates the run time of a task of the step where it takes slowness times as
+// long as the mean.
+func (sc *Scheduler) runTime(s *StepTasks, slowness float64) time.Duration {
+	return time.Duration(float64(s.Step.Estimate) * sc.speeds.queue[s.Job.Plan.Queue.Name].orDefault(1) * slowness)
 }
 
 // slowness returns how many times longer than the mean the worker takes for
@@ -122,6 +140,12 @@
 	return sc.slowness(w, isRemote) + freeWeight*free + float64(w.health.failures)
 }
 
+// scatterOf returns half of the range in which the run times of a queue lie, as a share
+// of the expected one. Times spread evenly over a range deviate by a quarter of it.
+func (sp *speeds) scatterOf(queue hoist.QueueName) float64 {
+	return min(maxScatter, 2*sp.deviation[queue].orDefault(initialScatter/2))
+}
+
 func (sp *speeds) recordGoodShare(queue hoist.QueueName, good, asked int) {
 	if asked > 0 {
 		sp.good[queue] = sp.good[queue].add(float64(good)/float64(asked), adviceWeight)
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -218,18 +218,22 @@
 // maxTasks returns how many tasks with the given need fit into the free
 // capacity, or into the whole worker if whenEmpty is set.
 func (w *Worker) maxTasks(need hoist.Resources, whenEmpty bool) int {
-	free := w.free()
 	if whenEmpty {
-		free = w.entry.Capacity
+		return fitCount(need, w.entry.Capacity)
 	}
+	return fitCount(need, w.free())
+}
+
+// fitCount returns how many tasks with the given need fit into the room.
+func fitCount(need, room hoist.Resources) int {
 	n := 1 << 20
-	for _, part := range [...]struct{ need, free int64 }{
-		{int64(need.CPU), int64(free.CPU)},
-		{int64(need.Memory), int64(free.Memory)},
-		{int64(need.Accel), int64(free.Accel)},
+	for _, part := range [...]struct{ need, room int64 }{
+		{int64(need.CPU), int64(room.CPU)},
+		{int64(need.Memory), int64(room.Memory)},
+		{int64(need.Accel), int64(room.Accel)},
 	} {
 		if part.need > 0 {
-			n = min(n, int(max(0, part.free)/part.need))
+			n = min(n, int(max(0, part.room)/part.need))
 		}
 	}
 	return n
