Count the waits for near placements

Cause: operators cannot see how often steps wait for a near placement.

Change: hoist_near_waits_total counts the waits that begin and how they end. The owner adds the counts of the scheduler in each pass.

--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -22,6 +22,7 @@
 	ends     *prometheus.CounterVec
 	presumed *prometheus.CounterVec
 	late     *prometheus.CounterVec
+	near     *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
@@ -51,6 +52,9 @@
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_late_signs_total", Help: "Attempts that counted as ended and that a worker listed afterwards, by reason and state.",
 		}, []string{"why", "state"}),
+		near: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_near_waits_total", Help: "Steps that waited for a placement near their data or on one rack: begun, and how the waits ended.",
+		}, []string{"what"}),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "hoist_plan_wait_seconds", Help: "Time from the acceptance of a plan to its first start, by queue.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
@@ -65,7 +69,7 @@
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
 	return p
 }
 
@@ -95,6 +99,13 @@
 	p.late.WithLabelValues(reason, state).Inc()
 }
 
+// RecordNearWaits implements hoist.PlanMetrics.
+func (p *PlanMetrics) RecordNearWaits(begun, near, remote uint64) {
+	p.near.WithLabelValues("begun").Add(float64(begun))
+	p.near.WithLabelValues("near").Add(float64(near))
+	p.near.WithLabelValues("remote").Add(float64(remote))
+}
+
 // ObserveWait records the time from the acceptance of a plan to its first start.
 func (p *PlanMetrics) ObserveWait(queue hoist.QueueName, d time.Duration) {
 	p.waits.WithLabelValues(string(queue)).Observe(d.Seconds())
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -251,6 +251,8 @@
 	b := d.scheduler.Backlog()
 	if d.Metrics != nil {
 		d.Metrics.SetBacklog(b.OpenTasks, b.DelayedOccurrences, len(d.quarantined))
+		w := d.scheduler.TakeNearWaits()
+		d.Metrics.RecordNearWaits(w.Begun, w.Near, w.Remote)
 	}
 	isDelaying := b.DelayedOccurrences > 0
 	if isDelaying == d.isDelaying {
--- a/runner.go
+++ b/runner.go
@@ -184,6 +184,9 @@
 	// RecordLateSign counts an attempt that counted as ended, by the reason, and that a
 	// worker lists afterwards: as running, or with how it ended.
 	RecordLateSign(reason, state string)
+	// RecordNearWaits counts steps that waited for a placement near their data or on one
+	// rack: those that began to, and those that ended near and remote.
+	RecordNearWaits(begun, near, remote uint64)
 	// ObserveWait records the time from the acceptance of a plan to its first start.
 	ObserveWait(queue QueueName, d time.Duration)
 	// SetBacklog records how many tasks the owner holds, how many occurrences are due
