Explain where a submission would be placed

Cause: nobody can see why a job waits, or would wait, on the users' platform.

Change: hoistfront explain sends a submission, without its payload, to the owner of the cell, whose address is in its row of the store. The owner places it with the code of a pass in a copy of the scheduler and returns position, room, candidates with their rank or the reason for refusal, and the expected start. One explanation runs at a time, and they take a twentieth of the owner's time at most. The standing of a team has fields but no values yet.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -246,6 +247,17 @@
 	h.driver = d
 }
 
+// Explain implements hoist.Explainer. Only the owner of the cell answers.
+func (h *Host) Explain(ctx context.Context, p hoist.Plan, maxCandidates int) (hoist.PlanExplanation, error) {
+	h.mu.Lock()
+	d := h.driver
+	h.mu.Unlock()
+	if d == nil {
+		return hoist.PlanExplanation{}, merry.Wrap(hoist.ErrUnavailable, merry.PrependMessage("this host does not own the cell"))
+	}
+	return d.Explain(ctx, p, maxCandidates)
+}
+
 func (h *Host) waiting() map[hoist.QueueName]int {
 	h.mu.Lock()
 	d := h.driver
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -133,6 +133,8 @@
 	losses  losses
 	// isReady is set once the plans have been recovered.
 	isReady bool
+	// nextExplain is the earliest time at which Explain answers again.
+	nextExplain time.Time
 	// restored is closed once the plans have been recovered from the store.
 	restored chan struct{}
 }
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -23,6 +23,7 @@
 	workAdvice   guard.Work = "advice"
 	workRemove   guard.Work = "remove"
 	workRelay    guard.Work = "relay"
+	workExplain  guard.Work = "explain"
 )
 
 // update runs f while no one else uses the scheduler or the fields that d.mu guards. It
--- a/internal/decide/sched/bench_test.go
+++ b/internal/decide/sched/bench_test.go
@@ -83,3 +83,39 @@
 	}
 	b.ReportMetric(float64(scheduler.TakeNearWaits().Begun), "waits")
 }
+
+// BenchmarkExplain measures an explanation of a plan of several steps in a full cell. The
+// owner decides nothing else meanwhile.
+func BenchmarkExplain(b *testing.B) {
+	for _, size := range []struct{ workers, steps int }{{350, 1}, {350, 28}, {3000, 28}} {
+		b.Run(fmt.Sprintf("%d workers %d steps", size.workers, size.steps), func(b *testing.B) {
+			scheduler := sched.NewScheduler(1, start)
+			scheduler.Open.Tasks = 1 << 20
+			var entries []hoist.WorkerEntry
+			for i := range size.workers {
+				entries = append(entries, hoist.WorkerEntry{
+					Worker: hoist.WorkerID(fmt.Sprint("w", i)), Service: "lids", Addr: "x", Class: "a",
+					Capacity: hoist.Resources{CPU: 16_000, Memory: 64_000}, Rack: hoist.RackID(fmt.Sprint("r", i/workersPerRack)),
+				})
+			}
+			scheduler.SetWorkers(entries, start)
+			for _, e := range entries {
+				scheduler.RecordReport(e.Worker, hoist.RunnerReport{Incarnation: 1}, start, start)
+			}
+			noFreeHost := func(time.Duration, time.Time) (hoist.HostID, bool) { return "", false }
+			for i := range size.workers + 1000 {
+				scheduler.Tick(start)
+				p := hoist.Plan{ID: hoist.JobID(fmt.Sprintf("%016x", i)), Queue: queue, Accepted: start, Steps: []hoist.Step{step(16)}}
+				scheduler.Add(p, 1, start)
+			}
+			scheduler.Pass(start, noFreeHost)
+			p := hoist.Plan{Queue: queue}
+			for range size.steps {
+				p.Steps = append(p.Steps, step(8, onRack("r0")))
+			}
+			for b.Loop() {
+				scheduler.Explain(p, 20, start)
+			}
+		})
+	}
+}
--- a/internal/decide/sched/locality.go
+++ b/internal/decide/sched/locality.go
@@ -176,8 +176,15 @@
 	if f, ok := sc.localities.forecasts[key]; ok {
 		return f
 	}
+	f := sc.newForecast(sc.order(key.service).byRack[key.rack], now)
+	sc.localities.forecasts[key] = f
+	return f
+}
+
+// newForecast returns the forecast of those workers that are usable.
+func (sc *Scheduler) newForecast(workers []rankedWorker, now time.Time) *rackForecast {
 	f := &rackForecast{}
-	for _, w := range sc.order(key.service).byRack[key.rack] {
+	for _, w := range workers {
 		if !sc.isUsableNow(w.Worker) {
 			continue
 		}
@@ -193,7 +200,6 @@
 	slices.SortFunc(f.releases, func(x, y release) int {
 		return cmp.Or(cmp.Compare(x.after, y.after), cmp.Compare(x.worker, y.worker), cmp.Compare(x.need.CPU, y.need.CPU))
 	})
-	sc.localities.forecasts[key] = f
 	return f
 }
 
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -1,6 +1,7 @@
 // Package helper implements the calls between entry hosts over TCP: a host requests
 // advice from an adviser through another host, the owner of the cell calls workers
-// through other hosts, its relays, and the standby hosts check the health of the owner.
+// through other hosts, its relays, the standby hosts check the health of the owner, and
+// operators ask it where a plan would be placed.
 // Each kind uses a connection of its own, so that none delays another. Calls through
 // relays are many and small; they travel several in one message of CBOR. All others are
 // JSON-RPC 2.0.
@@ -13,6 +14,7 @@
 //	c := &helper.Client{Addr: "10.0.0.2:7720"}
 //	advice, err := c.Advise(ctx, step, workers)
 //	health, err := c.CheckHealth(ctx, id)
+//	explanation, err := c.Explain(ctx, plan, maxCandidates)
 //
 //	r := &helper.Relay{Addr: "10.0.0.3:7720"}
 //	report, err := r.Runner(worker).Poll(ctx, request)
@@ -27,6 +29,7 @@
 	"log"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,11 +45,17 @@
 const (
 	methodAdvise      = "advise"
 	methodCheckHealth = "pulse"
+	methodExplain     = "explain"
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 500 * time.Millisecond
 	// maxAdviceCalls bounds the requests for advice in progress on a connection.
 	// Further ones would only wait at the adviser.
 	maxAdviceCalls = 32
+	// maxExplainedBytes bounds the encoded plan in a request for an explanation. A row of
+	// the store holds as much.
+	maxExplainedBytes = 64 << 10
+	// maxExplained bounds the workers in an explanation, over all steps.
+	maxExplained = 2000
 	// errorCode is the JSON-RPC error code of all errors.
 	errorCode = -32000
 )
@@ -67,6 +76,7 @@
 var (
 	_ hoist.Adviser       = (*Client)(nil)
 	_ hoist.HealthChecker = (*Client)(nil)
+	_ hoist.Explainer     = (*Client)(nil)
 )
 
 // Advise implements hoist.Adviser. Requests for advice have no effect, so every
@@ -123,6 +133,22 @@
 	}, nil
 }
 
+// Explain implements hoist.Explainer. The payload of the plan is not sent. It has no effect
+// on the owner, so every failure is hoist.ErrUnavailable.
+func (c *Client) Explain(ctx context.Context, p hoist.Plan, maxCandidates int) (hoist.PlanExplanation, error) {
+	p.Payload = ""
+	conn, err := c.connection(ctx)
+	if err != nil {
+		return hoist.PlanExplanation{}, hoist.ConvertErrorf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	var answer rows.Explanation
+	request := rows.ExplainQuestion{Plan: string(codec.EncodePlan(p)), MaxCandidates: maxCandidates}
+	if err := conn.Call(ctx, methodExplain, request, &answer); err != nil {
+		return hoist.PlanExplanation{}, hoist.ConvertErrorf(hoist.ErrUnavailable, err, "host at %s", c.Addr)
+	}
+	return codec.ToPlanExplanation(answer), nil
+}
+
 func durationFromMicros(n int) time.Duration {
 	return time.Duration(n) * time.Microsecond
 }
@@ -172,6 +198,8 @@
 	Adviser  hoist.Adviser
 	// Health returns the reply to a health check of the standby host from.
 	Health func(from hoist.HostID) hoist.HostHealth
+	// Explainer explains plans if this host owns the cell; nil means that none are explained.
+	Explainer hoist.Explainer
 	// Dial returns a client of a worker, for calls on behalf of the owner.
 	Dial func(hoist.WorkerEntry) hoist.Runner
 	// IsLeaving reports whether this host is about to stop; nil means that it is not.
@@ -180,12 +208,16 @@
 	Guard *guard.Guard
 
 	runners runners
+	// isExplaining is set while a plan is explained.
+	isExplaining atomic.Bool
 }
 
 // The kinds of work of a server, in logs and metrics.
 const (
 	workHealth guard.Work = "health"
 	workAdvice guard.Work = "advice"
+	// workExplain is the explanation of a plan.
+	workExplain guard.Work = "explain"
 )
 
 // Run serves until ctx ends, then closes all connections.
@@ -262,6 +294,10 @@
 		reply(conn, req, answer, err)
 		return
 	}
+	if req.Method == methodExplain {
+		c.handleExplain(conn, req)
+		return
+	}
 	select {
 	case c.adviceSlots <- struct{}{}:
 	default:
@@ -275,6 +311,19 @@
 	})
 }
 
+// handleExplain handles a request for an explanation, one at a time on all connections.
+func (c *connHandler) handleExplain(conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !c.server.isExplaining.CompareAndSwap(false, true) {
+		reply(conn, req, rows.Explanation{}, hoist.ErrOverLimit)
+		return
+	}
+	c.running.Go(func() {
+		defer c.server.isExplaining.Store(false)
+		answer, err := guarded(c, workExplain, req, c.explain)
+		reply(conn, req, answer, err)
+	})
+}
+
 // guarded handles a call with f and converts a panic to an error.
 func guarded[T any](c *connHandler, work guard.Work, req *jsonrpc2.Request, f func(*jsonrpc2.Request) (T, error)) (answer T, err error) {
 	if panicked := c.server.Guard.Do(c.ctx, work, func() { answer, err = f(req) }); panicked != nil {
@@ -325,6 +374,29 @@
 	return answer, nil
 }
 
+func (c *connHandler) explain(req *jsonrpc2.Request) (rows.Explanation, error) {
+	q, err := decodeParams[rows.ExplainQuestion](req, methodExplain)
+	if err != nil {
+		return rows.Explanation{}, err
+	}
+	if len(q.Plan) > maxExplainedBytes {
+		return rows.Explanation{}, merry.Wrap(hoist.ErrInvalid, merry.AppendMessagef("the plan has %d bytes, expected at most %d", len(q.Plan), maxExplainedBytes))
+	}
+	p, err := codec.DecodePlan("", []byte(q.Plan))
+	if err != nil {
+		return rows.Explanation{}, err
+	}
+	if c.server.Explainer == nil {
+		return rows.Explanation{}, hoist.ErrUnavailable
+	}
+	listed := min(q.MaxCandidates, maxExplained/max(1, len(p.Steps)))
+	answer, err := c.server.Explainer.Explain(c.ctx, p, listed)
+	if err != nil {
+		return rows.Explanation{}, err
+	}
+	return codec.FromPlanExplanation(answer), nil
+}
+
 // reply sends the result of a call. If that fails, it closes the connection.
 func reply[T any](conn *jsonrpc2.Conn, req *jsonrpc2.Request, answer T, err error) {
 	if err != nil {
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -29,6 +29,60 @@
 
 type BeatWaiting map[string]int
 
+// A worker that may take tasks of a step, or why it takes none.
+type Candidate struct {
+	// Cause corresponds to the JSON schema field "cause".
+	Cause string `json:"cause"`
+
+	// Placed corresponds to the JSON schema field "placed".
+	Placed int `json:"placed"`
+
+	// Places corresponds to the JSON schema field "places".
+	Places int `json:"places"`
+
+	// Rack corresponds to the JSON schema field "rack".
+	Rack string `json:"rack"`
+
+	// Remote corresponds to the JSON schema field "remote".
+	Remote bool `json:"remote"`
+
+	// RunMs corresponds to the JSON schema field "run-ms".
+	RunMs int `json:"run-ms"`
+
+	// The lowest is the best.
+	Score float64 `json:"score"`
+
+	// Worker corresponds to the JSON schema field "worker".
+	Worker string `json:"worker"`
+}
+
+// Asks the owner of the cell where a plan would be placed now.
+type ExplainQuestion struct {
+	// The most workers to list for each step.
+	MaxCandidates int `json:"max-candidates"`
+
+	// The encoded row of the plan.
+	Plan string `json:"plan"`
+}
+
+// Where a plan would be placed now, and why.
+type Explanation struct {
+	// The waiting plans that come before this one.
+	Ahead int `json:"ahead"`
+
+	// Steps corresponds to the JSON schema field "steps".
+	Steps []StepExplanation `json:"steps"`
+
+	// Team corresponds to the JSON schema field "team".
+	Team TeamStanding `json:"team"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term int `json:"term"`
+
+	// All waiting plans.
+	Waiting int `json:"waiting"`
+}
+
 // An attempt that failed.
 type Failed struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -218,6 +272,15 @@
 	Stretch float64 `json:"stretch"`
 }
 
+// Why a number of workers take no task of a step.
+type Refusal struct {
+	// Cause corresponds to the JSON schema field "cause".
+	Cause string `json:"cause"`
+
+	// Workers corresponds to the JSON schema field "workers".
+	Workers int `json:"workers"`
+}
+
 // The answer to a call through a relay.
 type RelayAnswer struct {
 	// The clock of the worker, after a start.
@@ -472,6 +535,39 @@
 	TailTargetMs int `json:"tail-target-ms"`
 }
 
+// Where the tasks of a step would be placed.
+type StepExplanation struct {
+	// Candidates corresponds to the JSON schema field "candidates".
+	Candidates []Candidate `json:"candidates"`
+
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// The tasks that fit now.
+	Placed int `json:"placed"`
+
+	// Whether the step waits for no earlier one.
+	Ready bool `json:"ready"`
+
+	// Refusals corresponds to the JSON schema field "refusals".
+	Refusals []Refusal `json:"refusals"`
+
+	// StartKnown corresponds to the JSON schema field "start-known".
+	StartKnown bool `json:"start-known"`
+
+	// StartsInMs corresponds to the JSON schema field "starts-in-ms".
+	StartsInMs int `json:"starts-in-ms"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step"`
+
+	// The rack that the step waits for although there is room elsewhere.
+	WaitsFor string `json:"waits-for"`
+
+	// The workers that the owner knows.
+	Workers int `json:"workers"`
+}
+
 // The recorded state of the tasks of a step in one occurrence.
 type StepState struct {
 	// Done corresponds to the JSON schema field "done".
@@ -492,3 +588,37 @@
 	// Step corresponds to the JSON schema field "step".
 	Step int `json:"step"`
 }
+
+// What a team uses and may use. Without a name, the plan has no team or nothing is
+// known of it.
+type TeamStanding struct {
+	// BeyondRate corresponds to the JSON schema field "beyond-rate".
+	BeyondRate bool `json:"beyond-rate"`
+
+	// FairShare corresponds to the JSON schema field "fair-share".
+	FairShare float64 `json:"fair-share"`
+
+	// QuotaAccelerators corresponds to the JSON schema field "quota-accelerators".
+	QuotaAccelerators int `json:"quota-accelerators"`
+
+	// 0 means that there is no limit.
+	QuotaCpuMillis int `json:"quota-cpu-millis"`
+
+	// QuotaMemoryMib corresponds to the JSON schema field "quota-memory-mib".
+	QuotaMemoryMib int `json:"quota-memory-mib"`
+
+	// Share corresponds to the JSON schema field "share".
+	Share float64 `json:"share"`
+
+	// Team corresponds to the JSON schema field "team".
+	Team string `json:"team"`
+
+	// UsedAccelerators corresponds to the JSON schema field "used-accelerators".
+	UsedAccelerators int `json:"used-accelerators"`
+
+	// UsedCpuMillis corresponds to the JSON schema field "used-cpu-millis".
+	UsedCpuMillis int `json:"used-cpu-millis"`
+
+	// UsedMemoryMib corresponds to the JSON schema field "used-memory-mib".
+	UsedMemoryMib int `json:"used-memory-mib"`
+}
