--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -133,6 +133,8 @@
 	losses  losses
 	// isReady is set once the plans have been recovered.
 	isReady bool
+	// nextExplain is the earliest time at which Explain answers again.
+	nextExplain time.Time
 	// restored is closed once the plans have been recovered from the store.
 	restored chan struct{}
 }
@@ -251,6 +253,8 @@
 	b := d.scheduler.Backlog()
 	if d.Metrics != nil {
 		d.Metrics.SetBacklog(b.OpenTasks, b.DelayedOccurrences, len(d.quarantined))
+		w := d.scheduler.TakeNearWaits()
+		d.Metrics.RecordNearWaits(w.Begun, w.Near, w.Remote)
 	}
 	isDelaying := b.DelayedOccurrences > 0
 	if isDelaying == d.isDelaying {
