Record the states of several parts in one call to the store

Change: while a transaction is in progress, those of other parts wait and then go together; they go separately while the store is slow or fails. It applies where the settings of the platform allow transactions over several parts.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -104,6 +104,8 @@
 	RemoteFactor float64
 	// MaxLease is the longest lease that a worker accepts. 0 leaves hoist.MaxLease.
 	MaxLease time.Duration
+	// CanCombine allows transactions over several parts of the store; see package batch.
+	CanCombine bool
 
 	isLeaving atomic.Bool
 	once      sync.Once
@@ -224,7 +226,7 @@
 	d := &plans.Driver{
 		Claim: o, Store: h.monitored, Registry: h.Registry, Dial: h.Dial, Advisers: &plans.AdviserPool{},
 		Queue: h.follower.Queue, Teams: h.follower.Teams, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor, MaxLease: h.MaxLease,
-		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect,
+		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect, CanCombine: h.CanCombine,
 	}
 	d.Relays = &plans.RelayPool{Clock: h.Clock, Log: h.Log, Guard: h.Guard}
 	// An owner allocates much and keeps little: with the default it would collect garbage
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -31,6 +31,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/batch"
 	"fuchsiahoist.example/hoist/internal/core/claim"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
@@ -102,6 +103,11 @@
 	RemoteFactor float64
 	// MaxLease is the longest lease that a worker accepts. 0 leaves hoist.MaxLease.
 	MaxLease time.Duration
+	// CanCombine allows transactions over several parts of the store.
+	CanCombine bool
+
+	// records is the store through which states are recorded.
+	records hoist.Store
 
 	mu        sync.Mutex
 	scheduler *sched.Scheduler
@@ -177,6 +183,10 @@
 	if d.Limits == (limit.Plans{}) {
 		d.Limits = limit.DefaultPlans
 	}
+	d.records = d.Store
+	if d.CanCombine {
+		d.records = &batch.Store{Store: d.Store, Clock: d.Clock}
+	}
 	d.quarantined = make(map[hoist.JobID]hoist.PartName)
 	d.failures = make(map[hoist.JobID]int)
 	d.links = make(map[hoist.WorkerID]*link)
--- a/internal/core/plans/record.go
+++ b/internal/core/plans/record.go
@@ -92,7 +92,7 @@
 func (d *Driver) record(ctx context.Context, rec *recorder, list []sched.UnrecordedState) {
 	began := d.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, rec.timeout)
-	version, err := d.Store.Commit(callCtx, d.transaction(rec.part, list))
+	version, err := d.records.Commit(callCtx, d.transaction(rec.part, list))
 	cancel()
 	if err == nil {
 		d.recorded(ctx, list, version)
