Keep what a team has running within its quota

The scheduler of plans knew no teams. Each team now has a quota.Account, the same type that the Tracker of tasks uses. It is charged where a task gets a worker and refunded where the capacity is freed, so attempts that are being recorded, started or stopped, recovered and superseded ones count. Attempts that run without a task that expects them, such as superseded ones after a takeover, are charged from the reports until the lease of their worker has expired.

A step starts the tasks that fit, a gang all or none, and one task alone may exceed the quota. Starts that were chosen before a quota was lowered are withdrawn instead of sent. A job with a team waits until the owner has read its first configuration. Jobs of other teams in the same pass are not held up.

--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -232,6 +232,7 @@
 	d.update(ctx, workPass, func() {
 		now := d.Clock.Now()
 		d.scheduler.Tick(now)
+		d.setTeams()
 		if d.isReady {
 			due = d.scheduler.Pass(now, d.Advisers.Reserve)
 		}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -11,6 +11,14 @@
 //	tr.Rebuild(team, running)                   // after the team's shard was acquired
 //	tr.Drop(team)                               // after the shard was released
 //
+// The scheduler of plans holds the attempts of each team itself and uses only the
+// account of a team:
+//
+//	account.SetLimit(quota.LimitOf(config.Quota))
+//	n := account.Startable(need) // how many more tasks may start
+//	account.Charge(need)         // an attempt holds capacity from now on
+//	account.Refund(need)         // it certainly holds none any more
+//
 // Admit never lets the usage exceed the quota. Usage above the quota arises only
 // from Rebuild, or when the configuration lowers the quota. No task is stopped
 // because of it, but the team gets no more of that resource until its usage is
@@ -54,21 +62,16 @@
 type Tracker struct {
 	limits       map[hoist.TeamID]hoist.Resources
 	defaultLimit hoist.Resources
-	used         map[hoist.TeamID]*teamUsage
-	charges      map[hoist.TaskID]Charge
-}
-
-// teamUsage is the usage of one team.
-type teamUsage struct {
-	used  hoist.Resources
-	tasks int
+	// accounts holds the accounts of the teams that use anything.
+	accounts map[hoist.TeamID]*Account
+	charges  map[hoist.TaskID]Charge
 }
 
 // NewTracker returns a Tracker without charges, in which every team is unlimited.
 func NewTracker() *Tracker {
 	return &Tracker{
 		defaultLimit: Unlimited,
-		used:         make(map[hoist.TeamID]*teamUsage),
+		accounts:     make(map[hoist.TeamID]*Account),
 		charges:      make(map[hoist.TaskID]Charge),
 	}
 }
@@ -79,15 +82,17 @@
 func (tr *Tracker) SetLimits(limits map[hoist.TeamID]hoist.Resources, defaultLimit hoist.Resources) {
 	tr.limits = limits
 	tr.defaultLimit = defaultLimit
+	for team, a := range tr.accounts {
+		a.SetLimit(tr.limit(team))
+	}
 }
 
 // Usage returns the usage and the quota of a team.
 func (tr *Tracker) Usage(team hoist.TeamID) Usage {
-	u := Usage{Limit: tr.limit(team)}
-	if a, ok := tr.used[team]; ok {
-		u.Used, u.Tasks = a.used, a.tasks
+	if a, ok := tr.accounts[team]; ok {
+		return a.Usage()
 	}
-	return u
+	return Usage{Limit: tr.limit(team)}
 }
 
 func (tr *Tracker) limit(team hoist.TeamID) hoist.Resources {
@@ -168,13 +173,12 @@
 }
 
 func (tr *Tracker) charge(c Charge) {
-	a, ok := tr.used[c.Team]
+	a, ok := tr.accounts[c.Team]
 	if !ok {
-		a = &teamUsage{}
-		tr.used[c.Team] = a
+		a = &Account{limit: tr.limit(c.Team)}
+		tr.accounts[c.Team] = a
 	}
-	a.used = a.used.Add(c.Need)
-	a.tasks++
+	a.Charge(c.Need)
 	tr.charges[c.Task] = c
 }
 
@@ -186,11 +190,10 @@
 		return
 	}
 	delete(tr.charges, task)
-	a := tr.used[c.Team]
-	a.used = a.used.Sub(c.Need)
-	a.tasks--
+	a := tr.accounts[c.Team]
+	a.Refund(c.Need)
 	if a.tasks == 0 {
-		delete(tr.used, c.Team)
+		delete(tr.accounts, c.Team)
 	}
 }
 
@@ -210,7 +213,7 @@
 
 // Drop removes the usage and all charges of a team.
 func (tr *Tracker) Drop(team hoist.TeamID) {
-	if _, ok := tr.used[team]; !ok {
+	if _, ok := tr.accounts[team]; !ok {
 		return
 	}
 	for task, c := range tr.charges {
@@ -218,5 +221,5 @@
 			delete(tr.charges, task)
 		}
 	}
-	delete(tr.used, team)
+	delete(tr.accounts, team)
 }
--- a/internal/decide/sched/fakeowner_test.go
+++ b/internal/decide/sched/fakeowner_test.go
@@ -137,6 +137,7 @@
 			o.scheduler.Cancel(id, fx.now)
 		}
 	}
+	o.scheduler.SetTeams(fx.quotas.configs())
 	o.scheduler.SetWorkers(fx.entries(), fx.now)
 	return o
 }
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -35,6 +35,7 @@
 	// them may be acknowledged unless the lease of the worker has expired in between.
 	repeated map[success]string
 	plans    int
+	quotas   quotas
 }
 
 // acknowledged is a success that was acknowledged.
@@ -111,6 +112,8 @@
 		f.restart(fx.now.Add(-time.Duration(i) * time.Minute))
 		fx.workers = append(fx.workers, f)
 	}
+	fx.setQuota("t1", 2000)
+	fx.setQuota("t2", 500) // less than one task needs
 	fx.owners = []*fakeOwner{newFakeOwner(fx, 1, fx.now)}
 	return fx
 }
@@ -161,7 +164,8 @@
 	firstStep.IsLongRunning = !firstStep.IsGang && rapid.IntRange(0, 4).Draw(fx.t, "lasting") == 0
 	firstStep.SavesProgress = rapid.Bool().Draw(fx.t, "saves")
 	p := hoist.Plan{ID: id, Queue: queue, Steps: []hoist.Step{firstStep, step(1, after)}, Accepted: fx.now}
-	fx.store[id] = storedPlan{plan: p, state: hoist.PlanState{Queue: queue.Name, Phase: hoist.PlanQueued}}
+	p.Team = rapid.SampledFrom([]hoist.TeamID{"", "t1", "t2"}).Draw(fx.t, "team")
+	fx.store[id] = storedPlan{plan: p, state: hoist.PlanState{Queue: queue.Name, Team: p.Team, Phase: hoist.PlanQueued}}
 	fx.owner().scheduler.Add(p, 1, fx.now)
 }
 
@@ -319,6 +323,7 @@
 	if !step.IsLongRunning && !step.IsGang && fx.failed[task] >= queue.MaxAttempts {
 		fx.t.Fatalf("task %v starts after %d failures", task, fx.failed[task])
 	}
+	fx.checkQuota(s.plan, req)
 	if used := f.used(fx) + int64(step.Need.CPU); used > int64(f.entry.Capacity.CPU) {
 		fx.t.Fatalf("worker %s is overcommitted: %d mCPU needed", f.entry.Worker, used)
 	}
@@ -438,7 +443,7 @@
 func (fx *fixture) act() {
 	f := fx.workers[rapid.IntRange(0, len(fx.workers)-1).Draw(fx.t, "worker")]
 	o := fx.owners[rapid.IntRange(0, len(fx.owners)-1).Draw(fx.t, "acting owner")]
-	switch rapid.IntRange(0, 29).Draw(fx.t, "action") {
+	switch rapid.IntRange(0, 30).Draw(fx.t, "action") {
 	case 0:
 		fx.submit()
 	case 1:
@@ -479,6 +484,8 @@
 		fx.deliverAnswer()
 	case 20, 21, 22:
 		o.links[f].fault = linkFault(rapid.IntRange(0, int(numLinkFaults)-1).Draw(fx.t, "fault"))
+	case 23:
+		fx.setQuota("t1", hoist.MilliCPU(rapid.IntRange(1, 4).Draw(fx.t, "quota"))*1000)
 	default:
 		fx.work(rapid.IntRange(1, 20).Draw(fx.t, "intervals"), rapid.IntRange(0, 3).Draw(fx.t, "store") > 0)
 	}
@@ -510,7 +517,8 @@
 
 // TestInvariantsUnderFaults guards, under faults in any order, against a task
 // that runs twice at the same time or again after its success, against more
-// failures than allowed, and against workers over their capacity.
+// failures than allowed, against workers over their capacity, and against teams over their
+// quota.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fx := newFixture(t)
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -227,6 +227,7 @@
 // setOrphans sets the attempts that run on a worker without a task that expects them.
 func (sc *Scheduler) setOrphans(w *Worker, orphans map[hoist.TaskRun]time.Time) {
 	w.orphans = orphans
+	sc.chargeOrphans(w)
 	if len(orphans) > 0 {
 		sc.orphaned[w.entry.Worker] = w
 	} else {
@@ -326,7 +327,11 @@
 // expireLeases ends what runs under leases that have expired.
 func (sc *Scheduler) expireLeases(now time.Time) {
 	for _, w := range sc.workers {
-		if len(w.tasks) > 0 && !now.Before(w.leaseExpiresAt) {
+		if !w.isOccupied() || now.Before(w.leaseExpiresAt) {
+			continue
+		}
+		w.refundOrphans()
+		if len(w.tasks) > 0 {
 			sc.releaseAll(w, now)
 		}
 	}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -57,6 +57,9 @@
 	for _, j := range sc.inOrder(now, (*Job).hasWaiting) {
 		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
+			if sc.startable(s) == 0 {
+				continue
+			}
 			sc.placeTasks(s, now)
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
 				if adviceRequest, ok := sc.adviceRequest(s, false, reserve, now); ok {
@@ -328,7 +331,7 @@
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
 	isExpired := t.ticket.value != "" && !now.Before(t.ticket.validUntil)
-	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired {
+	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired || t.StepTasks.Job.exceedsQuota() {
 		step := t.StepTasks
 		sc.requeue(t, now)
 		sc.stopIncompleteGang(step, now)
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -17,7 +17,7 @@
 		sc.placeGang(s, workers, now)
 		return
 	}
-	next, left := 0, s.Job.maxPlacements()
+	next, left := 0, min(s.Job.maxPlacements(), sc.startable(s))
 	for _, t := range s.Tasks {
 		if left == 0 {
 			return
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -6,6 +6,7 @@
 //
 //	s := sched.NewScheduler(term, earlierLeasesExpire)
 //	s.SetWorkers(entries, now)
+//	s.SetTeams(configured) // before the first pass, and when the configuration changed
 //	s.Add(plan, version, now)
 //	d := s.Pass(now, reserve) // the chosen starts must not be sent yet
 //	// write the states of s.Unrecorded(part, isAll, limit, now), then
@@ -174,6 +175,8 @@
 	// Ended is when the job reached its final phase.
 	Ended time.Time
 
+	// team is the team that the job is charged to, or nil.
+	team  *team
 	steps map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
@@ -245,6 +248,7 @@
 	// superseded holds the attempts to stop at tasks that are done.
 	superseded map[hoist.TaskRun]*Task
 	speeds     speeds
+	teams      teams
 	// earlierLeasesExpire is when all leases granted by earlier owners have
 	// expired. Recovered attempts on workers that stay unreachable are
 	// considered ended from then on.
@@ -304,6 +308,7 @@
 		doubted:    make(map[hoist.WorkerID]*Worker),
 		orders:     make(map[hoist.ServiceName]*workerOrder),
 		speeds:     newSpeeds(),
+		teams:      teams{byID: make(map[hoist.TeamID]*team)},
 	}
 }
 
@@ -355,6 +360,9 @@
 		j.changed = make(map[hoist.JobID]*Job)
 		sc.changed[p.Part] = j.changed
 	}
+	if p.Team != "" {
+		j.team = sc.team(p.Team)
+	}
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
 	j.updateDue()
@@ -437,6 +445,7 @@
 	t.StepTasks.Job.placed++
 	w.tasks[t] = true
 	w.used = w.used.Add(demand(t.StepTasks.Step))
+	t.StepTasks.charge()
 }
 
 // requeue makes a placed task wait again. The caller ensures that the attempt
@@ -463,6 +472,7 @@
 	}
 	t.Worker = nil
 	t.StepTasks.Job.placed--
+	t.StepTasks.refund()
 }
 
 // demand returns what a task counts against the capacity of a worker. A
--- /dev/null
+++ b/internal/decide/sched/teams.go
@@ -0,0 +1,134 @@
+package sched
+
+import (
+	"unsafe"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/quota"
+)
+
+// team is what the scheduler knows of a team.
+type team struct {
+	// account holds every attempt that may run: it is charged where a task gets a worker
+	// and refunded where the capacity on the worker is freed.
+	account quota.Account
+}
+
+// teams holds the teams of the configuration and those of the jobs.
+type teams struct {
+	byID map[hoist.TeamID]*team
+	// isConfigured is set once the configuration was read, and configured is the last one.
+	isConfigured bool
+	configured   []hoist.TeamConfig
+}
+
+// SetTeams sets the quotas of the teams. Until it was called, no job that has a team is
+// started. A team that is no longer configured keeps its last quota, and one that never
+// was has none. The caller must not modify configured afterwards.
+func (sc *Scheduler) SetTeams(configured []hoist.TeamConfig) {
+	ts := &sc.teams
+	if ts.isConfigured && isSameSlice(ts.configured, configured) {
+		return
+	}
+	ts.isConfigured, ts.configured = true, configured
+	for _, c := range configured {
+		sc.team(c.Team).account.SetLimit(quota.LimitOf(c.Quota))
+	}
+}
+
+// isSameSlice reports whether x and y are the same memory. A new configuration has a new
+// slice, so that an unchanged one need not be compared in each pass.
+func isSameSlice[T any](x, y []T) bool {
+	return len(x) == len(y) && unsafe.SliceData(x) == unsafe.SliceData(y)
+}
+
+// team returns a team and adds it, without a quota, if it is not known.
+func (sc *Scheduler) team(id hoist.TeamID) *team {
+	t, ok := sc.teams.byID[id]
+	if !ok {
+		t = &team{}
+		t.account.SetLimit(quota.Unlimited)
+		sc.teams.byID[id] = t
+	}
+	return t
+}
+
+// TeamUsage returns what a team has running, and its quota.
+func (sc *Scheduler) TeamUsage(id hoist.TeamID) quota.Usage {
+	if t, ok := sc.teams.byID[id]; ok {
+		return t.account.Usage()
+	}
+	return quota.Usage{Limit: quota.Unlimited}
+}
+
+// charge charges an attempt at a task of a step to the team of its job. A best-effort
+// task counts the CPU that it declares: it can use that much.
+func (s *StepTasks) charge() {
+	if s.Job.team != nil {
+		s.Job.team.account.Charge(s.Step.Need)
+	}
+}
+
+// refund undoes charge.
+func (s *StepTasks) refund() {
+	if s.Job.team != nil {
+		s.Job.team.account.Refund(s.Step.Need)
+	}
+}
+
+// startable returns how many tasks of a step the quota of its team allows to start.
+// All tasks of a gang start, or none.
+func (sc *Scheduler) startable(s *StepTasks) int {
+	t := s.Job.team
+	if t == nil {
+		return len(s.Tasks)
+	}
+	if !sc.teams.isConfigured {
+		return 0
+	}
+	n := t.account.Startable(s.Step.Need)
+	if s.Step.IsGang && n < len(s.Tasks) {
+		return 0
+	}
+	return n
+}
+
+// exceedsQuota reports whether the team of a job has more running than its quota, as the
+// quota was lowered after the starts were chosen. One task alone may exceed it.
+func (j *Job) exceedsQuota() bool {
+	if j.team == nil {
+		return false
+	}
+	u := j.team.account.Usage()
+	return u.Tasks > 1 && u.IsOverQuota()
+}
+
+// orphanCharge is the charge of an attempt that runs without a task that expects it.
+type orphanCharge struct {
+	team *team
+	need hoist.Resources
+}
+
+// chargeOrphans charges the orphans of a worker to the teams of their jobs, in place of
+// those charged before. A superseded attempt is such an orphan after a takeover, as it is
+// in no row.
+func (sc *Scheduler) chargeOrphans(w *Worker) {
+	w.refundOrphans()
+	for run := range w.orphans {
+		j, ok := sc.jobs[run.Task.Job]
+		if !ok || j.team == nil || int(run.Task.Step) >= len(j.Plan.Steps) || run.Task.Step < 0 {
+			continue
+		}
+		c := orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}
+		c.team.account.Charge(c.need)
+		w.orphanCharges = append(w.orphanCharges, c)
+	}
+}
+
+// refundOrphans undoes chargeOrphans.
+func (w *Worker) refundOrphans() {
+	for _, c := range w.orphanCharges {
+		c.team.account.Refund(c.need)
+	}
+	w.orphanCharges = w.orphanCharges[:0]
+}
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -48,6 +48,8 @@
 	// orphans are attempts that run on the worker without a task that expects
 	// them, each with the time at which a stop was last sent.
 	orphans map[hoist.TaskRun]time.Time
+	// orphanCharges are the charges of the orphans to their teams.
+	orphanCharges []orphanCharge
 	// doubts are attempts that count as ended and whose start may still arrive.
 	doubts doubts
 	// leaseExpiresAt is when all attempts on the worker have certainly ended
