Serve jobs beyond their team's rate after all others

A team that sends many times its usual load delayed the jobs of all others. The weight of a team is now also the number of jobs a second that are entitled to service. A token bucket in the form of the generic cell rate algorithm, with a burst of 5 s, judges each job by its acceptance time; jobs beyond the rate are ordered behind all others of any priority, by the time at which the rate would have covered them. A job beyond the rate takes no token, so that a burst does not cost the team its share afterwards.

Jobs are judged in the order of their acceptance times whatever the order in which they become known, so that a new owner arrives at the same order, and clocks that differ by less than the burst put no job of a team that keeps to its rate beyond it.

--- /dev/null
+++ b/internal/decide/rate/rate.go
@@ -0,0 +1,193 @@
+// Package rate decides which jobs of a team are within the team's rate, from the times at
+// which they were accepted.
+//
+// # Usage
+//
+//	var b rate.Bucket
+//	b.SetRate(weight)           // jobs per second, from the configuration
+//	e := b.Add(acceptedAt, job) // for each job, in any order
+//	b.Settle(now)               // before the entries are read
+//	c := rate.Compare(e, other) // the order in which jobs are served
+//
+// # Rule
+//
+// The bucket is a token bucket in the form of the generic cell rate algorithm: a job
+// within the rate takes a token, and a job beyond it takes none. So a burst delays the
+// jobs of its own team that are beyond the rate, and no later ones. A job beyond the rate
+// is placed in a second bucket, which tells when the rate would have covered it.
+//
+// The verdicts depend on the set of jobs only, not on the order in which they were added:
+// jobs are judged in the order of their acceptance times. These come from the clocks of
+// several hosts. If they differ by less than the burst, a team that keeps to its rate
+// stays within it.
+//
+// A Bucket is not safe for concurrent use and reads no clock.
+package rate
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+const (
+	// Burst is how many seconds' worth of jobs a team may send at once. It covers clocks
+	// of hosts that differ by some seconds and the jobs that pile up while the store does
+	// not answer for a few seconds. A longer one would let a burst displace the work of
+	// other teams for as long.
+	Burst = 5 * time.Second
+	// memory is how long entries are kept so that a job that becomes known late is judged
+	// in its place. Hosts repeat a submission for less than this.
+	memory = time.Minute
+)
+
+// Entry is the place of one job in the bucket of its team. Its results are valid after
+// Settle.
+type Entry struct {
+	at  time.Time
+	job hoist.JobID
+	// after is the state of the bucket after the job.
+	after state
+	// IsBeyond tells that the job is beyond the rate.
+	IsBeyond bool
+	// CoveredAt is when the rate would have covered all jobs of the team beyond it up to
+	// this one.
+	CoveredAt time.Time
+}
+
+// state is the state of a bucket after some jobs.
+type state struct {
+	// within is the theoretical arrival time of the next job: the end of the time that the
+	// jobs within the rate take, one after the other. beyond is the same of the jobs
+	// beyond the rate.
+	within, beyond time.Time
+}
+
+// Bucket judges the jobs of one team. The zero value has no rate: all jobs are within it.
+type Bucket struct {
+	// interval is the time in which a token is added, or 0 without a rate.
+	interval time.Duration
+	// entries are sorted. The first settled ones are valid.
+	entries []*Entry
+	settled int
+	// added holds the entries since the last Settle.
+	added []*Entry
+	// forgotten is the state after the entries that are no longer kept, the last of which
+	// was accepted at forgottenAt.
+	forgotten   state
+	forgottenAt time.Time
+}
+
+// SetRate sets the rate in jobs per second. One that is not positive and finite means that
+// there is none. The jobs of the last minute are judged again.
+func (b *Bucket) SetRate(perSecond float64) {
+	var interval time.Duration
+	if perSecond > 0 && !math.IsInf(perSecond, 1) {
+		interval = hoist.DurationOf(1/perSecond, time.Second)
+	}
+	if interval != b.interval {
+		b.interval, b.settled = interval, 0
+	}
+}
+
+// Add adds a job that was accepted at a time.
+func (b *Bucket) Add(at time.Time, job hoist.JobID) *Entry {
+	e := &Entry{at: at, job: job}
+	b.added = append(b.added, e)
+	return e
+}
+
+// IsSettled reports whether Settle has nothing to do.
+func (b *Bucket) IsSettled() bool {
+	return len(b.added) == 0 && b.settled == len(b.entries)
+}
+
+// Settle judges the jobs that were added, and again those that were accepted after them.
+func (b *Bucket) Settle(now time.Time) {
+	slices.SortFunc(b.added, compareTimes)
+	for _, e := range b.added {
+		i, _ := slices.BinarySearchFunc(b.entries, e, compareTimes)
+		b.entries = slices.Insert(b.entries, i, e)
+		b.settled = min(b.settled, i)
+	}
+	clear(b.added)
+	b.added = b.added[:0]
+	before := b.forgotten
+	if b.settled > 0 {
+		before = b.entries[b.settled-1].after
+	}
+	for _, e := range b.entries[b.settled:] {
+		b.judge(e, before)
+		before = e.after
+	}
+	b.settled = len(b.entries)
+	b.forget(now)
+}
+
+// judge sets the results of an entry from the state of the bucket before it.
+func (b *Bucket) judge(e *Entry, before state) {
+	at := e.at
+	if at.Before(b.forgottenAt) {
+		at = b.forgottenAt
+	}
+	e.after, e.IsBeyond, e.CoveredAt = before, false, time.Time{}
+	next := latest(before.within, at)
+	if next.Sub(at) <= Burst {
+		e.after.within = next.Add(b.interval)
+		return
+	}
+	e.IsBeyond = true
+	e.after.beyond = latest(before.beyond, at).Add(b.interval)
+	e.CoveredAt = e.after.beyond
+}
+
+// forget removes old entries, whose jobs keep their results.
+func (b *Bucket) forget(now time.Time) {
+	n := 0
+	for n < len(b.entries) && now.Sub(b.entries[n].at) > memory {
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	last := b.entries[n-1]
+	b.forgotten, b.forgottenAt = last.after, latest(b.forgottenAt, last.at)
+	b.entries = slices.Delete(b.entries, 0, n)
+	b.settled -= n
+}
+
+// Compare orders jobs: those within their team's rate come first and are equal, and those
+// beyond it follow by the time at which their team's rate would have covered them. nil
+// stands for a job without a team, which is within every rate.
+func Compare(x, y *Entry) int {
+	isX, isY := x != nil && x.IsBeyond, y != nil && y.IsBeyond
+	switch {
+	case isX && isY:
+		return x.CoveredAt.Compare(y.CoveredAt)
+	case isX:
+		return 1
+	case isY:
+		return -1
+	default:
+		return 0
+	}
+}
+
+func compareTimes(x, y *Entry) int {
+	return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.job, y.job))
+}
+
+func latest(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// Len returns the number of jobs that are kept.
+func (b *Bucket) Len() int {
+	return len(b.entries)
+}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/rate"
 )
 
 const (
@@ -150,9 +151,11 @@
 }
 
 // inOrder returns the jobs that are not in a final phase and fulfil a condition, in
-// scheduling order: by priority, then jobs that can meet their objective before late
-// ones, then by the time of the objective.
+// scheduling order: jobs within the rate of their team before those beyond it, then by
+// priority, then jobs that can meet their objective before late ones, then by the time of
+// the objective.
 func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) []*Job {
+	sc.settleRates(now)
 	var out []*Job
 	for _, j := range sc.jobs {
 		if !j.Phase.IsFinal() && condition(j) {
@@ -161,6 +164,7 @@
 	}
 	slices.SortFunc(out, func(x, y *Job) int {
 		return cmp.Or(
+			rate.Compare(x.rate, y.rate),
 			-cmp.Compare(x.Plan.Queue.Priority, y.Plan.Queue.Priority),
 			cmp.Compare(x.lateness(now), y.lateness(now)),
 			x.due.Compare(y.due),
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -36,6 +36,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/rate"
 )
 
 // Phase is the scheduling state of a task.
@@ -175,8 +176,10 @@
 	// Ended is when the job reached its final phase.
 	Ended time.Time
 
-	// team is the team that the job is charged to, or nil.
+	// team is the team that the job is charged to, and rate the place of the job in the
+	// rate of the team. Both are nil if there is none.
 	team  *team
+	rate  *rate.Entry
 	steps map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
@@ -308,7 +311,7 @@
 		doubted:    make(map[hoist.WorkerID]*Worker),
 		orders:     make(map[hoist.ServiceName]*workerOrder),
 		speeds:     newSpeeds(),
-		teams:      teams{byID: make(map[hoist.TeamID]*team)},
+		teams:      teams{byID: make(map[hoist.TeamID]*team), unsettled: make(map[*team]bool)},
 	}
 }
 
@@ -360,9 +363,7 @@
 		j.changed = make(map[hoist.JobID]*Job)
 		sc.changed[p.Part] = j.changed
 	}
-	if p.Team != "" {
-		j.team = sc.team(p.Team)
-	}
+	sc.addToTeam(j)
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
 	j.updateDue()
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -1,10 +1,12 @@
 package sched
 
 import (
+	"time"
 	"unsafe"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/quota"
+	"fuchsiahoist.example/hoist/internal/decide/rate"
 )
 
 // team is what the scheduler knows of a team.
@@ -12,6 +14,8 @@
 	// account holds every attempt that may run: it is charged where a task gets a worker
 	// and refunded where the capacity on the worker is freed.
 	account quota.Account
+	// bucket judges which jobs are within the rate of the team.
+	bucket rate.Bucket
 }
 
 // teams holds the teams of the configuration and those of the jobs.
@@ -20,11 +24,13 @@
 	// isConfigured is set once the configuration was read, and configured is the last one.
 	isConfigured bool
 	configured   []hoist.TeamConfig
+	// unsettled holds the teams whose bucket has to be settled.
+	unsettled map[*team]bool
 }
 
-// SetTeams sets the quotas of the teams. Until it was called, no job that has a team is
-// started. A team that is no longer configured keeps its last quota, and one that never
-// was has none. The caller must not modify configured afterwards.
+// SetTeams sets the quotas and rates of the teams. Until it was called, no job that has a
+// team is started. A team that is no longer configured keeps its last ones, and one that
+// never was has none. The caller must not modify configured afterwards.
 func (sc *Scheduler) SetTeams(configured []hoist.TeamConfig) {
 	ts := &sc.teams
 	if ts.isConfigured && isSameSlice(ts.configured, configured) {
@@ -32,7 +38,12 @@
 	}
 	ts.isConfigured, ts.configured = true, configured
 	for _, c := range configured {
-		sc.team(c.Team).account.SetLimit(quota.LimitOf(c.Quota))
+		t := sc.team(c.Team)
+		t.account.SetLimit(quota.LimitOf(c.Quota))
+		t.bucket.SetRate(c.Weight)
+		if !t.bucket.IsSettled() {
+			ts.unsettled[t] = true
+		}
 	}
 }
 
@@ -53,6 +64,24 @@
 	return t
 }
 
+// addToTeam adds a new job to its team, if it has one.
+func (sc *Scheduler) addToTeam(j *Job) {
+	if j.Plan.Team == "" {
+		return
+	}
+	j.team = sc.team(j.Plan.Team)
+	j.rate = j.team.bucket.Add(j.Plan.Accepted, j.Plan.ID)
+	sc.teams.unsettled[j.team] = true
+}
+
+// settleRates judges which jobs are within the rate of their team.
+func (sc *Scheduler) settleRates(now time.Time) {
+	for t := range sc.teams.unsettled {
+		t.bucket.Settle(now)
+	}
+	clear(sc.teams.unsettled)
+}
+
 // TeamUsage returns what a team has running, and its quota.
 func (sc *Scheduler) TeamUsage(id hoist.TeamID) quota.Usage {
 	if t, ok := sc.teams.byID[id]; ok {
