Divide capacity among the teams of a priority by weight

When capacity was short, the team whose jobs came first got all of it. Within a priority, jobs of teams that hold more than their weighted share of what the competing teams hold now come after the others; shares are dominant shares and are compared as tasks are placed, so that one pass over much free capacity, or a wide step, does not exceed them either. A team competes if it has a task that is ready and fits into its quota. Jobs without a team, beyond the rate or of a team that does not compete keep the order of before. Nothing is stopped.

Shares are computed once a pass. Jobs whose team can start nothing are left out before their steps are looked at, and jobs beyond the rate are sorted by one number.

--- a/internal/decide/rate/rate.go
+++ b/internal/decide/rate/rate.go
@@ -7,7 +7,9 @@
 //	b.SetRate(weight)           // jobs per second, from the configuration
 //	e := b.Add(acceptedAt, job) // for each job, in any order
 //	b.Settle(now)               // before the entries are read
-//	c := rate.Compare(e, other) // the order in which jobs are served
+//	if e.IsBeyond {
+//		d := e.Excess(now) // the job with the smallest one is served next
+//	}
 //
 // # Rule
 //
@@ -159,21 +161,10 @@
 	b.settled -= n
 }
 
-// Compare orders jobs: those within their team's rate come first and are equal, and those
-// beyond it follow by the time at which their team's rate would have covered them. nil
-// stands for a job without a team, which is within every rate.
-func Compare(x, y *Entry) int {
-	isX, isY := x != nil && x.IsBeyond, y != nil && y.IsBeyond
-	switch {
-	case isX && isY:
-		return x.CoveredAt.Compare(y.CoveredAt)
-	case isX:
-		return 1
-	case isY:
-		return -1
-	default:
-		return 0
-	}
+// Excess returns how far a job beyond the rate is beyond it at a time: how long it takes
+// from then until the rate has covered it. It is negative once it has.
+func (e *Entry) Excess(now time.Time) time.Duration {
+	return e.CoveredAt.Sub(now)
 }
 
 func compareTimes(x, y *Entry) int {
--- a/internal/decide/rate/rate_test.go
+++ b/internal/decide/rate/rate_test.go
@@ -57,9 +57,7 @@
 	is.True(within >= 16*10)        // the rate
 	is.True(within <= 16*10+5*10+1) // and the burst
 	is.Equal(countBeyond(fill(&b, evenly(17*time.Second, 40*time.Second, 10)...)), 0)
-	is.True(rate.Compare(burst[0], burst[1279]) < 0)
-	is.True(rate.Compare(burst[1278], burst[1279]) < 0) // farther beyond
-	is.Equal(rate.Compare(nil, burst[0]), 0)
+	is.True(burst[1278].Excess(start) < burst[1279].Excess(start)) // farther beyond
 }
 
 // TestRates guards against rates that are not valid, or very small, and overflow.
--- a/internal/decide/sched/occurrences.go
+++ b/internal/decide/sched/occurrences.go
@@ -58,7 +58,8 @@
 	sc.open.beginnable, sc.open.delayed = maxBegunPerTick, 0
 	jobs := maps.Values(sc.jobs)
 	if sc.open.isFull {
-		jobs = slices.Values(sc.inOrder(now, func(*Job) bool { return true }))
+		within, beyond := sc.inOrder(now, func(*Job) bool { return true })
+		jobs = slices.Values(append(within, beyond...))
 	}
 	sc.open.isFull = false
 	for j := range jobs {
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -6,7 +6,6 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
-	"fuchsiahoist.example/hoist/internal/decide/rate"
 )
 
 const (
@@ -55,10 +54,11 @@
 	}
 	sc.findUsableWorkers(now)
 	reserve = sc.limitReserve(reserve)
-	for _, j := range sc.inOrder(now, (*Job).hasWaiting) {
+	within, beyond := sc.inOrder(now, (*Job).hasWaiting)
+	for j := range sc.inFairOrder(within, beyond) {
 		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
-			if sc.startable(s) == 0 {
+			if !sc.fitsQuota(s) {
 				continue
 			}
 			sc.placeTasks(s, now)
@@ -151,27 +151,31 @@
 }
 
 // inOrder returns the jobs that are not in a final phase and fulfil a condition, in
-// scheduling order: jobs within the rate of their team before those beyond it, then by
-// priority, then jobs that can meet their objective before late ones, then by the time of
-// the objective.
-func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) []*Job {
+// scheduling order: those within the rate of their team, and then those beyond it. Those
+// within are sorted by priority, then jobs that can meet their objective before late ones,
+// then by the time of the objective.
+func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) (within, beyond []*Job) {
 	sc.settleRates(now)
-	var out []*Job
 	for _, j := range sc.jobs {
-		if !j.Phase.IsFinal() && condition(j) {
-			out = append(out, j)
+		switch {
+		case j.Phase.IsFinal() || !condition(j):
+		case j.rate != nil && j.rate.IsBeyond:
+			beyond = append(beyond, j)
+		default:
+			within = append(within, j)
 		}
 	}
-	slices.SortFunc(out, func(x, y *Job) int {
+	compare := func(x, y *Job) int {
 		return cmp.Or(
-			rate.Compare(x.rate, y.rate),
 			-cmp.Compare(x.Plan.Queue.Priority, y.Plan.Queue.Priority),
 			cmp.Compare(x.lateness(now), y.lateness(now)),
 			x.due.Compare(y.due),
 			cmp.Compare(x.Plan.ID, y.Plan.ID),
 		)
-	})
-	return out
+	}
+	slices.SortFunc(within, compare)
+	sortByExcess(beyond, now, compare)
+	return within, beyond
 }
 
 // lateness returns 0 before the objective of the job, 1 while it is late, and
--- a/internal/decide/sched/rates_test.go
+++ b/internal/decide/sched/rates_test.go
@@ -71,6 +71,7 @@
 				c.scheduler.Add(p, 1, c.now)
 				c.wantStarts(c.pass(), 0)
 			}
+			c.now = start.Add(time.Second)
 			c.addWorkers("w1")
 			return fmt.Sprint(c.startOrder(len(plans)))
 		}
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -178,9 +178,11 @@
 
 	// team is the team that the job is charged to, and rate the place of the job in the
 	// rate of the team. Both are nil if there is none.
-	team  *team
-	rate  *rate.Entry
-	steps map[stepKey]*StepTasks
+	team *team
+	rate *rate.Entry
+	// leastNeed is the least that any task of a job with a team needs of each resource.
+	leastNeed hoist.Resources
+	steps     map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
 	// steps are not done.
@@ -252,6 +254,7 @@
 	superseded map[hoist.TaskRun]*Task
 	speeds     speeds
 	teams      teams
+	fair       fairness
 	// earlierLeasesExpire is when all leases granted by earlier owners have
 	// expired. Recovered attempts on workers that stay unreachable are
 	// considered ended from then on.
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 	"unsafe"
 
@@ -16,8 +19,14 @@
 	account quota.Account
 	// bucket judges which jobs are within the rate of the team.
 	bucket rate.Bucket
+	// weight is the weight of the team among those that compete for capacity.
+	weight      float64
+	competition competition
 }
 
+// defaultWeight is the weight of a team without a valid one.
+const defaultWeight = 1
+
 // teams holds the teams of the configuration and those of the jobs.
 type teams struct {
 	byID map[hoist.TeamID]*team
@@ -41,6 +50,10 @@
 		t := sc.team(c.Team)
 		t.account.SetLimit(quota.LimitOf(c.Quota))
 		t.bucket.SetRate(c.Weight)
+		t.weight = defaultWeight
+		if c.Weight > 0 && !math.IsInf(c.Weight, 1) {
+			t.weight = c.Weight
+		}
 		if !t.bucket.IsSettled() {
 			ts.unsettled[t] = true
 		}
@@ -57,7 +70,7 @@
 func (sc *Scheduler) team(id hoist.TeamID) *team {
 	t, ok := sc.teams.byID[id]
 	if !ok {
-		t = &team{}
+		t = &team{weight: defaultWeight}
 		t.account.SetLimit(quota.Unlimited)
 		sc.teams.byID[id] = t
 	}
@@ -72,6 +85,22 @@
 	j.team = sc.team(j.Plan.Team)
 	j.rate = j.team.bucket.Add(j.Plan.Accepted, j.Plan.ID)
 	sc.teams.unsettled[j.team] = true
+	for i := range j.Plan.Steps {
+		need := j.Plan.Steps[i].Need
+		if i == 0 {
+			j.leastNeed = need
+		}
+		j.leastNeed.CPU = min(j.leastNeed.CPU, need.CPU)
+		j.leastNeed.Memory = min(j.leastNeed.Memory, need.Memory)
+		j.leastNeed.Accel = min(j.leastNeed.Accel, need.Accel)
+	}
+}
+
+// isBlocked reports whether no task of a job may start whatever the workers have free, as
+// the configuration is not known or the quota of its team has no room for any of them. It
+// saves looking at the steps of jobs that wait for a quota.
+func (sc *Scheduler) isBlocked(j *Job) bool {
+	return j.team != nil && (!sc.teams.isConfigured || j.team.account.Startable(j.leastNeed) == 0)
 }
 
 // settleRates judges which jobs are within the rate of their team.
@@ -90,36 +119,75 @@
 	return quota.Usage{Limit: quota.Unlimited}
 }
 
+func (t *team) charge(need hoist.Resources) {
+	t.account.Charge(need)
+	t.competition.isMeasured = false
+}
+
+func (t *team) refund(need hoist.Resources) {
+	t.account.Refund(need)
+	t.competition.isMeasured = false
+}
+
 // charge charges an attempt at a task of a step to the team of its job. A best-effort
 // task counts the CPU that it declares: it can use that much.
 func (s *StepTasks) charge() {
 	if s.Job.team != nil {
-		s.Job.team.account.Charge(s.Step.Need)
+		s.Job.team.charge(s.Step.Need)
 	}
 }
 
 // refund undoes charge.
 func (s *StepTasks) refund() {
 	if s.Job.team != nil {
-		s.Job.team.account.Refund(s.Step.Need)
+		s.Job.team.refund(s.Step.Need)
 	}
 }
 
-// startable returns how many tasks of a step the quota of its team allows to start.
-// All tasks of a gang start, or none.
+// startable returns how many tasks of a step the quota of its team, and its share while
+// teams may only reach theirs, allow to start.
 func (sc *Scheduler) startable(s *StepTasks) int {
 	t := s.Job.team
 	if t == nil {
 		return len(s.Tasks)
 	}
-	if !sc.teams.isConfigured {
-		return 0
+	return sc.withinShare(s, t.account.Startable(s.Step.Need))
+}
+
+// fitsQuota reports whether the quota of its team allows a task of a step to start, or
+// all tasks of a gang.
+func (sc *Scheduler) fitsQuota(s *StepTasks) bool {
+	t := s.Job.team
+	if t == nil {
+		return true
+	}
+	required := 1
+	if s.Step.IsGang {
+		required = len(s.Tasks)
 	}
-	n := t.account.Startable(s.Step.Need)
-	if s.Step.IsGang && n < len(s.Tasks) {
-		return 0
+	return t.account.Startable(s.Step.Need) >= required
+}
+
+// sortByExcess sorts jobs by how far they are beyond the rate of their team, and equal ones
+// by a given order.
+func sortByExcess(jobs []*Job, now time.Time, compare func(x, y *Job) int) {
+	type keyed struct {
+		*Job
+		excess time.Duration
+	}
+	keys := make([]keyed, len(jobs))
+	for i, j := range jobs {
+		keys[i] = keyed{j, j.rate.Excess(now)}
+	}
+	slices.SortFunc(keys, func(x, y keyed) int {
+		if x.excess != y.excess {
+			return cmp.Compare(x.excess, y.excess)
+		}
+		return compare(x.Job, y.Job)
+	})
+	for i, k := range keys {
+		jobs[i] = k.Job
 	}
-	return n
 }
 
 // exceedsQuota reports whether the team of a job has more running than its quota, as the
@@ -149,7 +217,7 @@
 			continue
 		}
 		c := orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}
-		c.team.account.Charge(c.need)
+		c.team.charge(c.need)
 		w.orphanCharges = append(w.orphanCharges, c)
 	}
 }
@@ -157,7 +225,7 @@
 // refundOrphans undoes chargeOrphans.
 func (w *Worker) refundOrphans() {
 	for _, c := range w.orphanCharges {
-		c.team.account.Refund(c.need)
+		c.team.refund(c.need)
 	}
 	w.orphanCharges = w.orphanCharges[:0]
 }
