Show operators the usage, the shares and the rate of each team

An operator could not tell why the jobs of a team wait. Once a second the owner reports for each team the waiting jobs with the reason, usage and quota, and the share that it holds beside its fair share: as metrics of at most 100 teams, the others summed up as one, and as events 640 to 646, at most one line of a kind in 10 s for each of at most 100 teams. The metrics end with the ownership.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -150,6 +150,17 @@
 	RunEndedLate         = register(632, slog.LevelWarn, "worker listed the end of an attempt that had counted as ended")
 )
 
+// Events of teams: 640 to 659.
+var (
+	TeamAtQuota      = register(640, slog.LevelInfo, "jobs of a team wait for its quota")
+	TeamBelowQuota   = register(641, slog.LevelInfo, "no job of a team waits for its quota any more")
+	TeamBeyondRate   = register(642, slog.LevelInfo, "jobs of a team are beyond its rate and wait behind all others")
+	TeamWithinRate   = register(643, slog.LevelInfo, "no waiting job of a team is beyond its rate any more")
+	TeamJobsTooLarge = register(644, slog.LevelWarn, "gangs of a team need more than its whole quota and cannot start")
+	TeamsUnknown     = register(645, slog.LevelWarn, "jobs of teams wait until the configuration can be read")
+	TeamsKnown       = register(646, slog.LevelInfo, "configuration of the teams was read")
+)
+
 // Events of the configuration: 500 to 599.
 var (
 	ConfigAccepted    = register(500, slog.LevelInfo, "accepted a configuration")
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -25,6 +25,7 @@
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
+	teams    *teamMetrics
 }
 
 // NewPlans returns the metrics of a host. dropped returns the number of dropped log
@@ -66,6 +67,7 @@
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
 	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
+	p.teams = newTeamMetrics(p.registry)
 	return p
 }
 
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -111,6 +111,8 @@
 	// often handling a plan has panicked.
 	quarantined map[hoist.JobID]hoist.PartName
 	failures    map[hoist.JobID]int
+	// teamLog is what was last reported about the teams.
+	teamLog teamLog
 	// isDelaying is set while occurrences that are due wait.
 	isDelaying bool
 	links      map[hoist.WorkerID]*link
@@ -156,6 +158,9 @@
 	wg.Go(func() { d.Guard.Loop(ctx, workPass, func() { d.passLoop(ctx) }) })
 	wg.Wait()
 	d.calls.Wait()
+	if d.Metrics != nil {
+		d.Metrics.SetTeams(nil)
+	}
 }
 
 func (d *Driver) prepare() {
@@ -242,6 +247,7 @@
 			}
 		}
 		d.reportBacklog(ctx)
+		d.reportTeams(ctx, now)
 	})
 	return due
 }
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -239,6 +239,9 @@
 // SetBacklog implements hoist.PlanMetrics.
 func (*planSim) SetBacklog(int, int, int) {}
 
+// SetTeams implements hoist.PlanMetrics.
+func (*planSim) SetTeams([]hoist.TeamUsage) {}
+
 // ObserveWait implements hoist.PlanMetrics.
 func (s *planSim) ObserveWait(_ hoist.QueueName, d time.Duration) {
 	s.mu.Lock()
--- a/runner.go
+++ b/runner.go
@@ -189,4 +189,6 @@
 	// SetBacklog records how many tasks the owner holds, how many occurrences are due
 	// and wait because of its limits, and how many plans are quarantined.
 	SetBacklog(openTasks, delayedOccurrences, quarantined int)
+	// SetTeams records what the owner knows of the teams that have jobs.
+	SetTeams(teams []TeamUsage)
 }
