Reserve the quota of a team for a step that does not fit into the rest

A gang or a large task of a team at its quota waited forever while smaller jobs of the team took whatever became free. The first ready step in the order that does not fit now reserves the resources that it lacks for the rest of the pass. A step that needs more than half of the quota reserves nothing: jobs would wait for it while their team uses less than half.

--- a/internal/decide/sched/fair.go
+++ b/internal/decide/sched/fair.go
@@ -49,7 +49,13 @@
 		return slices.Values(within)
 	}
 	return func(yieldAny func(*Job) bool) {
-		yield := func(j *Job) bool { return sc.isBlocked(j) || yieldAny(j) }
+		yield := func(j *Job) bool {
+			if sc.isBlocked(j) {
+				sc.reserveQuota(j)
+				return true
+			}
+			return yieldAny(j)
+		}
 		defer func() { sc.fair.isBounded = false }()
 		for len(within) > 0 {
 			n := 1
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -59,6 +59,7 @@
 		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
 			if !sc.fitsQuota(s) {
+				sc.reserveQuota(j)
 				continue
 			}
 			sc.placeTasks(s, now)
--- /dev/null
+++ b/internal/decide/sched/reserve.go
@@ -0,0 +1,71 @@
+package sched
+
+import hoist "fuchsiahoist.example/hoist"
+
+// reservation keeps the rest of a team's quota for a step that does not fit into it, during
+// the pass with number passNo. Without it, smaller jobs of the team that come later in the
+// order would take whatever becomes free, and a gang or a large task would wait forever.
+type reservation struct {
+	passNo uint64
+	// isShort tells of each resource whether the step lacks it.
+	isShort [3]bool
+}
+
+// amounts returns the amounts of the resources.
+func amounts(r hoist.Resources) [3]int64 {
+	return [...]int64{int64(r.CPU), int64(r.Memory), int64(r.Accel)}
+}
+
+// reserveQuota reserves the rest of the quota for the first ready step of a job that does
+// not fit into it.
+func (sc *Scheduler) reserveQuota(j *Job) {
+	if !sc.teams.isConfigured || sc.hasReservation(j.team) {
+		return
+	}
+	for _, s := range j.readySteps() {
+		if !sc.fitsQuota(s) && sc.reserve(s) {
+			return
+		}
+	}
+}
+
+// hasReservation reports whether the rest of the quota of a team is reserved in this pass.
+func (sc *Scheduler) hasReservation(t *team) bool {
+	return t.reservation.passNo == sc.passNo && t.reservation != reservation{}
+}
+
+// reserve reserves the rest of the quota of a team for a step. It reports false if the step
+// needs more than half of the quota: jobs must not wait for such a step while their team
+// uses less than half of its quota. For others, the team uses more than half of it.
+func (sc *Scheduler) reserve(s *StepTasks) bool {
+	t, n := s.Job.team, int64(1)
+	if s.Step.IsGang {
+		n = int64(len(s.Tasks))
+	}
+	u := t.account.Usage()
+	need, used, limit := amounts(s.Step.Need), amounts(u.Used), amounts(u.Limit)
+	r := reservation{passNo: sc.passNo}
+	for i := range need {
+		if n*need[i] > limit[i]/2 {
+			return false
+		}
+		r.isShort[i] = need[i] > 0 && n*need[i] > limit[i]-used[i]
+	}
+	t.reservation = r
+	return true
+}
+
+// isReserved reports whether a resource that a step needs is reserved for an earlier one of
+// its team.
+func (sc *Scheduler) isReserved(s *StepTasks) bool {
+	t := s.Job.team
+	if !sc.hasReservation(t) {
+		return false
+	}
+	for i, need := range amounts(s.Step.Need) {
+		if need > 0 && t.reservation.isShort[i] {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -22,6 +22,7 @@
 	// weight is the weight of the team among those that compete for capacity.
 	weight      float64
 	competition competition
+	reservation reservation
 }
 
 // defaultWeight is the weight of a team without a valid one.
@@ -165,7 +166,7 @@
 	if s.Step.IsGang {
 		required = len(s.Tasks)
 	}
-	return t.account.Startable(s.Step.Need) >= required
+	return t.account.Startable(s.Step.Need) >= required && !sc.isReserved(s)
 }
 
 // sortByExcess sorts jobs by how far they are beyond the rate of their team, and equal ones
