Check quotas without divisions, and name the terms of teams

The scheduler asks for each waiting job whether a task fits into the quota. The replay of takeovers also checks that nothing stays charged once all jobs have ended.

--- a/internal/decide/quota/account.go
+++ b/internal/decide/quota/account.go
@@ -82,3 +82,16 @@
 	}
 	return a.Room(need)
 }
+
+// CanStart reports whether n tasks with the given need may start together. It is Startable
+// without its divisions, as the scheduler asks for each waiting job in each pass.
+func (a *Account) CanStart(need hoist.Resources, n int) bool {
+	if a.tasks == 0 && n == 1 {
+		return true
+	}
+	if !a.used.Fits(a.limit) {
+		return false
+	}
+	left, count := a.limit.Sub(a.used), int64(n)
+	return int64(need.CPU)*count <= int64(left.CPU) && int64(need.Memory)*count <= int64(left.Memory) && int64(need.Accel)*count <= int64(left.Accel)
+}
--- a/internal/decide/quota/account_test.go
+++ b/internal/decide/quota/account_test.go
@@ -39,6 +39,8 @@
 				a.Charge(need)
 			}
 			is.Equal(a.Startable(need), c.want)
+			is.True(c.want == 0 || a.CanStart(need, c.want))
+			is.True(!a.CanStart(need, c.want+1) || c.want == math.MaxInt32)
 		})
 	}
 }
--- a/internal/decide/sched/replay_test.go
+++ b/internal/decide/sched/replay_test.go
@@ -67,7 +67,7 @@
 }
 
 // submitPlan accepts a plan now.
-func (r *replay) submitPlan(team hoist.TeamID, priority hoist.Priority, steps ...hoist.Step) hoist.JobID {
+func (r *replay) submitPlan(team hoist.TeamID, priority hoist.Priority, steps ...hoist.Step) {
 	id := hoist.JobID(fmt.Sprintf("%06d", len(r.plans)))
 	p := hoist.Plan{ID: id, Team: team, Queue: queue, Steps: steps, Accepted: r.now}
 	p.Queue.Priority = priority
@@ -75,7 +75,6 @@
 	r.states[id] = hoist.PlanState{Queue: queue.Name, Team: team, Phase: hoist.PlanQueued}
 	r.idle[id] = r.now
 	r.scheduler.Add(p, 1, r.now)
-	return id
 }
 
 // runFor lets the cell work for some time. Before each pass it calls submit, which may be
@@ -418,4 +417,9 @@
 	if used, _ := r.used("a"); used < 11_000 {
 		t.Errorf("team a uses %d mCPU after the takeovers, expected its quota of 12000", used)
 	}
+	r.runFor(20*time.Second, nil)
+	r.is.Equal(len(r.states), 0) // all jobs have ended
+	for _, c := range configs {
+		r.is.Equal(r.scheduler.TeamUsage(c.Team).Tasks, 0) // and nothing is charged any more
+	}
 }
--- a/internal/decide/sched/reserve_test.go
+++ b/internal/decide/sched/reserve_test.go
@@ -30,7 +30,7 @@
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
 			c := newCell(t, "w1", "w2")
-			c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 8000)})
+			c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(8000)})
 			c.submitMany("a", "0", 8, step(1))
 			running := c.run()
 			c.wantStarts(running, 8)
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -29,6 +29,12 @@
 // worker gets no new lease until it has answered a stop of that attempt. An end is
 // acknowledged to the worker only after it was recorded.
 //
+// # Teams
+//
+// No start brings what may run for a team above its quota, except for one task alone. Jobs
+// beyond the rate of their team come after all others, and within a priority the teams
+// share the capacity by weight. docs/design/quotas.md has the rules.
+//
 // Scheduler is not safe for concurrent use and reads no clock.
 package sched
 
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -101,7 +101,7 @@
 // the configuration is not known or the quota of its team has no room for any of them. It
 // saves looking at the steps of jobs that wait for a quota.
 func (sc *Scheduler) isBlocked(j *Job) bool {
-	return j.team != nil && (!sc.teams.isConfigured || j.team.account.Startable(j.leastNeed) == 0)
+	return j.team != nil && (!sc.teams.isConfigured || !j.team.account.CanStart(j.leastNeed, 1))
 }
 
 // settleRates judges which jobs are within the rate of their team.
@@ -166,7 +166,7 @@
 	if s.Step.IsGang {
 		required = len(s.Tasks)
 	}
-	return t.account.Startable(s.Step.Need) >= required && !sc.isReserved(s)
+	return t.account.CanStart(s.Step.Need, required) && !sc.isReserved(s)
 }
 
 // sortByExcess sorts jobs by how far they are beyond the rate of their team, and equal ones
--- a/internal/decide/sched/teams_test.go
+++ b/internal/decide/sched/teams_test.go
@@ -9,9 +9,9 @@
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
-// teamConfig returns the configuration of a team with a quota of CPU.
-func teamConfig(id hoist.TeamID, cpu hoist.MilliCPU) hoist.TeamConfig {
-	return hoist.TeamConfig{Team: id, Weight: 1, Quota: hoist.Resources{CPU: cpu}}
+// quotaOfA returns the configuration of team a with a quota of CPU.
+func quotaOfA(cpu hoist.MilliCPU) hoist.TeamConfig {
+	return hoist.TeamConfig{Team: "a", Weight: 1, Quota: hoist.Resources{CPU: cpu}}
 }
 
 // submitAs adds a plan of a team.
@@ -19,11 +19,11 @@
 	c.scheduler.Add(hoist.Plan{ID: id, Team: team, Queue: queue, Steps: steps, Accepted: c.now}, 1, c.now)
 }
 
-// wantUsed fails unless a team has the given CPU charged.
-func (c *cell) wantUsed(team hoist.TeamID, cpu hoist.MilliCPU) {
+// wantUsed fails unless team a has the given CPU charged.
+func (c *cell) wantUsed(cpu hoist.MilliCPU) {
 	c.t.Helper()
-	if got := c.scheduler.TeamUsage(team).Used.CPU; got != cpu {
-		c.t.Fatalf("team %s is charged %d mCPU, expected %d", team, got, cpu)
+	if got := c.scheduler.TeamUsage("a").Used.CPU; got != cpu {
+		c.t.Fatalf("the team is charged %d mCPU, expected %d", got, cpu)
 	}
 }
 
@@ -59,7 +59,7 @@
 			c.submitAs("a", "p", k.step)
 			c.wantStarts(c.run(), k.starts)
 			c.wantStarts(c.run(), 0)
-			c.wantUsed("a", hoist.MilliCPU(k.starts)*1000)
+			c.wantUsed(hoist.MilliCPU(k.starts) * 1000)
 		})
 	}
 }
@@ -68,13 +68,13 @@
 // and holds up jobs of other teams behind it, or smaller ones of its own.
 func TestQuotaBlocksOneTeamOnly(t *testing.T) {
 	c := newCell(t, "w1", "w2")
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 1500)})
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(1500)})
 	c.submitAs("a", "p1", step(3))
 	c.submitAs("a", "p2", step(2, needs(250)))
 	c.submitAs("b", "p3", step(1))
 	c.submit("p4", queue, step(1))
 	c.wantStarts(c.run(), 5)
-	c.wantUsed("a", 1500)
+	c.wantUsed(1500)
 }
 
 // TestNoStartsBeforeConfiguration guards against starts beyond a quota that the owner has
@@ -92,11 +92,11 @@
 // raised quota without effect, and a team that loses its quota with its configuration.
 func TestQuotaChanges(t *testing.T) {
 	c := newCell(t, "w1", "w2")
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 4000)})
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(4000)})
 	c.submitAs("a", "p", step(12))
 	starts := c.run()
 	c.wantStarts(starts, 4)
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 2000)})
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(2000)})
 	c.wantStarts(c.run(), 0)
 	c.is.Equal(len(c.stops), 0)
 	ends := make(map[hoist.WorkerID]hoist.EndNo)
@@ -110,7 +110,7 @@
 	c.wantStarts(c.run(), 2)
 	c.scheduler.SetTeams(nil)
 	c.wantStarts(c.run(), 0) // the last known quota counts
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 5000)})
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(5000)})
 	c.wantStarts(c.run(), 3)
 }
 
@@ -118,14 +118,14 @@
 // quota was lowered.
 func TestQuotaLoweredBeforeStart(t *testing.T) {
 	c := newCell(t, "w1")
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 4000)})
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(4000)})
 	c.submitAs("a", "p", step(4))
 	c.now = c.now.Add(time.Millisecond)
 	c.scheduler.Pass(c.now, nil)
-	c.wantUsed("a", 4000)
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 1000)})
+	c.wantUsed(4000)
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(1000)})
 	c.wantStarts(c.record(), 1)
-	c.wantUsed("a", 1000)
+	c.wantUsed(1000)
 }
 
 // TestQuotaCountsWhatMayRun guards against attempts that may run and are not charged, and
@@ -161,7 +161,7 @@
 		}},
 		{"attempt that nothing expects", func(c *cell, s sched.Start) (hoist.MilliCPU, func()) {
 			c.reportEnd(1, s, hoist.EndDone)
-			c.wantUsed("a", 0)
+			c.wantUsed(0)
 			c.report("w2", hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: s.Run}}})
 			return 1000, func() { c.report("w2", hoist.RunnerReport{Incarnation: 1}) }
 		}},
@@ -177,15 +177,15 @@
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
 			c := newCell(t, "w1", "w2")
-			c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 1000)})
+			c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(1000)})
 			c.submitAs("a", "p", step(1))
 			starts := c.pass()
 			c.wantStarts(starts, 1)
-			c.wantUsed("a", 1000)
+			c.wantUsed(1000)
 			charged, end := k.prepare(c, starts[0])
-			c.wantUsed("a", charged)
+			c.wantUsed(charged)
 			end()
-			c.wantUsed("a", 0)
+			c.wantUsed(0)
 		})
 	}
 }
@@ -202,7 +202,7 @@
 		state.Steps[0].Placed = append(state.Steps[0].Placed, hoist.PlacedRun{Index: i, Attempt: 1, Worker: hoist.WorkerID(fmt.Sprint("gone", i))})
 	}
 	c.scheduler.Restore(p, state, 2, c.now)
-	c.scheduler.SetTeams([]hoist.TeamConfig{teamConfig("a", 3000)})
-	c.wantUsed("a", 2000)
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(3000)})
+	c.wantUsed(2000)
 	c.wantStarts(c.run(), 1)
 }
