--- a/internal/decide/sched/explain.go
+++ b/internal/decide/sched/explain.go
@@ -24,7 +24,9 @@
 // maxCandidates workers for each step. It places the plan with the code of a pass, in a
 // copy of the scheduler, and changes nothing. Advice is taken to allow all workers.
 func (sc *Scheduler) Explain(p hoist.Plan, maxCandidates int, now time.Time) hoist.PlanExplanation {
+	sc.settleRates(now)
 	dry := sc.copyForExplain()
+	dry.copyTeam(p.Team)
 	// No plan has an empty id. Accepted plans of the same time come after it.
 	p.ID, p.Occurrences, p.Accepted = "", 0, now
 	p.Queue.Advice = hoist.AdviserConfig{}
@@ -34,8 +36,9 @@
 		dry.addStepTasks(j, 0, hoist.StepNo(no))
 	}
 	dry.findUsableWorkers(now)
-	order := dry.inOrder(now, (*Job).hasWaiting)
-	out := hoist.PlanExplanation{Term: sc.term, Waiting: len(order) - 1, Ahead: max(0, slices.Index(order, j))}
+	within, beyond := dry.inOrder(now, (*Job).hasWaiting)
+	order := slices.Concat(within, beyond)
+	out := hoist.PlanExplanation{Term: sc.term, Waiting: len(order) - 1, Ahead: max(0, slices.Index(order, j)), Team: sc.standing(j)}
 	dry.claimAhead(order[:out.Ahead], p.Queue.Service)
 	e := explainer{dry: dry, now: now, maxCandidates: maxCandidates, ends: make([]time.Duration, len(p.Steps))}
 	for no := range p.Steps {
@@ -67,6 +70,32 @@
 	return &dry
 }
 
+// copyTeam replaces a team by a copy, to which a job can be added without any effect on
+// the original.
+func (sc *Scheduler) copyTeam(id hoist.TeamID) {
+	sc.teams.byID = maps.Clone(sc.teams.byID)
+	sc.teams.unsettled = make(map[*team]bool)
+	if t, ok := sc.teams.byID[id]; ok {
+		c := *t
+		c.bucket = t.bucket.Clone()
+		sc.teams.byID[id] = &c
+	}
+}
+
+// standing returns what the team of a job of a copy uses and may use.
+func (sc *Scheduler) standing(j *Job) hoist.TeamStanding {
+	if j.team == nil {
+		return hoist.TeamStanding{}
+	}
+	out := hoist.TeamStanding{Team: j.Plan.Team, IsBeyondRate: j.rate.IsBeyond}
+	for _, u := range sc.Teams() {
+		if u.Team == j.Plan.Team {
+			out.Used, out.Quota, out.Share, out.FairShare = u.Used, u.Quota, u.Share, u.FairShare
+		}
+	}
+	return out
+}
+
 // maxForecastPlaces bounds the places that a forecast counts. More than that are claimed
 // only if tiny tasks wait behind large ones.
 const maxForecastPlaces = 20_000
--- a/internal/decide/sched/explain_test.go
+++ b/internal/decide/sched/explain_test.go
@@ -30,13 +30,21 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		asked, other := newCell(t, "w1", "w2", "w3", "w4"), newCell(t, "w1", "w2", "w3", "w4")
 		is := is.NewRelaxed(rt)
+		teams := []hoist.TeamConfig{{Team: "a", Weight: 0.5, Quota: hoist.Resources{CPU: 3000}}, {Team: "b", Weight: 2}}
+		asked.scheduler.SetTeams(teams)
+		other.scheduler.SetTeams(teams)
 		for i := range rapid.IntRange(1, 8).Draw(rt, "plans") {
 			id, s := hoist.JobID(fmt.Sprint("p", i)), drawStep(rt)
+			team := rapid.SampledFrom([]hoist.TeamID{"", "a", "b"}).Draw(rt, "team")
 			q := rapid.SampledFrom([]hoist.Queue{queue, advised}).Draw(rt, "queue")
-			p := hoist.Plan{Queue: queue, Steps: []hoist.Step{drawStep(rt), step(1, after)}}
+			p := hoist.Plan{Queue: queue, Team: "a", Steps: []hoist.Step{drawStep(rt), step(1, after)}}
 			asked.scheduler.Explain(p, 100, asked.now)
 			for _, c := range []*cell{asked, other} {
-				c.submit(id, q, s, step(1, after))
+				if team == "" {
+					c.submit(id, q, s, step(1, after))
+				} else {
+					c.submitAs(team, id, s, step(1, after))
+				}
 			}
 			is.Equal(asked.run(), other.run()) // the same starts
 			is.Equal(asked.requests, other.requests)
@@ -46,6 +54,7 @@
 		asked.scheduler.Explain(hoist.Plan{Queue: queue, Steps: []hoist.Step{drawStep(rt)}}, 100, asked.now)
 		is.Equal(asked.scheduler.Unrecorded("", true, 100, asked.now), other.scheduler.Unrecorded("", true, 100, other.now))
 		is.Equal(asked.scheduler.Backlog(), other.scheduler.Backlog())
+		is.Equal(asked.scheduler.Teams(), other.scheduler.Teams())
 		is.Equal(asked.scheduler.NumJobs(), other.scheduler.NumJobs())
 		is.Equal(asked.scheduler.TakeNearWaits(), other.scheduler.TakeNearWaits())
 	})
@@ -151,3 +160,19 @@
 	p.Steps = []hoist.Step{step(1, func(s *hoist.Step) { s.Need.CPU = 9000 })}
 	is.True(!c.scheduler.Explain(p, 1, c.now).Steps[0].IsStartKnown)
 }
+
+// TestExplainTeam guards against an explanation without the usage of the team, or one that
+// does not tell that the plan would be beyond the team's rate.
+func TestExplainTeam(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, "w1")
+	c.scheduler.SetTeams([]hoist.TeamConfig{{Team: "a", Weight: 0.1, Quota: hoist.Resources{CPU: 3000}}})
+	c.submitAs("a", "first", step(2))
+	c.run()
+	got := c.scheduler.Explain(hoist.Plan{Queue: queue, Team: "a", Steps: []hoist.Step{step(1)}}, 1, c.now).Team
+	is.Equal(got.Team, hoist.TeamID("a"))
+	is.Equal(got.Used.CPU, hoist.MilliCPU(2000))
+	is.Equal(got.Quota.CPU, hoist.MilliCPU(3000))
+	is.True(got.IsBeyondRate) // a tenth of a plan a second does not cover a second plan
+	is.Equal(c.scheduler.Explain(hoist.Plan{Queue: queue, Steps: []hoist.Step{step(1)}}, 1, c.now).Team, hoist.TeamStanding{})
+}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -54,9 +54,14 @@
 	}
 	sc.findUsableWorkers(now)
 	reserve = sc.limitReserve(reserve)
-	for _, j := range sc.inOrder(now, (*Job).hasWaiting) {
+	within, beyond := sc.inOrder(now, (*Job).hasWaiting)
+	for j := range sc.inFairOrder(within, beyond) {
 		sc.Handling = j.Plan.ID
 		for _, s := range j.readySteps() {
+			if !sc.fitsQuota(s) {
+				sc.reserveQuota(j)
+				continue
+			}
 			sc.placeTasks(s, now)
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
 				if adviceRequest, ok := sc.adviceRequest(s, false, reserve, now); ok {
@@ -147,24 +152,31 @@
 }
 
 // inOrder returns the jobs that are not in a final phase and fulfil a condition, in
-// scheduling order: by priority, then jobs that can meet their objective before late
-// ones, then by the time of the objective.
-func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) []*Job {
-	var out []*Job
+// scheduling order: those within the rate of their team, and then those beyond it. Those
+// within are sorted by priority, then jobs that can meet their objective before late ones,
+// then by the time of the objective.
+func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) (within, beyond []*Job) {
+	sc.settleRates(now)
 	for _, j := range sc.jobs {
-		if !j.Phase.IsFinal() && condition(j) {
-			out = append(out, j)
+		switch {
+		case j.Phase.IsFinal() || !condition(j):
+		case j.rate != nil && j.rate.IsBeyond:
+			beyond = append(beyond, j)
+		default:
+			within = append(within, j)
 		}
 	}
-	slices.SortFunc(out, func(x, y *Job) int {
+	compare := func(x, y *Job) int {
 		return cmp.Or(
 			-cmp.Compare(x.Plan.Queue.Priority, y.Plan.Queue.Priority),
 			cmp.Compare(x.lateness(now), y.lateness(now)),
 			x.due.Compare(y.due),
 			cmp.Compare(x.Plan.ID, y.Plan.ID),
 		)
-	})
-	return out
+	}
+	slices.SortFunc(within, compare)
+	sortByExcess(beyond, now, compare)
+	return within, beyond
 }
 
 // lateness returns 0 before the objective of the job, 1 while it is late, and
@@ -328,7 +340,7 @@
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
 	isExpired := t.ticket.value != "" && !now.Before(t.ticket.validUntil)
-	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired {
+	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired || t.StepTasks.Job.exceedsQuota() {
 		step := t.StepTasks
 		sc.requeue(t, now)
 		sc.stopIncompleteGang(step, now)
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -24,7 +24,7 @@
 		sc.placeGang(s, workers, now)
 		return
 	}
-	next, left := 0, s.Job.maxPlacements()
+	next, left := 0, min(s.Job.maxPlacements(), sc.startable(s))
 	isDecided, waitsNear := false, false
 	for _, t := range s.Tasks {
 		if left == 0 {
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -6,6 +6,7 @@
 //
 //	s := sched.NewScheduler(term, earlierLeasesExpire)
 //	s.SetWorkers(entries, now)
+//	s.SetTeams(configured) // before the first pass, and when the configuration changed
 //	s.Add(plan, version, now)
 //	d := s.Pass(now, reserve) // the chosen starts must not be sent yet
 //	// write the states of s.Unrecorded(part, isAll, limit, now), then
@@ -28,6 +29,12 @@
 // worker gets no new lease until it has answered a stop of that attempt. An end is
 // acknowledged to the worker only after it was recorded.
 //
+// # Teams
+//
+// No start brings what may run for a team above its quota, except for one task alone. Jobs
+// beyond the rate of their team come after all others, and within a priority the teams
+// share the capacity by weight. docs/design/quotas.md has the rules.
+//
 // Scheduler is not safe for concurrent use and reads no clock.
 package sched
 
@@ -35,6 +42,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/rate"
 )
 
 // Phase is the scheduling state of a task.
@@ -175,7 +183,13 @@
 	// Ended is when the job reached its final phase.
 	Ended time.Time
 
-	steps map[stepKey]*StepTasks
+	// team is the team that the job is charged to, and rate the place of the job in the
+	// rate of the team. Both are nil if there is none.
+	team *team
+	rate *rate.Entry
+	// leastNeed is the least that any task of a job with a team needs of each resource.
+	leastNeed hoist.Resources
+	steps     map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
 	// steps are not done.
@@ -248,6 +262,8 @@
 	// superseded holds the attempts to stop at tasks that are done.
 	superseded map[hoist.TaskRun]*Task
 	speeds     speeds
+	teams      teams
+	fair       fairness
 	// earlierLeasesExpire is when all leases granted by earlier owners have
 	// expired. Recovered attempts on workers that stay unreachable are
 	// considered ended from then on.
@@ -312,6 +328,7 @@
 		orders:     make(map[hoist.ServiceName]*workerOrder),
 		localities: newLocalities(),
 		speeds:     newSpeeds(),
+		teams:      teams{byID: make(map[hoist.TeamID]*team), unsettled: make(map[*team]bool)},
 	}
 }
 
@@ -363,6 +380,7 @@
 		j.changed = make(map[hoist.JobID]*Job)
 		sc.changed[p.Part] = j.changed
 	}
+	sc.addToTeam(j)
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
 	j.updateDue()
@@ -445,6 +463,7 @@
 	t.StepTasks.Job.placed++
 	w.tasks[t] = true
 	w.used = w.used.Add(demand(t.StepTasks.Step))
+	t.StepTasks.charge()
 }
 
 // requeue makes a placed task wait again. The caller ensures that the attempt
@@ -471,6 +490,7 @@
 	}
 	t.Worker = nil
 	t.StepTasks.Job.placed--
+	t.StepTasks.refund()
 }
 
 // demand returns what a task counts against the capacity of a worker. A
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -242,6 +242,9 @@
 // SetBacklog implements hoist.PlanMetrics.
 func (*planSim) SetBacklog(int, int, int) {}
 
+// SetTeams implements hoist.PlanMetrics.
+func (*planSim) SetTeams([]hoist.TeamUsage) {}
+
 // ObserveWait implements hoist.PlanMetrics.
 func (s *planSim) ObserveWait(_ hoist.QueueName, d time.Duration) {
 	s.mu.Lock()
