--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -5,7 +5,6 @@
 	"math"
 	"slices"
 	"time"
-	"unsafe"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/decide/quota"
@@ -61,10 +60,10 @@
 	}
 }
 
-// isSameSlice reports whether x and y are the same memory. A new configuration has a new
+// isSameSlice reports whether x and y have the same elements in memory. A new configuration has a new
 // slice, so that an unchanged one need not be compared in each pass.
 func isSameSlice[T any](x, y []T) bool {
-	return len(x) == len(y) && unsafe.SliceData(x) == unsafe.SliceData(y)
+	return len(x) == len(y) && (len(x) == 0 || &x[0] == &y[0])
 }
 
 // team returns a team and adds it, without a quota, if it is not known.
