Share the hashing of tokens

The keys of teams need the same hash and the same header as the tokens of hoistd. Both are functions of their own now; nothing changes for hoistd.

--- a/internal/core/access/access.go
+++ b/internal/core/access/access.go
@@ -143,7 +143,7 @@
 // hashedEntry holds the hash of a token. All hashes have the same length, so comparing
 // them reveals nothing about the length of the token.
 type hashedEntry struct {
-	hash     [sha256.Size]byte
+	hash     hoist.KeyHash
 	identity Identity
 }
 
@@ -152,7 +152,7 @@
 	l := &List{}
 	for _, e := range entries {
 		l.entries = append(l.entries, hashedEntry{
-			hash:     sha256.Sum256([]byte(e.Token)),
+			hash:     Hash(e.Token),
 			identity: Identity{Name: e.Name, Role: e.Role, Customer: e.Customer, Team: e.Team},
 		})
 	}
@@ -171,18 +171,32 @@
 	if l.isOpen {
 		return Identity{Name: "open", Role: RoleOperator}, nil
 	}
-	token, ok := strings.CutPrefix(r.Header.Get("authorization"), "Bearer ")
+	token, ok := Bearer(r.Header)
 	if !ok {
 		return Identity{}, merry.Wrap(hoist.ErrDenied, merry.AppendMessage("no bearer token"))
 	}
-	return l.Find(Token(token))
+	return l.Find(token)
+}
+
+// Bearer returns the token in the Authorization header of a request, and whether there is
+// one.
+func Bearer(header http.Header) (Token, bool) {
+	token, ok := strings.CutPrefix(header.Get("authorization"), "Bearer ")
+	return Token(token), ok
+}
+
+// Hash returns the hash under which a token is kept and looked up. The time of a lookup by
+// it depends only on the hash of the presented token, which its sender cannot steer towards
+// the hash of an unknown token, so the time reveals nothing about one.
+func Hash(t Token) hoist.KeyHash {
+	return sha256.Sum256([]byte(t))
 }
 
 // Find returns the identity of the holder of a token, or hoist.ErrDenied if the token is
 // unknown. It always compares all entries, so that its time does not reveal which one
 // matches.
 func (l *List) Find(token Token) (Identity, error) {
-	hash := sha256.Sum256([]byte(token))
+	hash := Hash(token)
 	found := -1
 	for i, e := range l.entries {
 		if subtle.ConstantTimeCompare(hash[:], e.hash[:]) == 1 {
