Decode the teams and the public queues

The operator's document has the teams with their keys, weight and quota, and a field public in each route. Each field of a team is decoded by itself; what is invalid is left out and described without a key, so that one irregular entry hides nothing else.

--- a/runner.go
+++ b/runner.go
@@ -114,12 +114,23 @@
 	// Services names the services that workers can belong to.
 	Services []ServiceName
 	// Teams are the teams that may submit plans. NeedsKeys tells that a call to a queue
-	// that is not public must carry the key of one of them.
+	// that is not public must carry the key of one of them. No key belongs to two teams.
 	Teams     []TeamConfig
 	NeedsKeys bool
+	// Invalid lists the parts of the entries of teams that are left out.
+	Invalid []InvalidTeam
 }
 
-// KeyHash is the SHA-256 hash of a team's key.
+// InvalidTeam describes a part of the configuration of a team that breaks the rules and
+// is left out. It never contains a key.
+type InvalidTeam struct {
+	Team TeamID
+	// Field is the name of the field in the operators' configuration.
+	Field   string
+	Problem string
+}
+
+// KeyHash is the SHA-256 hash of a team's key. The zero value stands for no key.
 type KeyHash [sha256.Size]byte
 
 // TeamConfig is the configuration of one team.
@@ -153,6 +164,20 @@
 	Config(ctx context.Context, after RowVersion, wait time.Duration) (QueueConfig, RowVersion, error)
 }
 
+// PlanCaller tells on whose behalf calls about plans are made.
+type PlanCaller struct {
+	// Team is the team that submitted plans are charged to, or empty if there is none.
+	Team TeamID
+	// IsLimited tells that plans of other teams cannot be reached.
+	IsLimited bool
+}
+
+// MayReach reports whether the caller may see and cancel a plan of a team. A plan
+// without a team was recorded before there were teams, and everyone may reach it.
+func (c PlanCaller) MayReach(team TeamID) bool {
+	return !c.IsLimited || team == "" || team == c.Team
+}
+
 // PlanService accepts and shows plans, independently of the front end. Its
 // methods may be called concurrently.
 type PlanService interface {
