Check the key of a call before its body is read

The front end asks the service of plans which calls the holder of a key may make; the service returns calls that are bound to the team. A plan is recorded with the team of its submitter, and other teams get 403 for queries, cancellations and submissions under its id. Unknown keys get 401, and keys at a host with an old configuration 503 with Retry-After; both are sent before the body is read. Such a host reports not ready. Refused calls are counted by cause.

--- a/errors.go
+++ b/errors.go
@@ -50,6 +50,10 @@
 	// operation.
 	ErrDenied = merry.Sentinel("access denied")
 
+	// ErrOtherTeam reports that a plan belongs to another team than the caller.
+	// The operation had no effect.
+	ErrOtherTeam = merry.Sentinel("belongs to another team")
+
 	// ErrNotFound reports that the named entity does not exist.
 	ErrNotFound = merry.Sentinel("not found")
 
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -90,6 +90,11 @@
 	// tasks that the owner holds. Their zero values leave the defaults.
 	Limits limit.Plans
 	Open   sched.OpenLimits
+	// KeyRules returns the rules about the keys of teams; nil leaves them to the
+	// configuration. Refused is called for each call that is refused because of its key;
+	// it may be nil.
+	KeyRules func() queues.KeyRules
+	Refused  func(intake.Cause)
 	// MaxDirect is the number of workers up to which the owner of the cell calls them
 	// itself. 0 leaves the default.
 	MaxDirect int
@@ -116,7 +121,7 @@
 func (h *Host) init() {
 	h.once.Do(func() {
 		h.monitored = &monitoredStore{Store: h.Store, clock: h.Clock, log: h.Log}
-		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome}
+		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome, Clock: h.LeaseClock, Rules: h.KeyRules}
 		h.manager = &claim.Manager{
 			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.LeaseClock, Log: h.Log,
 			RunOwner: h.runOwner, Waiting: h.waiting, Dial: h.dialOwner, StoreAge: h.monitored.outage,
@@ -128,15 +133,15 @@
 func (h *Host) Plans() *intake.Service {
 	h.init()
 	return &intake.Service{
-		Store: failFastStore{h.monitored}, Find: h.follower.Find, Limits: h.Limits, Guard: h.Guard, Clock: h.Clock, Log: h.Log,
+		Store: failFastStore{h.monitored}, Find: h.follower.Find, Identify: h.follower.Identify, Refused: h.Refused, Limits: h.Limits, Guard: h.Guard, Clock: h.Clock, Log: h.Log,
 	}
 }
 
 // IsReady reports whether callers should be sent here: the configuration is
-// known, and the store answers.
+// known and new enough for the keys of teams, and the store answers.
 func (h *Host) IsReady() bool {
 	h.init()
-	return h.follower.Version() > 0 && h.monitored.age() <= maxReadyStoreAge
+	return h.follower.Version() > 0 && h.follower.AcceptsKeys() && h.monitored.age() <= maxReadyStoreAge
 }
 
 // OwnedTerm returns the term in which this host owns the cell, or 0.
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -64,6 +64,12 @@
 	Store hoist.Store
 	// Find returns the queue for a submission to a host name and path.
 	Find func(hostName, path string) (hoist.QueueEntry, error)
+	// Identify returns on whose behalf a call to a queue is made. It returns an error like
+	// Authorize. nil means that no call needs a key.
+	Identify func(queue hoist.QueueEntry, key hoist.KeyHash) (hoist.PlanCaller, error)
+	// Refused is called for each call that is refused because of its key, with the cause;
+	// it may be nil.
+	Refused func(Cause)
 	// Limits are what a plan must keep to be accepted. The zero value leaves
 	// limit.DefaultPlans.
 	Limits limit.Plans
@@ -95,14 +101,22 @@
 	return s.Find(hostName, path)
 }
 
-// Submit implements hoist.PlanService.
+// Submit implements hoist.PlanCalls for a caller that may reach all plans.
 func (s *Service) Submit(ctx context.Context, p hoist.Plan) error {
+	return s.submit(ctx, hoist.PlanCaller{}, p)
+}
+
+// submit records a plan for a caller.
+func (s *Service) submit(ctx context.Context, caller hoist.PlanCaller, p hoist.Plan) error {
 	began := s.Clock.Now()
 	if err := s.check(p); err != nil {
 		events.PlanRefused.Log(ctx, s.Log, "plan", p.ID, "queue", p.Queue.Name, "error", err)
 		return err
 	}
 	part, version, tries, err := s.record(ctx, p)
+	if errors.Is(err, hoist.ErrConflict) {
+		err = s.checkExisting(ctx, caller, part, p.ID)
+	}
 	attrs := []any{"plan", p.ID, "queue", p.Queue.Name, "part", part, "tries", tries, "took", s.Clock.Now().Sub(began)}
 	switch {
 	case err == nil:
@@ -112,7 +126,7 @@
 		// The plan exists: an earlier try was accepted.
 		events.PlanAccepted.Log(ctx, s.Log, append(attrs, "again", true)...)
 		return nil
-	case errors.Is(err, hoist.ErrUnavailable), errors.Is(err, hoist.ErrInvalid):
+	case errors.Is(err, hoist.ErrUnavailable), errors.Is(err, hoist.ErrInvalid), errors.Is(err, hoist.ErrOtherTeam):
 		events.PlanRefused.Log(ctx, s.Log, append(attrs, "error", err)...)
 	default:
 		events.PlanOutcomeUnknown.Log(ctx, s.Log, append(attrs, "error", err)...)
@@ -308,10 +322,15 @@
 	}
 }
 
-// Phase implements hoist.PlanService.
+// Phase implements hoist.PlanCalls for a caller that may reach all plans.
 func (s *Service) Phase(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanPhase, error) {
-	state, _, err := s.state(ctx, queue, id)
-	if err != nil && !errors.Is(err, hoist.ErrNotFound) {
+	return s.phase(ctx, hoist.PlanCaller{}, queue, id)
+}
+
+// phase returns the phase of a plan for a caller.
+func (s *Service) phase(ctx context.Context, caller hoist.PlanCaller, queue hoist.QueueName, id hoist.JobID) (hoist.PlanPhase, error) {
+	state, _, err := s.state(ctx, caller, queue, id)
+	if err != nil && !errors.Is(err, hoist.ErrNotFound) && !errors.Is(err, hoist.ErrOtherTeam) {
 		events.PlanQueryFailed.Log(ctx, s.Log, "plan", id, "error", err)
 	}
 	return state.Phase, err
@@ -319,8 +338,10 @@
 
 // state returns the state of a plan and the part that has it. It returns
 // hoist.ErrNotFound if the plan belongs to another queue, or if all parts answered and
-// none of them has the plan.
-func (s *Service) state(ctx context.Context, queue hoist.QueueName, id hoist.JobID) (hoist.PlanState, hoist.PartName, error) {
+// none of them has the plan, and hoist.ErrOtherTeam if the caller may not reach the plan.
+func (s *Service) state(
+	ctx context.Context, caller hoist.PlanCaller, queue hoist.QueueName, id hoist.JobID,
+) (hoist.PlanState, hoist.PartName, error) {
 	var failed error
 	for _, part := range keys.PartsOf(id) {
 		row, err := s.get(ctx, keys.State(part, id))
@@ -338,6 +359,9 @@
 		if state.Queue != queue {
 			return hoist.PlanState{}, part, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s in queue %s", id, queue))
 		}
+		if err := s.checkTeam(caller, id, state.Team); err != nil {
+			return hoist.PlanState{}, part, err
+		}
 		return state, part, nil
 	}
 	if failed != nil {
@@ -353,9 +377,14 @@
 	return s.Store.Get(ctx, ref)
 }
 
-// Cancel implements hoist.PlanService.
+// Cancel implements hoist.PlanCalls for a caller that may reach all plans.
 func (s *Service) Cancel(ctx context.Context, queue hoist.QueueName, id hoist.JobID) error {
-	state, part, err := s.state(ctx, queue, id)
+	return s.cancel(ctx, hoist.PlanCaller{}, queue, id)
+}
+
+// cancel cancels a plan for a caller.
+func (s *Service) cancel(ctx context.Context, caller hoist.PlanCaller, queue hoist.QueueName, id hoist.JobID) error {
+	state, part, err := s.state(ctx, caller, queue, id)
 	if err != nil || state.Phase.IsFinal() {
 		return err
 	}
@@ -369,7 +398,7 @@
 	return nil
 }
 
-// Waiting implements hoist.PlanService.
+// Waiting implements hoist.PlanCalls.
 func (s *Service) Waiting(ctx context.Context, queue hoist.QueueName) (int, error) {
 	s.countMu.Lock()
 	defer s.countMu.Unlock()
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -25,6 +25,7 @@
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
+	refused  *prometheus.CounterVec
 }
 
 // NewPlans returns the metrics of a host. dropped returns the number of dropped log
@@ -61,11 +62,14 @@
 		backlog: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "hoist_backlog", Help: "What the owner of the cell holds: open tasks, delayed occurrences and quarantined plans.",
 		}, []string{"kind"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_refused_calls_total", Help: "Calls of clients refused because of their key, by cause.",
+		}, []string{"cause"}),
 	}
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, p.refused, droppedLines, collectors.NewGoCollector())
 	return p
 }
 
@@ -107,6 +111,11 @@
 	p.backlog.WithLabelValues("quarantined-plans").Set(float64(quarantined))
 }
 
+// RecordRefusal counts a call that was refused because of its key, by the cause.
+func (p *PlanMetrics) RecordRefusal(cause string) {
+	p.refused.WithLabelValues(cause).Inc()
+}
+
 // RecordPanic counts a panic that ended a piece of work.
 func (p *PlanMetrics) RecordPanic(work guard.Work) {
 	p.panics.WithLabelValues(string(work)).Inc()
--- a/runner.go
+++ b/runner.go
@@ -185,6 +185,15 @@
 	// configuration has no such queue, and ErrUnavailable before a configuration
 	// was received.
 	Queue(hostName, path string) (QueueEntry, error)
+	// Authorize returns the calls that the holder of a key may make to a queue. It
+	// returns ErrDenied if the queue needs a key and this one is unknown, and
+	// ErrUnavailable if the configuration is too old to tell.
+	Authorize(queue QueueEntry, key KeyHash) (PlanCalls, error)
+}
+
+// PlanCalls are the calls of an authorized caller. They return ErrOtherTeam for a plan
+// of another team.
+type PlanCalls interface {
 	// Submit returns nil when the plan is recorded, ErrUnavailable if it is not
 	// recorded and never will be, and ErrOutcomeUnknown if it may be.
 	Submit(ctx context.Context, p Plan) error
