--- a/internal/core/queues/queues.go
+++ b/internal/core/queues/queues.go
@@ -36,7 +36,7 @@
 	// retryDelay is the delay after a failed call.
 	retryDelay = 100 * time.Millisecond
 	// readInterval is the time from the answer to a read to the next one while calls need
-	// keys. With a store that takes 200 ms, the configuration is at most 0.9 s old, and 2.7 s
+	// keys. With a store that takes 200 ms, the configuration is at most 0.9 s old, and 3.2 s
 	// if two answers in a row are lost.
 	readInterval = 500 * time.Millisecond
 	// maxReadTimeout bounds the time for the answer to a read after one that got none, as the
