--- a/internal/core/queues/keys_test.go
+++ b/internal/core/queues/keys_test.go
@@ -14,6 +14,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/access"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/queues"
 )
 
@@ -541,3 +542,20 @@
 	is.NoErr(err)
 	is.Equal(caller.Team, hoist.TeamID("19"))
 }
+
+// BenchmarkIdentify measures the check of a key among 10,000.
+func BenchmarkIdentify(b *testing.B) {
+	team := hoist.TeamConfig{Team: "a"}
+	for i := range 10_000 {
+		team.Keys = append(team.Keys, hash(strconv.Itoa(i)))
+	}
+	f, _ := runFollower(answer{config: hoist.QueueConfig{Version: 1, NeedsKeys: true, Teams: []hoist.TeamConfig{team}}})
+	f.Clock, f.Rules = clock.NewLease(), func() queues.KeyRules { return queues.KeyRules{} }
+	for name, key := range map[string]string{"known": "4711", "unknown": "x"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				_, _ = f.Identify(private, hash(key))
+			}
+		})
+	}
+}
