--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -144,6 +144,14 @@
 	return between(noStep, FieldTasks, tasks, 1, l.MaxTasks)
 }
 
+// CheckSteps returns a *Violation if a plan has more than limit steps.
+func CheckSteps(steps, limit int) error {
+	if steps <= limit {
+		return nil
+	}
+	return between(noStep, FieldSteps, steps, 1, limit)
+}
+
 // CheckSize returns a *Violation if the encoding of a plan is longer than limit bytes.
 func CheckSize(size, limit int) error {
 	if size <= limit {
