Admit connections through a gate

Package gate wraps a listener and its connections. It counts what arrives, asks package crowd for its decisions and carries them out, goes on after errors of Accept with a growing delay, and counts and logs by cause.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -108,6 +108,9 @@
 	Panicked     = register(409, slog.LevelError, "panic; the piece of work is given up")
 	HostReady    = register(406, slog.LevelInfo, "host accepts new callers")
 	HostNotReady = register(407, slog.LevelWarn, "host accepts no new callers")
+
+	ClientsRefused = register(420, slog.LevelWarn, "clients were refused or their connections closed")
+	AcceptFailed   = register(421, slog.LevelWarn, "connection could not be accepted; accepting is tried again")
 )
 
 // DeployFailed is logged for each service of the configuration whose job could
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -10,7 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/gate"
 	"fuchsiahoist.example/hoist/internal/core/guard"
+	"fuchsiahoist.example/hoist/internal/decide/crowd"
 )
 
 // PlanMetrics holds the metrics of a host that schedules plans.
@@ -25,6 +27,7 @@
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
+	refused  *prometheus.CounterVec
 }
 
 // NewPlans returns the metrics of a host. dropped returns the number of dropped log
@@ -62,10 +65,13 @@
 			Name: "hoist_backlog", Help: "What the owner of the cell holds: open tasks, delayed occurrences and quarantined plans.",
 		}, []string{"kind"}),
 	}
+	p.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hoist_refused_clients_total", Help: "Clients that were refused or whose connection was closed, by port and cause.",
+	}, []string{"port", "cause"})
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.waits, p.panics, p.backlog, p.refused, droppedLines, collectors.NewGoCollector())
 	return p
 }
 
@@ -107,6 +113,25 @@
 	p.backlog.WithLabelValues("quarantined-plans").Set(float64(quarantined))
 }
 
+// RecordRefusedClient counts a client that was refused or whose connection was closed.
+func (p *PlanMetrics) RecordRefusedClient(port string, cause gate.Cause) {
+	p.refused.WithLabelValues(port, string(cause)).Inc()
+}
+
+// ObserveClients registers the usage of a port, which is read whenever the metrics are
+// collected.
+func (p *PlanMetrics) ObserveClients(port string, usage func() (conns int, held crowd.Bytes)) {
+	labels := prometheus.Labels{"port": port}
+	p.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hoist_client_connections", Help: "Open connections of clients, by port.", ConstLabels: labels,
+		}, func() float64 { conns, _ := usage(); return float64(conns) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hoist_client_bytes", Help: "Memory reserved for requests of clients in progress, by port.", ConstLabels: labels,
+		}, func() float64 { _, held := usage(); return float64(held) }),
+	)
+}
+
 // RecordPanic counts a panic that ended a piece of work.
 func (p *PlanMetrics) RecordPanic(work guard.Work) {
 	p.panics.WithLabelValues(string(work)).Inc()
