Bound the memory, time and connections of untrusted clients

Cause: bodies were read without a deadline and without a bound over all requests, connections were accepted without a bound, and a list of empty steps took a hundred times its size to decode. A crowd of 300 clients took hosts to 1.3 GB.

Change: the ports for clients, the balancer, other hosts and metrics listen through gates. Responses that are not read end. The limits of the operator's document are followed.

--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -139,6 +139,12 @@
 	return h.follower.Version() > 0 && h.monitored.age() <= maxReadyStoreAge
 }
 
+// RequestLimits returns the configured limits of the requests of clients.
+func (h *Host) RequestLimits() hoist.RequestLimits {
+	h.init()
+	return h.follower.RequestLimits()
+}
+
 // OwnedTerm returns the term in which this host owns the cell, or 0.
 func (h *Host) OwnedTerm() hoist.Term {
 	h.mu.Lock()
--- a/internal/core/queues/queues.go
+++ b/internal/core/queues/queues.go
@@ -147,6 +147,13 @@
 	return f.config.Teams, f.config.Version > 0
 }
 
+// RequestLimits returns the configured limits of requests.
+func (f *Follower) RequestLimits() hoist.RequestLimits {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.config.Limits
+}
+
 // Queue returns the current parameters of a queue, and whether the queue exists.
 func (f *Follower) Queue(name hoist.QueueName) (hoist.Queue, bool) {
 	f.mu.RLock()
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -34,7 +34,9 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/gate"
 	"fuchsiahoist.example/hoist/internal/core/guard"
+	"fuchsiahoist.example/hoist/internal/decide/crowd"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
@@ -230,15 +232,39 @@
 	net.Conn
 }
 
+// Write implements io.Writer. It fails if the peer does not read.
+func (c bufferedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(relayWriteTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// admittedStream is the messages of a connection that a gate may have admitted. While one
+// arrives, it counts as a request of the connection.
+type admittedStream struct {
+	jsonrpc2.ObjectStream
+	conn *gate.Conn
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (s admittedStream) ReadObject(v any) error {
+	if err := s.conn.SetPhase(crowd.Idle); err != nil {
+		return err
+	}
+	return s.ObjectStream.ReadObject(v)
+}
+
 // Read implements io.Reader.
 func (c bufferedConn) Read(p []byte) (int, error) {
 	return c.Reader.Read(p)
 }
 
 // serveCalls serves the calls of JSON-RPC on a connection until it ends, or ctx does.
-func (s *Server) serveCalls(ctx context.Context, conn io.ReadWriteCloser) {
+func (s *Server) serveCalls(ctx context.Context, conn bufferedConn) {
 	calls := &connHandler{ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls)}
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), calls, jsonrpc2.SetLogger(discardLogger))
+	messages := admittedStream{jsonrpc2.NewPlainObjectStream(conn), gate.Of(conn.Conn)}
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), messages, calls, jsonrpc2.SetLogger(discardLogger))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
--- a/internal/peer/helper/runners.go
+++ b/internal/peer/helper/runners.go
@@ -9,7 +9,9 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/gate"
 	"fuchsiahoist.example/hoist/internal/core/guard"
+	"fuchsiahoist.example/hoist/internal/decide/crowd"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
@@ -106,6 +108,9 @@
 	decoder := codec.NewRelayDecoder(in)
 	for {
 		var message rows.RelayCalls
+		if gate.Of(conn).SetPhase(crowd.Idle) != nil {
+			return
+		}
 		if decoder.Decode(&message) != nil {
 			return
 		}
--- a/runner.go
+++ b/runner.go
@@ -117,6 +117,17 @@
 	// that is not public must carry the key of one of them.
 	Teams     []TeamConfig
 	NeedsKeys bool
+	// Limits are what a request of a client must keep.
+	Limits RequestLimits
+}
+
+// RequestLimits are what a request of a client must keep. 0 leaves the default.
+type RequestLimits struct {
+	// MaxBody and MaxHeader are in bytes.
+	MaxBody, MaxHeader int
+	// HeaderTimeout bounds the time until the header has arrived, and IdleTimeout that
+	// between two requests on a connection.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // KeyHash is the SHA-256 hash of a team's key.
