Bound the callers of hoistd, and test the bounds without a network

Cause: the front end of hoistd reserved the announced size of a body for as long as the caller took to send it, so that 32 callers could keep all others out, and it read the bodies of jobs without a bound.

Change: gate.ReadBody is used by both front ends. The tests use a listener that opens no sockets.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -8,7 +8,7 @@
 //	err := server.Serve(g.Listen(listener))
 //
 //	conn := gate.ConnOf(request.Context()) // nil without a gate, which bounds nothing
-//	err := conn.Hold(bytes)
+//	body, err := gate.ReadBody(request, maxBytes, deadline)
 package gate
 
 import (
@@ -66,6 +66,8 @@
 	Limits crowd.Limits
 	// Factor is how many times its own size a header or message takes while it is decoded.
 	Factor crowd.Bytes
+	// WriteTimeout bounds each write; 0 leaves that to the server.
+	WriteTimeout time.Duration
 	// Port names the port in logs and metrics.
 	Port string
 	Log  *slog.Logger
@@ -362,6 +364,10 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if timeout := c.gate.WriteTimeout; timeout > 0 {
+		// If this fails, the write does too.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(timeout))
+	}
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.timedOut(c, true)
@@ -404,14 +410,3 @@
 	}
 	return c.gate.hold(c, n)
 }
-
-// Refuse lets no more of the request be read, so that its rest delays nothing.
-func (c *Conn) Refuse() {
-	if c == nil {
-		return
-	}
-	c.gate.mu.Lock()
-	c.gate.crowd.Refuse(c)
-	c.gate.mu.Unlock()
-	c.refuse()
-}
--- /dev/null
+++ b/internal/core/gate/gate_test.go
@@ -0,0 +1,129 @@
+package gate_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"fuchsiahoist.example/hoist/internal/core/gate"
+	"fuchsiahoist.example/hoist/internal/decide/crowd"
+	"fuchsiahoist.example/hoist/internal/fake/pipes"
+)
+
+// accept accepts a connection of a new client.
+func accept(t *testing.T, p *pipes.Listener, l net.Listener) (client net.Conn, conn *gate.Conn) {
+	t.Helper()
+	go func() { client = p.Dial() }()
+	c, err := l.Accept()
+	is.New(t).NoErr(err)
+	synctest.Wait()
+	return client, gate.Of(c)
+}
+
+// isClosed reports whether the other end of a client's connection is closed.
+func isClosed(client net.Conn) bool {
+	_ = client.SetReadDeadline(time.Now())
+	_, err := client.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
+
+// TestAcceptGoesOn guards against a host that serves nobody any more, or uses its
+// processor up, after an error of Accept.
+func TestAcceptGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var errs []error
+		for range 20 {
+			errs = append(errs, syscall.EMFILE)
+		}
+		p := pipes.New(append(errs, syscall.ECONNABORTED)...)
+		l := (&gate.Gate{Limits: crowd.Limits{Conns: 2, Memory: 100}}).Listen(p)
+		began := time.Now()
+		accept(t, p, l)
+		is.Equal(p.Calls(), 22)
+		is.True(time.Since(began) > 10*time.Second) // it waits longer after each error
+		is.NoErr(l.Close())
+		_, err := l.Accept()
+		is.True(errors.Is(err, net.ErrClosed))
+	})
+}
+
+// TestConnectionsAreBounded guards against more connections than allowed, against an idle
+// one that outlives one in use, and against a listener that cannot be closed while a
+// connection waits.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var causes []gate.Cause
+		g := &gate.Gate{Limits: crowd.Limits{Conns: 2, Memory: 100}, Count: func(_ string, c gate.Cause) { causes = append(causes, c) }}
+		p := pipes.New()
+		l := g.Listen(p)
+		busyClient, busy := accept(t, p, l)
+		idleClient, idle := accept(t, p, l)
+		is.NoErr(busy.SetPhase(crowd.Working))
+		is.NoErr(idle.SetPhase(crowd.Idle))
+		go func() {
+			// As a server does: it closes a connection whose read fails.
+			_, _ = idle.Read(make([]byte, 1))
+			_ = idle.Close()
+		}()
+		_, third := accept(t, p, l)
+		is.True(isClosed(idleClient))
+		is.True(!isClosed(busyClient))
+		is.Equal(causes, []gate.Cause{gate.CauseConns})
+		conns, _ := g.Usage()
+		is.Equal(conns, 2)
+
+		is.NoErr(third.SetPhase(crowd.Working))
+		go func() { _ = p.Dial() }()
+		waiting := make(chan error)
+		go func() {
+			_, err := l.Accept()
+			waiting <- err
+		}()
+		time.Sleep(time.Minute)
+		is.True(!isClosed(busyClient)) // requests in progress are not cut off
+		is.NoErr(l.Close())
+		is.True(errors.Is(<-waiting, net.ErrClosed))
+	})
+}
+
+// TestHeadersNeedMemory guards against headers that take more memory than allowed, and
+// against memory that is not released.
+func TestHeadersNeedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &gate.Gate{Limits: crowd.Limits{Conns: 9, Memory: 100}, Factor: 10}
+		p := pipes.New()
+		l := g.Listen(p)
+		read := func(c *gate.Conn, client net.Conn, n int) error {
+			go func() { _, _ = client.Write(make([]byte, n)) }()
+			_, err := c.Read(make([]byte, n))
+			return err
+		}
+		client, c := accept(t, p, l)
+		is.NoErr(read(c, client, 8))
+		_, held := g.Usage()
+		is.Equal(held, crowd.Bytes(80))
+		is.NoErr(c.SetPhase(crowd.Idle))
+		_, held = g.Usage()
+		is.Equal(held, crowd.Bytes(0))
+		is.NoErr(read(c, client, 8)) // the next request of the connection
+		time.Sleep(time.Second)
+		otherClient, other := accept(t, p, l)
+		is.NoErr(read(other, otherClient, 6)) // the older one is closed for it
+		is.True(errors.Is(c.SetPhase(crowd.Working), gate.ErrRefused))
+		is.True(errors.Is(read(other, otherClient, 30), gate.ErrRefused)) // it is larger than all memory
+		is.NoErr(c.Close())
+		is.NoErr(other.Close())
+		conns, held := g.Usage()
+		is.Equal(conns, 0)
+		is.Equal(held, crowd.Bytes(0))
+	})
+}
--- a/internal/decide/crowd/crowd.go
+++ b/internal/decide/crowd/crowd.go
@@ -48,12 +48,12 @@
 )
 
 const (
-	// peerShare is the part of the limits of clients that the port between hosts gets in
-	// addition. Of the hosts of a cell, the owner and up to four standbys connect.
+	// peerShare is the part of the connections of clients that the port between hosts gets
+	// in addition, and as much memory. Of the hosts of a cell, the owner and up to four standbys connect.
 	peerShare    = 4
 	maxPeerConns = 256
-	// minPeerMemory lets a batch of 1,000 starts through whose payloads are small.
-	minPeerMemory = 4 << 20
+	// minPeerMemory lets a message with a few hundred starts of the largest payload through.
+	minPeerMemory = 8 << 20
 	// checkConns and checkMemory are for ports with a single regular client: the check of
 	// the balancer, and the collection of metrics.
 	checkConns  = 16
@@ -62,7 +62,7 @@
 
 // ForPeers returns the limits of the port between hosts.
 func (l Limits) ForPeers() Limits {
-	return Limits{Conns: min(maxPeerConns, max(minConns, l.Conns/peerShare)), Memory: max(minPeerMemory, l.Memory/peerShare)}
+	return Limits{Conns: min(maxPeerConns, max(minConns, l.Conns/peerShare)), Memory: max(minPeerMemory, l.Memory)}
 }
 
 // ForChecks returns the limits of a port with a single regular client.
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -21,11 +21,11 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"golang.org/x/net/netutil"
-	"golang.org/x/sync/semaphore"
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/access"
+	"fuchsiahoist.example/hoist/internal/core/gate"
+	"fuchsiahoist.example/hoist/internal/decide/crowd"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rest"
 	"fuchsiahoist.example/hoist/internal/proto/wire"
@@ -62,8 +62,11 @@
 	// flight at a host.
 	maxInFlightBytes = 32 << 20
 	// maxConns bounds the number of connections of callers. Each needs about
-	// 10 KB of buffers. The kernel queues further connections.
+	// 10 KB of buffers. For further ones, idle connections are closed first.
 	maxConns = 4096
+	// transferTimeout bounds the time for a body to arrive, and for each part of an
+	// answer to be taken. It allows the largest body at 35 KB/s.
+	transferTimeout = 30 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
 	idleTimeout = 2 * time.Minute
 	// maxRequestTimeout is the longest time-out that a caller may state.
@@ -88,7 +91,7 @@
 	once       sync.Once
 	server     *http.Server
 	handler    http.Handler
-	bodyBytes  *semaphore.Weighted
+	clients    *gate.Gate
 	isLeaving  atomic.Bool
 	isRefusing atomic.Bool
 }
@@ -96,9 +99,13 @@
 func (s *Server) init() {
 	s.once.Do(func() {
 		s.handler = s.routes()
-		s.bodyBytes = semaphore.NewWeighted(maxInFlightBytes)
+		s.clients = &gate.Gate{
+			Port: "callers", Limits: crowd.Limits{Conns: maxConns, Memory: maxInFlightBytes}, Factor: gate.HeaderFactor,
+			WriteTimeout: transferTimeout,
+		}
 		s.server = &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
+			ConnState: s.clients.ConnState, ConnContext: s.clients.ConnContext,
 		}
 	})
 }
@@ -131,7 +138,7 @@
 		_ = s.server.Shutdown(ctx)
 	})
 	defer stop()
-	err := s.server.Serve(netutil.LimitListener(s.Listener, maxConns))
+	err := s.server.Serve(s.clients.Listen(s.Listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -157,6 +164,15 @@
 		if s.isLeaving.Load() {
 			w.Header().Set("connection", "close")
 		}
+		conn := gate.ConnOf(r.Context())
+		if conn.SetPhase(crowd.Working) != nil {
+			rest.WriteError(w, hoist.ErrUnavailable)
+			return
+		}
+		if r.ContentLength != 0 {
+			// A body that is not read is discarded after the answer, which must end too.
+			_ = conn.SetReadDeadline(time.Now().Add(transferTimeout))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -179,16 +195,12 @@
 		WriteAnswer(w, refusedAnswer(req, "the host is stopping"))
 		return
 	}
-	size := min(max(r.ContentLength, 0), maxBodyBytes)
-	if r.ContentLength < 0 {
-		size = maxBodyBytes
-	}
-	if !s.bodyBytes.TryAcquire(size) {
-		WriteAnswer(w, refusedAnswer(req, "too many requests in flight at this host"))
+	req.Body, err = readBody(r)
+	if errors.Is(err, gate.ErrRefused) {
+		w.Header().Set("connection", "close")
+		WriteAnswer(w, refusedAnswer(req, err.Error()))
 		return
 	}
-	defer s.bodyBytes.Release(size)
-	req.Body, err = readBody(w, r)
 	if err == nil && req.NoWait && len(req.Body) > maxStoredBodyBytes {
 		err = invalid("body", "expected up to 65536 bytes with hoist-wait: no")
 	}
@@ -215,21 +227,14 @@
 }
 
 // readBody reads the whole body of a request. It returns hoist.ErrInvalid for a
-// truncated body, so that the request does not run with part of it.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limited := http.MaxBytesReader(w, r.Body, maxBodyBytes)
-	if r.ContentLength < 0 || r.ContentLength > maxBodyBytes {
-		body, err := io.ReadAll(limited)
-		if err != nil {
-			return nil, invalid("body", err.Error())
-		}
-		return body, nil
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(limited, body); err != nil {
+// truncated body, so that the request does not run with part of it, and gate.ErrRefused
+// if the host refuses it.
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := gate.ReadBody(r, maxBodyBytes, time.Now().Add(transferTimeout))
+	if err != nil && !errors.Is(err, gate.ErrRefused) {
 		return nil, invalid("body", err.Error())
 	}
-	return body, nil
+	return body, err
 }
 
 // parseRequest parses the path and headers of a request. It does not read the
@@ -335,7 +340,12 @@
 
 func (s *Server) serveJob(w http.ResponseWriter, r *http.Request) {
 	var in wire.JobSpec
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := readBody(r)
+	if errors.Is(err, gate.ErrRefused) {
+		w.Header().Set("connection", "close")
+		rest.WriteError(w, hoist.ConvertError(hoist.ErrUnavailable, err))
+		return
+	}
 	if err == nil {
 		err = json.Unmarshal(body, &in)
 	}
