--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -366,7 +366,7 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	if timeout := c.gate.WriteTimeout; timeout > 0 {
 		// If this fails, the write does too.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(timeout))
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
 	}
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/decide/crowd/crowd.go
+++ b/internal/decide/crowd/crowd.go
@@ -34,7 +34,8 @@
 	// relays and its peers.
 	clientShare = 3
 	// memoryShare is the part of the memory of the machine for requests, and again for
-	// connections. With both in use, an owner stays below its garbage collection limit.
+	// connections. Both together leave more than half of the soft memory limit of the
+	// process for the work of the host itself.
 	memoryShare = 8
 	// connMemory is what an open connection takes: goroutines and buffers of net/http, and
 	// the request being handled.
--- a/internal/peer/caller/limits_test.go
+++ b/internal/peer/caller/limits_test.go
@@ -38,6 +38,7 @@
 				began := time.Now()
 				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				is.NoErr(err)
+				defer resp.Body.Close()
 				_, err = io.Copy(io.Discard, resp.Body)
 				is.NoErr(err)
 				is.True(resp.StatusCode >= 400)
