--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -10,7 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/gate"
 	"fuchsiahoist.example/hoist/internal/core/guard"
+	"fuchsiahoist.example/hoist/internal/decide/admit"
 )
 
 // PlanMetrics holds the metrics of a host that schedules plans.
@@ -27,6 +29,7 @@
 	panics   *prometheus.CounterVec
 	backlog  *prometheus.GaugeVec
 	teams    *teamMetrics
+	closed   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 }
 
@@ -71,10 +74,13 @@
 			Name: "hoist_refused_calls_total", Help: "Calls of clients refused because of their key, by cause.",
 		}, []string{"cause"}),
 	}
+	p.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hoist_refused_clients_total", Help: "Clients that were refused or whose connection was closed, by port and cause.",
+	}, []string{"port", "cause"})
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog, p.refused, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog, p.refused, p.closed, droppedLines, collectors.NewGoCollector())
 	p.teams = newTeamMetrics(p.registry)
 	return p
 }
@@ -129,6 +135,25 @@
 	p.refused.WithLabelValues(cause).Inc()
 }
 
+// RecordRefusedClient counts a client that was refused or whose connection was closed.
+func (p *PlanMetrics) RecordRefusedClient(port string, cause gate.Cause) {
+	p.closed.WithLabelValues(port, string(cause)).Inc()
+}
+
+// ObserveClients registers the usage of a port, which is read whenever the metrics are
+// collected.
+func (p *PlanMetrics) ObserveClients(port string, usage func() (conns int, held admit.Bytes)) {
+	labels := prometheus.Labels{"port": port}
+	p.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hoist_client_connections", Help: "Open connections of clients, by port.", ConstLabels: labels,
+		}, func() float64 { conns, _ := usage(); return float64(conns) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hoist_client_bytes", Help: "Memory reserved for requests of clients in progress, by port.", ConstLabels: labels,
+		}, func() float64 { _, held := usage(); return float64(held) }),
+	)
+}
+
 // RecordPanic counts a panic that ended a piece of work.
 func (p *PlanMetrics) RecordPanic(work guard.Work) {
 	p.panics.WithLabelValues(string(work)).Inc()
--- a/runner.go
+++ b/runner.go
@@ -119,6 +119,17 @@
 	NeedsKeys bool
 	// Invalid lists the parts of the entries of teams that are left out.
 	Invalid []InvalidTeam
+	// Limits are what a request of a client must keep.
+	Limits RequestLimits
+}
+
+// RequestLimits are what a request of a client must keep. 0 leaves the default.
+type RequestLimits struct {
+	// MaxBody and MaxHeader are in bytes.
+	MaxBody, MaxHeader int
+	// HeaderTimeout bounds the time until the header has arrived, and IdleTimeout that
+	// between two requests on a connection.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // InvalidTeam describes a part of the configuration of a team that breaks the rules and
