--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -148,6 +148,7 @@
 	RunMissing           = register(630, slog.LevelWarn, "worker no longer lists an attempt that it had confirmed; the attempt is stopped")
 	RunStillRunning      = register(631, slog.LevelWarn, "attempt that counted as ended still runs; it is stopped")
 	RunEndedLate         = register(632, slog.LevelWarn, "worker listed the end of an attempt that had counted as ended")
+	CheckpointsOmitted   = register(640, slog.LevelWarn, "state of a plan is recorded without some checkpoints, as it would not fit into a row")
 )
 
 // Events of the configuration: 500 to 599.
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -39,6 +39,7 @@
 	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 	"fuchsiahoist.example/hoist/internal/decide/share"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
 const (
@@ -111,6 +112,10 @@
 	// often handling a plan has panicked.
 	quarantined map[hoist.JobID]hoist.PartName
 	failures    map[hoist.JobID]int
+	// refusedSince holds when the store first refused the state of a plan, and recordedAt is
+	// when it last accepted one.
+	refusedSince map[hoist.JobID]time.Time
+	recordedAt   time.Time
 	// isDelaying is set while occurrences that are due wait.
 	isDelaying bool
 	links      map[hoist.WorkerID]*link
@@ -169,6 +174,7 @@
 	if d.MaxLease > 0 {
 		d.scheduler.MaxLease = d.MaxLease
 	}
+	d.scheduler.StateSize, d.scheduler.MaxState = codec.PackedStateSize, codec.MaxStateBytes
 	if d.Open != (sched.OpenLimits{}) {
 		d.scheduler.Open = d.Open
 	}
@@ -177,6 +183,7 @@
 	}
 	d.quarantined = make(map[hoist.JobID]hoist.PartName)
 	d.failures = make(map[hoist.JobID]int)
+	d.refusedSince = make(map[hoist.JobID]time.Time)
 	d.links = make(map[hoist.WorkerID]*link)
 	d.awaiting = make(map[*link]hoist.WorkerID)
 	d.shares = share.NewTable()
--- a/internal/core/plans/quarantine.go
+++ b/internal/core/plans/quarantine.go
@@ -25,7 +25,12 @@
 func (d *Driver) recordHold(ctx context.Context, e quar.Entry) {
 	for ctx.Err() == nil {
 		err := d.writeQuarantine(ctx, e)
-		if err == nil || errors.Is(err, hoist.ErrConflict) {
+		if err == nil {
+			d.update(ctx, workPlans, func() { d.scheduler.Withdraw(e.Ref.Job, d.Clock.Now()) })
+			d.requestPass()
+			return
+		}
+		if errors.Is(err, hoist.ErrConflict) {
 			return
 		}
 		events.QuarantineFailed.Log(ctx, d.Log, "plan", e.Ref.Job, "error", err)
--- a/internal/core/plans/record.go
+++ b/internal/core/plans/record.go
@@ -9,11 +9,15 @@
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
 	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/core/quar"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
 const (
+	// maxBytesPerCommit bounds the values in one transaction, which may have 1 MB; on the wire
+	// they take a third more.
+	maxBytesPerCommit = 600_000
 	// maxStatesPerCommit bounds the states in one transaction: each takes up to four
 	// of its 100 entries.
 	maxStatesPerCommit = 20
@@ -91,8 +95,10 @@
 // that could not be written stay unrecorded.
 func (d *Driver) record(ctx context.Context, rec *recorder, list []sched.UnrecordedState) {
 	began := d.Clock.Now()
+	txn, n := d.transaction(ctx, rec.part, list)
+	list = list[:n]
 	callCtx, cancel := context.WithTimeout(ctx, rec.timeout)
-	version, err := d.Store.Commit(callCtx, d.transaction(rec.part, list))
+	version, err := d.Store.Commit(callCtx, txn)
 	cancel()
 	if err == nil {
 		d.recorded(ctx, list, version)
@@ -122,7 +128,7 @@
 
 // refusedStateDelay is the delay before a state that the store refuses is written
 // again. It changes as tasks end, and may then fit into a row.
-const refusedStateDelay = 2 * time.Second
+const refusedStateDelay = time.Second
 
 // isolate finds the state that makes the store refuse a transaction, so that the
 // other states of the part are recorded.
@@ -131,21 +137,51 @@
 		rec.singles = len(list)
 		return
 	}
-	d.update(ctx, workRecord, func() { d.scheduler.DeferRecording(list[0].Job, d.Clock.Now().Add(refusedStateDelay)) })
+	d.update(ctx, workRecord, func() { d.recordRefusal(ctx, list[0]) })
 }
 
-// transaction returns the transaction that writes states of one part.
-func (d *Driver) transaction(part hoist.PartName, list []sched.UnrecordedState) hoist.Transaction {
+// recordRefusal handles a state that the store refuses by itself. If it refuses the state again
+// although it has recorded others in between, the plan is quarantined: its ends could never be
+// acknowledged, and with them no later ones of the same workers. d.mu must be held.
+func (d *Driver) recordRefusal(ctx context.Context, u sched.UnrecordedState) {
+	now := d.Clock.Now()
+	since, isKnown := d.refusedSince[u.Job]
+	if !isKnown {
+		d.refusedSince[u.Job] = now
+	}
+	d.scheduler.DeferRecording(u.Job, now.Add(refusedStateDelay))
+	if !isKnown || !d.recordedAt.After(since) {
+		return
+	}
+	delete(d.refusedSince, u.Job)
+	d.hold(ctx, quar.Entry{
+		Ref: quar.Ref{Part: u.Part, Job: u.Job}, Queue: u.State.Queue, Reason: "the store refuses the state of the plan", IsHeld: true,
+		LosesEnds: true, At: now,
+	})
+}
+
+// transaction returns the transaction that writes the first states of a list, as many as fit
+// into one, and how many those are.
+func (d *Driver) transaction(ctx context.Context, part hoist.PartName, list []sched.UnrecordedState) (hoist.Transaction, int) {
 	txn := hoist.Transaction{Preconditions: []hoist.Precondition{{RowRef: keys.Fence(part), Version: d.Claim.Version}}}
-	for _, u := range list {
+	bytes := 0
+	for i, u := range list {
+		value := codec.EncodePlanState(u.State)
+		bytes += len(value)
+		if i > 0 && bytes > maxBytesPerCommit {
+			return txn, i
+		}
+		if u.OmittedCheckpoints > 0 {
+			events.CheckpointsOmitted.Log(ctx, d.Log, "plan", u.Job, "omitted", u.OmittedCheckpoints, "bytes", len(value))
+		}
 		ref := keys.State(u.Part, u.Job)
 		txn.Preconditions = append(txn.Preconditions, hoist.Precondition{RowRef: ref, Version: u.Version})
-		txn.Writes = append(txn.Writes, hoist.Write{RowRef: ref, Value: codec.EncodePlanState(u.State)})
+		txn.Writes = append(txn.Writes, hoist.Write{RowRef: ref, Value: value})
 		if u.HasEnded {
 			txn.Remove = append(txn.Remove, keys.Plan(u.Part, u.Job), keys.Cancel(u.Part, u.Job))
 		}
 	}
-	return txn
+	return txn, len(list)
 }
 
 // recorded marks states as recorded and sends the starts that waited for them.
@@ -153,7 +189,9 @@
 	var startCalls []startCall
 	d.update(ctx, workRecord, func() {
 		now := d.Clock.Now()
+		d.recordedAt = now
 		for _, u := range list {
+			delete(d.refusedSince, u.Job)
 			for _, s := range d.scheduler.MarkRecorded(u.Job, u.Change, version, now) {
 				startCalls = append(startCalls, d.newStartCall(s, now))
 			}
--- a/internal/core/quar/quar.go
+++ b/internal/core/quar/quar.go
@@ -45,7 +45,10 @@
 	// IsHeld tells that the plan is not handled. Without it, the entry only counts
 	// failures.
 	IsHeld bool
-	At     time.Time
+	// LosesEnds tells that ends of its tasks were acknowledged without being recorded. The plan
+	// cannot be released then, as these tasks would run again.
+	LosesEnds bool
+	At        time.Time
 }
 
 // maxReason bounds the recorded reason, in bytes.
@@ -58,6 +61,7 @@
 		RowRef: keys.Quarantine(e.Ref.Part, e.Ref.Job),
 		Value: codec.EncodeStoreRow(rows.Quarantine{
 			Queue: string(e.Queue), Reason: reason, Failures: e.Failures, Held: e.IsHeld, AtMs: int(e.At.UnixMilli()),
+			EndsLost: e.LosesEnds,
 		}),
 	}
 }
@@ -76,7 +80,7 @@
 	}
 	return Entry{
 		Ref: e.Ref, Queue: hoist.QueueName(r.Queue), Reason: r.Reason, Failures: r.Failures, IsHeld: r.Held,
-		At: time.UnixMilli(int64(r.AtMs)),
+		LosesEnds: r.EndsLost, At: time.UnixMilli(int64(r.AtMs)),
 	}, true
 }
 
@@ -114,9 +118,19 @@
 }
 
 // Release removes the quarantine of a plan. The owner of the cell then tries the plan
-// again.
+// again. It returns hoist.ErrInvalid for a plan whose tasks would run again, which can only
+// be dropped.
 func Release(ctx context.Context, store hoist.Store, ref Ref) error {
-	_, err := store.Commit(ctx, hoist.Transaction{Remove: []hoist.RowRef{keys.Quarantine(ref.Part, ref.Job)}})
+	row, err := store.Get(ctx, keys.Quarantine(ref.Part, ref.Job))
+	if err != nil {
+		return err
+	}
+	if e, ok := Decode(row); ok && row.Version > 0 && e.LosesEnds {
+		return merry.Wrap(hoist.ErrInvalid, merry.AppendMessagef("ends of plan %s were not recorded: its tasks would run again", ref.Job))
+	}
+	_, err = store.Commit(ctx, hoist.Transaction{
+		Preconditions: []hoist.Precondition{{RowRef: row.RowRef, Version: row.Version}}, Remove: []hoist.RowRef{row.RowRef},
+	})
 	return err
 }
 
--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -278,6 +278,11 @@
 			return err
 		}
 	}
+	for _, e := range s.Earlier {
+		if err := first(between(step, "earlier", e.Index, 0, count-1), between(step, "failures", e.Count, 1, maxCount)); err != nil {
+			return err
+		}
+	}
 	for _, c := range s.Saved {
 		if err := between(step, "saved", c.Index, 0, count-1); err != nil {
 			return err
--- a/internal/decide/limit/worker.go
+++ b/internal/decide/limit/worker.go
@@ -16,6 +16,9 @@
 	// maxLabels and maxLabelLength bound the labels of a worker.
 	maxLabels      = 100
 	maxLabelLength = 200
+	// maxWorkerID bounds the id of a worker, which is recorded with each attempt: the names of
+	// 300 workers, the most tasks of a gang, fit into a row of the store.
+	maxWorkerID = 128
 	// maxRemaining bounds the time that a leaving worker has left.
 	maxRemaining = 24 * time.Hour
 )
@@ -31,6 +34,7 @@
 		between(noStep, FieldMemory, e.Capacity.Memory, 0, maxWorkerMemory),
 		between(noStep, FieldAccelerators, e.Capacity.Accel, 0, maxWorkerAccel),
 		between(noStep, "remaining", e.Remaining, 0, maxRemaining),
+		between(noStep, "worker length", len(e.Worker), 1, maxWorkerID),
 		between(noStep, "labels", len(e.Labels), 0, maxLabels),
 	)
 	if err != nil {
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -215,10 +215,7 @@
 		found[t] = true
 		t.isStartInDoubt = false
 		t.measurement = status.Measurement
-		if status.Saved != "" {
-			t.Saved = status.Saved
-			t.StepTasks.saved = status.Saved
-		}
+		t.keepCheckpoint(status.Saved)
 		if t.Phase == Recovered || t.Phase == Starting {
 			t.Phase = Running
 			t.phaseSince = now
@@ -258,10 +255,7 @@
 	}
 	s, j := t.StepTasks, t.StepTasks.Job
 	if isPlaced {
-		if e.Saved != "" {
-			t.Saved = e.Saved
-			s.saved = e.Saved
-		}
+		t.keepCheckpoint(e.Saved)
 		if e.Kind == hoist.EndDone {
 			sc.recordRunTime(t, now)
 		}
@@ -298,14 +292,19 @@
 // no more.
 func (sc *Scheduler) recordFailure(w *Worker, t *Task, attempt hoist.AttemptNo, now time.Time) {
 	w.health.recordFailure(t.StepTasks.Job.Plan.ID, now)
-	if slices.Contains(t.Failed, attempt) {
+	if t.isFailureKnown(attempt) {
 		return
 	}
-	t.Failed = append(t.Failed, attempt)
-	t.failedWorkers = append(t.failedWorkers, w.entry.Worker)
+	t.addFailedWorker(w.entry.Worker)
 	t.notBefore = now.Add(failureRetryDelay)
+	if t.StepTasks.Step.IsLongRunning {
+		// Nothing bounds such failures, so they must not accumulate.
+		return
+	}
+	t.addFailed(attempt)
+	t.foldFailures()
 	j := t.StepTasks.Job
-	if t.StepTasks.Step.IsLongRunning || j.Phase.IsFinal() || t.Phase == Done {
+	if j.Phase.IsFinal() || t.Phase == Done {
 		return
 	}
 	if t.StepTasks.failedAttempts(t) >= max(1, j.Plan.Queue.MaxAttempts) {
@@ -321,6 +320,7 @@
 		sc.expireLeases(now)
 		sc.expireDoubts(now)
 	}
+	sc.removeWithdrawn()
 	sc.beginDue(now)
 }
 
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -17,7 +17,7 @@
 		sc.placeGang(s, workers, now)
 		return
 	}
-	next, left := 0, s.Job.maxPlacements()
+	next, left := 0, sc.maxPlacements(s.Job)
 	for _, t := range s.Tasks {
 		if left == 0 {
 			return
@@ -142,7 +142,7 @@
 // prefers a single rack is spread over racks only if it fits into no single
 // one.
 func (sc *Scheduler) placeGang(s *StepTasks, workers []*Worker, now time.Time) {
-	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > s.Job.maxPlacements() {
+	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > sc.maxPlacements(s.Job) {
 		return
 	}
 	attempt := sc.newAttempt(s.Job)
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -70,8 +70,10 @@
 	Attempt   hoist.AttemptNo
 	Worker    *Worker
 	Saved     hoist.Checkpoint
-	// Failed lists the attempts that ended with a failure.
-	Failed []hoist.AttemptNo
+	// Failed lists the attempts that ended with a failure, in order; it is empty for
+	// long-running tasks. earlierFailures counts further ones before those.
+	Failed          []hoist.AttemptNo
+	earlierFailures int
 
 	// phaseSince is when the task entered its phase.
 	phaseSince time.Time
@@ -154,7 +156,7 @@
 // the attempts in which any of its tasks failed.
 func (s *StepTasks) failedAttempts(t *Task) int {
 	if !s.Step.IsGang {
-		return len(t.Failed)
+		return len(t.Failed) + t.earlierFailures
 	}
 	attempts := make(map[hoist.AttemptNo]bool)
 	for _, member := range s.Tasks {
@@ -200,6 +202,14 @@
 	// recordNotBefore is the earliest time to record the state again, after the store
 	// has refused it.
 	recordNotBefore time.Time
+	// size is that of the encoded state, and essentialSize without checkpoints, at sizedChange
+	// in the pass sizedPass, when sizedPlaced attempts were placed. They are valid if isSized
+	// is set.
+	size, essentialSize, sizedPlaced int
+	sizedChange, sizedPass           uint64
+	isSized                          bool
+	// isWithdrawn is set once the job is quarantined: nothing of it is recorded any more.
+	isWithdrawn bool
 	// changed is the scheduler's map of jobs with unrecorded state in the same part.
 	changed map[hoist.JobID]*Job
 }
@@ -211,6 +221,9 @@
 
 // markChanged marks the state of the job as different from what is recorded.
 func (j *Job) markChanged() {
+	if j.isWithdrawn {
+		return
+	}
 	j.change++
 	j.changed[j.Plan.ID] = j
 }
@@ -253,6 +266,16 @@
 	MaxLease time.Duration
 	// MaxReportedEnds is the most ends that a worker lists in one report.
 	MaxReportedEnds int
+	// StateSize returns the size of the encoding of a state with all steps in the short form,
+	// and MaxState the most that may be recorded, in bytes. Without StateSize, every state
+	// fits.
+	StateSize func(hoist.PlanState) int
+	MaxState  int
+	sizes     stateSizes
+	// longestName and nameBytes are the longest and the total length of the ids of the workers.
+	longestName, nameBytes int
+	// withdrawn holds the jobs that are quarantined while attempts of them may still run.
+	withdrawn map[hoist.JobID]*Job
 	// RemoteFactor is how many times longer a task runs when it is remote from its
 	// data.
 	RemoteFactor float64
@@ -302,6 +325,7 @@
 		stopping:   make(map[*Task]bool),
 		orphaned:   make(map[hoist.WorkerID]*Worker),
 		doubted:    make(map[hoist.WorkerID]*Worker),
+		withdrawn:  make(map[hoist.JobID]*Job),
 		orders:     make(map[hoist.ServiceName]*workerOrder),
 		speeds:     newSpeeds(),
 	}
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -19,6 +19,8 @@
 	// HasEnded tells that the job is in a final phase and none of its attempts
 	// may still run.
 	HasEnded bool
+	// OmittedCheckpoints is how many checkpoints are not in the state, as it would not fit.
+	OmittedCheckpoints int
 }
 
 // Unrecorded returns the states to write, of at most limit jobs in the given
@@ -41,7 +43,8 @@
 	out := make([]UnrecordedState, 0, len(changed))
 	for _, j := range changed {
 		sc.Handling = j.Plan.ID
-		out = append(out, UnrecordedState{j.Plan.ID, j.Plan.Part, j.Version, j.change, j.state(), j.HasEnded()})
+		state, omitted := sc.fittingState(j)
+		out = append(out, UnrecordedState{j.Plan.ID, j.Plan.Part, j.Version, j.change, state, j.HasEnded(), omitted})
 	}
 	return out
 }
@@ -100,6 +103,9 @@
 		for _, a := range t.Failed {
 			out.Failed = append(out.Failed, hoist.FailedRun{Index: t.Index, Attempt: a})
 		}
+		if t.earlierFailures > 0 {
+			out.Earlier = append(out.Earlier, hoist.EarlierFailures{Index: t.Index, Count: t.earlierFailures})
+		}
 		if t.Saved != "" && s.Step.SavesProgress {
 			out.Saved = append(out.Saved, hoist.SavedProgress{Index: t.Index, Saved: t.Saved})
 		}
@@ -107,55 +113,6 @@
 	return out
 }
 
-const (
-	// maxStateBytes bounds the estimated size of a recorded state. A row of the
-	// store holds 64 KiB; the rest is for failures and checkpoints to come.
-	maxStateBytes = 44 << 10
-	// doneBytes, placedBytes, failedBytes and savedBytes are the sizes of the entries
-	// of a task, without the worker and the checkpoint.
-	doneBytes   = 6
-	placedBytes = 60
-	failedBytes = 52
-	savedBytes  = 36
-	// typicalNameBytes is the size of the id of a worker, and of a checkpoint.
-	typicalNameBytes = 24
-	// smallJob is a number of tasks whose state always fits into a row.
-	smallJob = 250
-)
-
-// maxPlacements returns how many more tasks of the job may be placed so that its
-// state still fits into a row.
-func (j *Job) maxPlacements() int {
-	if j.numOpenTasks() <= smallJob {
-		return smallJob
-	}
-	size, perTask := 0, placedBytes+typicalNameBytes
-	for _, s := range j.steps {
-		for _, t := range s.Tasks {
-			size += t.stateBytes()
-		}
-		if s.Step.SavesProgress {
-			perTask = placedBytes + typicalNameBytes + savedBytes + typicalNameBytes
-		}
-	}
-	return max(0, (maxStateBytes-size)/perTask)
-}
-
-// stateBytes estimates the size of a task in the recorded state.
-func (t *Task) stateBytes() int {
-	if t.Phase == Done {
-		return doneBytes
-	}
-	n := failedBytes * len(t.Failed)
-	if t.IsPlaced() {
-		n += placedBytes + typicalNameBytes
-	}
-	if t.StepTasks.Step.SavesProgress && (t.Saved != "" || t.IsPlaced()) {
-		n += savedBytes + max(typicalNameBytes, len(t.Saved))
-	}
-	return n
-}
-
 // Restore adds a job from its recorded state, in a row of the given version.
 // Its placed attempts may still run; the reports of their workers tell.
 func (sc *Scheduler) Restore(p hoist.Plan, s hoist.PlanState, version hoist.RowVersion, now time.Time) {
@@ -197,10 +154,8 @@
 	if step.unfinished == 0 && len(step.Tasks) > 0 {
 		step.Job.unfinishedSteps[step.Occurrence]--
 	}
-	for _, f := range s.Failed {
-		if isIndex(f.Index) {
-			step.Tasks[f.Index].Failed = append(step.Tasks[f.Index].Failed, f.Attempt)
-		}
+	if !step.Step.IsLongRunning {
+		step.restoreFailures(s, isIndex)
 	}
 	for _, c := range s.Saved {
 		if isIndex(c.Index) {
@@ -218,6 +173,21 @@
 	}
 }
 
+// restoreFailures restores the failures of tasks, of which there is no state for long-running
+// ones. Earlier versions recorded them.
+func (s *StepTasks) restoreFailures(state hoist.StepState, isIndex func(int) bool) {
+	for _, f := range state.Failed {
+		if isIndex(f.Index) {
+			s.Tasks[f.Index].addFailed(f.Attempt)
+		}
+	}
+	for _, e := range state.Earlier {
+		if isIndex(e.Index) {
+			s.Tasks[e.Index].earlierFailures = e.Count
+		}
+	}
+}
+
 // SetVersion sets the version of the row that holds the state of a job.
 func (sc *Scheduler) SetVersion(id hoist.JobID, version hoist.RowVersion) {
 	if j, ok := sc.jobs[id]; ok {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -117,6 +117,7 @@
 			delete(sc.workers, id)
 		}
 	}
+	sc.measureNames()
 }
 
 // drain stops the tasks of a leaving worker that would not end before it has
--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
 )
@@ -140,12 +143,27 @@
 	}
 }
 
-// EncodePlanState encodes the state of a plan as the value of its row.
+// MaxStateBytes bounds the value of a plan's state. A row of the store holds 65,536 bytes.
+const MaxStateBytes = 62_000
+
+// EncodePlanState encodes the state of a plan as the value of its row. The steps have the form
+// that all versions read if they fit into a row in it, and the short form otherwise.
 func EncodePlanState(s hoist.PlanState) []byte {
-	return EncodeStoreRow(rows.PlanState{
-		Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended),
-		Steps: Map(s.Steps, stepState),
-	})
+	hasEarlier := slices.ContainsFunc(s.Steps, func(step hoist.StepState) bool { return len(step.Earlier) > 0 })
+	if !hasEarlier || !isPackable(s.Steps) {
+		r := planStateHead(s)
+		r.Steps = Map(s.Steps, stepState)
+		value := EncodeStoreRow(r)
+		if len(value) <= MaxStateBytes || !isPackable(s.Steps) {
+			return value
+		}
+	}
+	return EncodeStoreRow(packedState(s))
+}
+
+// planStateHead returns the fields of a state besides its steps.
+func planStateHead(s hoist.PlanState) rows.PlanState {
+	return rows.PlanState{Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended)}
 }
 
 // DecodePlanState decodes the state of a plan. It returns hoist.ErrInvalid if
@@ -155,10 +173,22 @@
 	if err != nil {
 		return hoist.PlanState{}, err
 	}
-	return hoist.PlanState{
+	s := hoist.PlanState{
 		Queue: hoist.QueueName(r.Queue), Team: hoist.TeamID(r.Team), Phase: hoist.PlanPhase(r.Phase), Next: hoist.Occurrence(r.Next),
-		Ended: timeFromUnixMillis(r.EndedMs), Steps: Map(r.Steps, toStepState),
-	}, nil
+		Ended: timeFromUnixMillis(r.EndedMs),
+	}
+	if r.Packed == nil {
+		s.Steps = Map(r.Steps, toStepState)
+		return s, nil
+	}
+	if s.Steps, err = unpackSteps(*r.Packed); err != nil {
+		return hoist.PlanState{}, err
+	}
+	return s, nil
+}
+
+func invalidf(format string, args ...any) error {
+	return merry.Wrap(hoist.ErrInvalid, merry.AppendMessagef(format, args...))
 }
 
 func stepState(s hoist.StepState) rows.StepState {
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -71,6 +71,41 @@
 	Weight int `json:"weight"`
 }
 
+// The states of the steps in a short form. The tasks of all steps, in order, have
+// one numbering; widths tells how many numbers each step has. Lists of numbers
+// hold differences to the entry before.
+type PackedSteps struct {
+	// Checkpoints corresponds to the JSON schema field "checkpoints".
+	Checkpoints []string `json:"checkpoints"`
+
+	// Pairs: the number of tasks that are not done, and of those after them that are.
+	Done []int `json:"done"`
+
+	// Pairs: difference of the task, number of its failures that are only counted.
+	Earlier []int `json:"earlier"`
+
+	// Pairs: difference of the attempt, difference of the task.
+	Failed []int `json:"failed"`
+
+	// Differences of the occurrences.
+	Occurrences []int `json:"occurrences"`
+
+	// Triples: difference of the attempt, difference of the task, index in workers.
+	Placed []int `json:"placed"`
+
+	// Pairs: difference of the task, index in checkpoints.
+	Saved []int `json:"saved"`
+
+	// The number of steps of each occurrence.
+	Steps int `json:"steps"`
+
+	// Widths corresponds to the JSON schema field "widths".
+	Widths []int `json:"widths"`
+
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []string `json:"workers"`
+}
+
 // An attempt that may run on a worker.
 type Placed struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -118,6 +153,9 @@
 	// Next corresponds to the JSON schema field "next".
 	Next int `json:"next"`
 
+	// Replaces steps, which then holds one entry that earlier versions refuse.
+	Packed *PackedSteps `json:"packed,omitempty,omitzero"`
+
 	// Phase corresponds to the JSON schema field "phase".
 	Phase string `json:"phase"`
 
@@ -160,6 +198,10 @@
 	// Unix milliseconds.
 	AtMs int `json:"at-ms"`
 
+	// Whether ends of tasks were acknowledged without being recorded, so that tasks
+	// would run again if the plan were released.
+	EndsLost bool `json:"ends-lost,omitempty,omitzero"`
+
 	// How often handling the plan ended with a panic.
 	Failures int `json:"failures"`
 
--- a/planstate.go
+++ b/planstate.go
@@ -25,7 +25,9 @@
 	// Placed lists the attempts that may run.
 	Placed []PlacedRun
 	Failed []FailedRun
-	Saved  []SavedProgress
+	// Earlier counts failures of tasks beside those in Failed, whose attempts are later.
+	Earlier []EarlierFailures
+	Saved   []SavedProgress
 }
 
 // PlacedRun is an attempt that may run on a worker.
@@ -41,6 +43,12 @@
 	Attempt AttemptNo
 }
 
+// EarlierFailures counts the failures of a task whose attempts are not listed.
+type EarlierFailures struct {
+	Index int
+	Count int
+}
+
 // SavedProgress is the last checkpoint of a task.
 type SavedProgress struct {
 	Index int
