--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -26,6 +26,8 @@
 	mu      sync.Mutex
 	entries map[hoist.WorkerID]hoist.WorkerEntry
 	workers map[hoist.WorkerID]*leasedWorker
+	// refused is the plan whose state the store refuses to write.
+	refused hoist.JobID
 }
 
 // leasedWorker is a worker whose tasks run until they are stopped or its lease expires.
@@ -44,6 +46,8 @@
 	ends       []hoist.RunEnd
 	leaseUntil time.Time
 	starts     int
+	// acked is the last end that was acknowledged.
+	acked hoist.EndNo
 	// losesPolls is set while polls get no answer, and isCutOffByStart if the worker is to
 	// be cut off when it has carried out a start.
 	losesPolls, isCutOffByStart bool
@@ -56,6 +60,20 @@
 	began                     time.Time
 }
 
+// cellStore is the store of a cell, which may refuse the state of a plan.
+type cellStore struct {
+	*memory.Store
+	cell *leavingCell
+}
+
+// Commit implements hoist.Store.
+func (s cellStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
+	s.cell.mu.Lock()
+	refusing := refusingStore{s.Store, s.cell.refused}
+	s.cell.mu.Unlock()
+	return refusing.Commit(ctx, t)
+}
+
 // runLeavingCell runs an owner and calls during after a second.
 func runLeavingCell(t *testing.T, during func(c *leavingCell)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -66,7 +84,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ownership := claim.NewOwnership(1, writeFences(t, c.store), time.Now(), time.Now().Add(time.Hour), cancel)
 		d := &Driver{
-			Claim: ownership, Store: c.store, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
+			Claim: ownership, Store: cellStore{c.store, c}, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
 			Dial:  func(e hoist.WorkerEntry) hoist.Runner { return c.worker(e.Worker) },
 			Queue: func(hoist.QueueName) (hoist.Queue, bool) { return hoist.Queue{}, false },
 		}
@@ -244,6 +262,7 @@
 		return hoist.RunnerReport{}, hoist.ErrOutcomeUnknown
 	}
 	w.extendLease(r.Lease)
+	w.acked = max(w.acked, r.Acked)
 	w.reports++
 	report := hoist.RunnerReport{Clock: w.clock(), Incarnation: hoist.Incarnation(1 + w.firstIncarnation + w.restarts)}
 	for _, e := range w.ends {
