--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -34,6 +34,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/guard"
 	"fuchsiahoist.example/hoist/internal/proto/codec"
 	"fuchsiahoist.example/hoist/internal/proto/rows"
@@ -188,7 +189,11 @@
 	workAdvice guard.Work = "advice"
 )
 
-// Run serves until ctx ends, then closes all connections.
+// acceptRetryDelay is the delay after a connection that could not be accepted.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// Run serves until ctx ends, then closes all connections. It returns an error if the listener
+// is closed before.
 func (s *Server) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -197,12 +202,17 @@
 	wg.Go(func() { s.runners.closeIdle(ctx) })
 	for {
 		conn, err := s.Listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
 			return merry.Prepend(err, "accepting connections of other hosts")
 		}
+		if err != nil {
+			// Such as a lack of descriptors, which passes.
+			clock.Sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		wg.Go(func() { s.serve(ctx, conn) })
 	}
 }
