Keep a cancelled submission from taking effect later

A client that gave its submission up and cancelled it got 410; the transaction of the submission could take effect up to 6 s later, and the job ran. A cancellation of an unknown id now writes a final state to each part that could accept the plan. The transaction expects no state there, and fails. A later submission of the id is refused as not accepted until the owner has removed these rows, after the retention of states. 410 is answered only once all three parts have the tombstone.

The row of a plan in a final phase stayed for ever if its owner was lost while a superseded attempt still ran; once the state had expired, a later owner took it for a new plan. A new owner records such a state again, which removes the row, and keeps the state until then.

TestEndedPlanIsRemoved and TestCancelOvertakesSubmission failed before or could not be written.

--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -151,7 +151,7 @@
 		limit := s.tryLimit()
 		go func() {
 			r := commitResult{part: part, err: hoist.ErrOutcomeUnknown}
-			_ = s.Guard.Do(ctx, workSubmit, func() { r = s.try(ctx, part, acceptTransaction(part, p), limit) })
+			_ = s.Guard.Do(ctx, workSubmit, func() { r = s.tryAccept(ctx, part, p, limit) })
 			results <- r
 		}()
 	}
@@ -212,7 +212,7 @@
 		if !clock.Sleep(ctx, retryDelay) {
 			return part, 0, tries, hoist.ConvertError(hoist.ErrOutcomeUnknown, unknown)
 		}
-		if r := s.try(ctx, part, acceptTransaction(part, p), storeTimeout); r.isKnown() {
+		if r := s.tryAccept(ctx, part, p, storeTimeout); r.isKnown() {
 			return part, r.version, tries + 1, r.err
 		}
 	}
@@ -335,6 +335,9 @@
 		if err != nil {
 			return hoist.PlanState{}, part, merry.Prependf(err, "decode the state of plan %s", id)
 		}
+		if state.IsTombstone {
+			continue
+		}
 		if state.Queue != queue {
 			return hoist.PlanState{}, part, merry.Wrap(hoist.ErrNotFound, merry.PrependMessagef("plan %s in queue %s", id, queue))
 		}
@@ -356,6 +359,13 @@
 // Cancel implements hoist.PlanService.
 func (s *Service) Cancel(ctx context.Context, queue hoist.QueueName, id hoist.JobID) error {
 	state, part, err := s.state(ctx, queue, id)
+	if errors.Is(err, hoist.ErrNotFound) && part == "" {
+		// Its submission may still be on its way.
+		if forbidden := s.forbid(ctx, queue, id); !errors.Is(forbidden, hoist.ErrConflict) {
+			return cmp.Or(forbidden, err)
+		}
+		state, part, err = s.state(ctx, queue, id)
+	}
 	if err != nil || state.Phase.IsFinal() {
 		return err
 	}
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -112,6 +112,10 @@
 	return ref
 }
 
+// TombstoneCancel is the value of a row that requests the cancellation of a plan that has not
+// been accepted. Nothing refers to the plan but this row and its state.
+const TombstoneCancel = `{"never-accepted":true}`
+
 // CancelOf returns the plan whose cancellation a row of the table of plans requests. It
 // reports false if the row is that of a plan.
 func CancelOf(key hoist.RowKey) (hoist.JobID, bool) {
--- a/internal/core/plans/plans.go
+++ b/internal/core/plans/plans.go
@@ -153,7 +153,7 @@
 // them.
 func (d *Driver) applyPlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
 	var plans []hoist.StoredRow
-	var cancelled []quar.Ref
+	var cancelled, forbidden []quar.Ref
 	for _, row := range changed {
 		if e, ok := quar.Decode(row); ok {
 			d.update(ctx, workPlans, func() { d.applyQuarantine(ctx, e, row.IsRemoved) })
@@ -163,7 +163,12 @@
 			continue
 		}
 		if id, isCancel := keys.CancelOf(row.Key); isCancel {
-			cancelled = append(cancelled, quar.Ref{Part: row.Part, Job: id})
+			ref := quar.Ref{Part: row.Part, Job: id}
+			if string(row.Value) == keys.TombstoneCancel {
+				forbidden = append(forbidden, ref)
+			} else {
+				cancelled = append(cancelled, ref)
+			}
 			continue
 		}
 		plans = append(plans, row)
@@ -174,6 +179,11 @@
 	for _, ref := range cancelled {
 		d.update(ctx, workPlans, func() { d.applyCancel(ctx, ref) })
 	}
+	for _, ref := range forbidden {
+		// The plan was cancelled before it was accepted. Its rows expire like those of a plan
+		// that has ended; the submission may be on its way until then.
+		d.update(ctx, workPlans, func() { d.ended = append(d.ended, endedPlan{ref.Part, ref.Job, d.Clock.Now()}) })
+	}
 }
 
 // applyCancel cancels a plan. d.mu must be held.
@@ -299,7 +309,8 @@
 
 // restoreEnded records which states must be removed after StateRetention, and which
 // plans have ended. A plan that may still have running tasks has a row in the table of
-// plans.
+// plans; its state is kept until that row has been removed, without which it would be taken
+// for a plan that has just been accepted.
 func (d *Driver) restoreEnded(plans []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
 	hasRow := make(map[hoist.RowRef]bool, len(plans))
 	for _, row := range plans {
@@ -309,12 +320,12 @@
 	defer d.mu.Unlock()
 	for ref, row := range states {
 		s, err := codec.DecodePlanState(row.Value)
-		if err != nil || !s.Phase.IsFinal() {
+		id := hoist.JobID(ref.Key)
+		if err != nil || !s.Phase.IsFinal() || hasRow[keys.Plan(ref.Part, id)] {
 			continue
 		}
-		id := hoist.JobID(ref.Key)
 		d.ended = append(d.ended, endedPlan{ref.Part, id, d.Clock.Now()})
-		if !hasRow[keys.Plan(ref.Part, id)] {
+		if !s.IsTombstone {
 			d.endedIn[id] = ref.Part
 		}
 	}
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -140,6 +140,11 @@
 	if len(j.unfinishedSteps) == 0 && j.nextOccurrence == j.numOccurrences() && !j.Phase.IsFinal() {
 		sc.finish(j, hoist.PlanDone, now)
 	}
+	if j.Phase.IsFinal() {
+		// The earlier owner was lost before it could remove the plan. A superseded attempt that
+		// still runs is not in the state, so that nothing else would cause it to be recorded.
+		j.markUrgent()
+	}
 }
 
 func (sc *Scheduler) restoreStepTasks(step *StepTasks, s hoist.StepState, now time.Time) {
--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -163,7 +163,7 @@
 
 // planStateHead returns the fields of a state besides its steps.
 func planStateHead(s hoist.PlanState) rows.PlanState {
-	return rows.PlanState{Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended)}
+	return rows.PlanState{Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended), NeverAccepted: s.IsTombstone}
 }
 
 // DecodePlanState decodes the state of a plan. It returns hoist.ErrInvalid if
@@ -175,7 +175,7 @@
 	}
 	s := hoist.PlanState{
 		Queue: hoist.QueueName(r.Queue), Team: hoist.TeamID(r.Team), Phase: hoist.PlanPhase(r.Phase), Next: hoist.Occurrence(r.Next),
-		Ended: timeFromUnixMillis(r.EndedMs),
+		Ended: timeFromUnixMillis(r.EndedMs), IsTombstone: r.NeverAccepted,
 	}
 	if r.Packed == nil {
 		s.Steps = Map(r.Steps, toStepState)
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -150,6 +150,10 @@
 	// Unix milliseconds.
 	EndedMs int `json:"ended-ms"`
 
+	// Whether the plan was cancelled before it was accepted. Its submission then
+	// finds this state, and fails.
+	NeverAccepted bool `json:"never-accepted,omitempty,omitzero"`
+
 	// Next corresponds to the JSON schema field "next".
 	Next int `json:"next"`
 
--- a/planstate.go
+++ b/planstate.go
@@ -12,6 +12,9 @@
 	Next Occurrence
 	// Ended is when the job reached its final phase; it is zero before.
 	Ended time.Time
+	// IsTombstone tells that the plan was cancelled before it was accepted, and must not be
+	// accepted any more.
+	IsTombstone bool
 	// Steps holds the steps of the occurrences that have begun and not ended.
 	Steps []StepState
 }
