Do not poll a worker without a pause that confirms no lease

The first poll with a lease does not wait. A worker that wants a lease with each start, or one near the end of the owner's grants, would have been polled every 20 ms; only the first poll after silence is short now. Checkpoints count for the size of a job's state only if a step saves progress.

--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -88,7 +88,8 @@
 		req.Acked, req.Incarnation = d.scheduler.AckableEnd(id)
 		lease = d.scheduler.GrantLease(id, d.leaseLength(), d.Clock.Now())
 		req.Lease = lease.Until
-		if !d.scheduler.HasUnrecordedEnds(id) && d.scheduler.HoldsLease(id, d.Clock.Now()) {
+		isFirstLease := req.Lease > 0 && !d.scheduler.HasConfirmedLease(id)
+		if !d.scheduler.HasUnrecordedEnds(id) && !isFirstLease {
 			// If ends are listed, the worker answers at once instead of waiting. The first poll
 			// with a lease does not wait either: starts bring leases until it is answered.
 			req.Wait = pollWait
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -67,12 +67,14 @@
 	return lease, lease.Until > 0
 }
 
-// HoldsLease reports whether a worker has confirmed a lease that lasts for some time.
-func (sc *Scheduler) HoldsLease(id hoist.WorkerID, now time.Time) bool {
+// HasConfirmedLease reports whether a worker has confirmed a lease since it was last silent.
+func (sc *Scheduler) HasConfirmedLease(id hoist.WorkerID) bool {
 	w, ok := sc.workers[id]
-	return ok && w.holdsLease(now)
+	return ok && w.heldUntil > 0
 }
 
+// holdsLease reports whether the worker has confirmed a lease that lasts for some time, and does
+// not want one with each start.
 func (w *Worker) holdsLease(now time.Time) bool {
 	latest := w.reading.clock + hoist.WorkerClock(now.Sub(w.reading.at))
 	return !w.needsLeases && w.heldUntil >= latest+hoist.WorkerClock(minHeldLease)
--- a/internal/decide/sched/room.go
+++ b/internal/decide/sched/room.go
@@ -80,7 +80,16 @@
 // mostPerTask returns the most that one task of a job takes of its state.
 func (sc *Scheduler) mostPerTask(j *Job) int {
 	sz := sc.sizes
-	return sz.placed + sz.name + sc.longestName + max(1, j.Plan.Queue.MaxAttempts)*sz.failed + sz.name + MaxCheckpoint
+	most := sz.placed + sz.name + sc.longestName + max(1, j.Plan.Queue.MaxAttempts)*sz.failed
+	if j.savesProgress() {
+		most += sz.name + MaxCheckpoint
+	}
+	return most
+}
+
+// savesProgress reports whether tasks of the job may have checkpoints.
+func (j *Job) savesProgress() bool {
+	return slices.ContainsFunc(j.Plan.Steps, func(s hoist.Step) bool { return s.SavesProgress })
 }
 
 // placeable returns how many more tasks fit into a state of a size.
