--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -40,6 +40,7 @@
 	"fuchsiahoist.example/hoist/internal/decide/limit"
 	"fuchsiahoist.example/hoist/internal/decide/sched"
 	"fuchsiahoist.example/hoist/internal/decide/share"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
 const (
@@ -119,6 +120,10 @@
 	failures    map[hoist.JobID]int
 	// teamLog is what was last reported about the teams.
 	teamLog teamLog
+	// refusedSince holds when the store first refused the state of a plan, and recordedAt is
+	// when it last accepted one.
+	refusedSince map[hoist.JobID]time.Time
+	recordedAt   time.Time
 	// isDelaying is set while occurrences that are due wait.
 	isDelaying bool
 	links      map[hoist.WorkerID]*link
@@ -182,6 +187,7 @@
 	if d.MaxLease > 0 {
 		d.scheduler.MaxLease = d.MaxLease
 	}
+	d.scheduler.StateSize, d.scheduler.MaxState = codec.PackedStateSize, codec.MaxStateBytes
 	if d.Open != (sched.OpenLimits{}) {
 		d.scheduler.Open = d.Open
 	}
@@ -194,6 +200,7 @@
 	}
 	d.quarantined = make(map[hoist.JobID]hoist.PartName)
 	d.failures = make(map[hoist.JobID]int)
+	d.refusedSince = make(map[hoist.JobID]time.Time)
 	d.links = make(map[hoist.WorkerID]*link)
 	d.awaiting = make(map[*link]hoist.WorkerID)
 	d.shares = share.NewTable()
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -24,7 +24,7 @@
 		sc.placeGang(s, workers, now)
 		return
 	}
-	next, left := 0, min(s.Job.maxPlacements(), sc.startable(s))
+	next, left := 0, min(sc.maxPlacements(s.Job), sc.startable(s))
 	isDecided, waitsNear := false, false
 	for _, t := range s.Tasks {
 		if left == 0 {
@@ -174,7 +174,7 @@
 // prefers a single rack is spread over racks only if it fits into no single
 // one and waiting for one does not pay.
 func (sc *Scheduler) placeGang(s *StepTasks, workers []*Worker, now time.Time) {
-	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > s.Job.maxPlacements() {
+	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > sc.maxPlacements(s.Job) {
 		return
 	}
 	attempt := sc.newAttempt(s.Job)
--- a/planstate.go
+++ b/planstate.go
@@ -12,6 +12,9 @@
 	Next Occurrence
 	// Ended is when the job reached its final phase; it is zero before.
 	Ended time.Time
+	// IsTombstone tells that the plan was cancelled before it was accepted, and must not be
+	// accepted any more.
+	IsTombstone bool
 	// Steps holds the steps of the occurrences that have begun and not ended.
 	Steps []StepState
 }
@@ -25,7 +28,9 @@
 	// Placed lists the attempts that may run.
 	Placed []PlacedRun
 	Failed []FailedRun
-	Saved  []SavedProgress
+	// Earlier counts failures of tasks beside those in Failed, whose attempts are later.
+	Earlier []EarlierFailures
+	Saved   []SavedProgress
 }
 
 // PlacedRun is an attempt that may run on a worker.
@@ -41,6 +46,12 @@
 	Attempt AttemptNo
 }
 
+// EarlierFailures counts the failures of a task whose attempts are not listed.
+type EarlierFailures struct {
+	Index int
+	Count int
+}
+
 // SavedProgress is the last checkpoint of a task.
 type SavedProgress struct {
 	Index int
