--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -127,18 +127,23 @@
 	_ = s.server.Close()
 }
 
-// Run serves until ctx ends. The contexts of the calls that are then open end
-// too, and their answers can still be sent for shutdownTimeout.
+// Run serves until ctx ends and all answers have been sent. The contexts of the calls
+// that are then open end too, and their answers can still be sent for shutdownTimeout.
 func (s *Server) Run(ctx context.Context) error {
 	s.init()
 	s.server.BaseContext = func(net.Listener) context.Context { return ctx }
+	isShutDown := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(isShutDown)
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = s.server.Shutdown(ctx)
 	})
-	defer stop()
 	err := s.server.Serve(s.clients.Listen(s.Listener))
+	if !stop() {
+		// Serve returns as soon as the shutdown begins.
+		<-isShutDown
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
