Do not let records wait for one that takes long

Cause: with one combined record at a time, a record whose answer is late delayed all parts. Change: two may be in progress, and those that wait go separately once one has taken 40 ms.

--- a/internal/core/batch/batch.go
+++ b/internal/core/batch/batch.go
@@ -8,12 +8,13 @@
 //
 // # Rule
 //
-// A transaction is sent at once if none is in progress. Those that arrive meanwhile are
-// sent together when it has ended: one transaction over several parts takes longer than
+// A transaction is sent at once if few are in progress. Those that arrive meanwhile are
+// sent together when one has ended: one transaction over several parts takes longer than
 // one in a single part, but is one call. Nothing waits for others to arrive.
 //
-// Transactions are sent separately for a while after one that failed or took long: a
-// part that is away or slow then delays no other.
+// Transactions are sent separately for a while after a combined one that failed, and once
+// any has taken long, those that wait for it included: a part that is away or slow, or a
+// lost answer, then delays no other.
 package batch
 
 import (
@@ -30,11 +31,15 @@
 	// and 1 MB; values are sent in an encoding that is a third longer.
 	maxEntries = 100
 	maxBytes   = 600 << 10
-	// slowCommit is the duration from which the store counts as slow: a transaction over
-	// several parts then costs more time than combining saves calls.
+	// maxInProgress is how many transactions may be in progress before others wait. With
+	// one, a start would often wait for two round trips.
+	maxInProgress = 2
+	// slowCommit is the duration from which the store counts as slow, and the longest time
+	// that a transaction waits for another. A transaction over several parts takes twice as
+	// long on a slow store.
 	slowCommit = 40 * time.Millisecond
-	// separateTime is how long transactions are sent separately after a combined one that
-	// failed or was slow. It covers several rounds of the parts that still work.
+	// separateTime is how long transactions are sent separately then. It covers several
+	// rounds of the parts that still work.
 	separateTime = 2 * time.Second
 )
 
@@ -46,7 +51,7 @@
 
 	mu            sync.Mutex
 	waiting       []*request
-	isBusy        bool
+	inProgress    int
 	separateUntil time.Time
 }
 
@@ -81,8 +86,8 @@
 		return false
 	}
 	s.waiting = append(s.waiting, r)
-	if !s.isBusy {
-		s.isBusy = true
+	if s.inProgress < maxInProgress {
+		s.inProgress++
 		go s.run()
 	}
 	return true
@@ -115,7 +120,9 @@
 	}
 	batch := s.waiting[:n:n]
 	s.waiting = s.waiting[n:]
-	s.isBusy = n > 0
+	if n == 0 {
+		s.inProgress--
+	}
 	return batch
 }
 
@@ -134,15 +141,18 @@
 // commit commits a batch as one transaction, or each request separately if that
 // certainly had no effect.
 func (s *Store) commit(batch []*request) {
+	slow := time.AfterFunc(slowCommit, s.separate)
+	defer slow.Stop()
 	if len(batch) == 1 {
 		s.commitOne(batch[0])
 		return
 	}
 	ctx, cancel := firstDeadline(batch)
 	defer cancel()
-	began := s.Clock.Now()
 	version, err := s.Store.Commit(ctx, combined(batch))
-	s.observe(s.Clock.Now().Sub(began), err)
+	if errors.Is(err, hoist.ErrUnavailable) || errors.Is(err, hoist.ErrOutcomeUnknown) {
+		s.separate()
+	}
 	if err == nil || errors.Is(err, hoist.ErrOutcomeUnknown) {
 		for _, r := range batch {
 			r.result <- result{version, err}
@@ -160,16 +170,15 @@
 	r.result <- result{version, err}
 }
 
-// observe makes transactions separate after a combined one that was slow, or that failed
-// for another reason than its content.
-func (s *Store) observe(took time.Duration, err error) {
-	isContent := errors.Is(err, hoist.ErrConflict) || errors.Is(err, hoist.ErrInvalid)
-	if (err == nil || isContent) && took < slowCommit {
-		return
-	}
+// separate makes transactions separate for a while, and sends those that wait.
+func (s *Store) separate() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.separateUntil = s.Clock.Now().Add(separateTime)
+	for _, r := range s.waiting {
+		go s.commitOne(r)
+	}
+	s.waiting = nil
 }
 
 // firstDeadline returns a context that ends when the first of the requests times out.
