Notice restarts in the first millisecond of a worker's clock

RecordAnswer took a reading of 0 for an answer that does not tell the clock. A worker that restarted less than a millisecond before shows 0, so its new lease, which is as long as leases can be, went unnoticed, and its task could run a second time elsewhere. UnknownClock now stands for a clock that was not told, on the wire a missing field. The fakes return it where they answer nothing.

--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -171,16 +171,16 @@
 	w.cell.mu.Lock()
 	defer w.cell.mu.Unlock()
 	if w.refusesAll {
-		return 0, hoist.ErrNotListening
+		return hoist.UnknownClock, hoist.ErrNotListening
 	}
 	if w.isCutOff {
 		w.heldStarts = append(w.heldStarts, r)
-		return 0, hoist.ErrOutcomeUnknown
+		return hoist.UnknownClock, hoist.ErrOutcomeUnknown
 	}
 	w.carryOut(r)
 	if w.isCutOffByStart {
 		w.isCutOff = true
-		return 0, hoist.ErrOutcomeUnknown
+		return hoist.UnknownClock, hoist.ErrOutcomeUnknown
 	}
 	return w.clock(), ctx.Err()
 }
--- a/internal/core/plans/relays_test.go
+++ b/internal/core/plans/relays_test.go
@@ -85,7 +85,7 @@
 }
 
 func (w *relayedWorker) Start(context.Context, hoist.StartRequest) (hoist.WorkerClock, error) {
-	return 0, nil
+	return hoist.UnknownClock, nil
 }
 func (w *relayedWorker) Stop(context.Context, hoist.TaskRun, hoist.Term) error { return nil }
 
--- a/internal/core/plans/starts.go
+++ b/internal/core/plans/starts.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// sendStart sends a start and returns the clock of the worker in the answer, if it tells.
+// sendStart sends a start and returns the clock of the worker in the answer, or hoist.UnknownClock.
 func (d *Driver) sendStart(ctx context.Context, call startCall) (hoist.WorkerClock, error) {
 	if call.link == nil || call.request.Lease == 0 {
 		// Nothing was sent.
-		return 0, hoist.ErrUnavailable
+		return hoist.UnknownClock, hoist.ErrUnavailable
 	}
 	// The call goes on even if the ownership ends now. Cancelling it would only
 	// make its outcome unknown.
--- a/internal/decide/sched/fakeowner_test.go
+++ b/internal/decide/sched/fakeowner_test.go
@@ -237,7 +237,7 @@
 // giveUp passes to the owner that a request was not answered.
 func (o *fakeOwner) giveUp(fx *fixture, req *fakeRequest) {
 	if req.kind != pollRequest {
-		o.answer(fx, fakeAnswer{request: req, err: hoist.ErrOutcomeUnknown})
+		o.answer(fx, fakeAnswer{request: req, err: hoist.ErrOutcomeUnknown, clock: hoist.UnknownClock})
 		return
 	}
 	if !req.isGivenUp {
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -58,12 +58,12 @@
 }
 
 // RecordAnswer records what the clock of a worker showed in the answer to a request
-// that carried a lease; 0 if the answer did not tell. A clock that was set back shows that the
+// that carried a lease; hoist.UnknownClock if the answer did not tell. A clock that was set back shows that the
 // worker has restarted: on its new clock the lease is as long as leases can be, and the worker
 // gets neither starts nor leases until it answers a poll that was not sent before since.
 func (sc *Scheduler) RecordAnswer(id hoist.WorkerID, lease Lease, clock hoist.WorkerClock, since, now time.Time) {
 	w, ok := sc.workers[id]
-	if !ok || clock == 0 || clock >= lease.earliest {
+	if !ok || clock == hoist.UnknownClock || clock >= lease.earliest {
 		return
 	}
 	w.extendLease(now, sc.MaxLease+longestCall)
--- a/internal/decide/sched/lease_test.go
+++ b/internal/decide/sched/lease_test.go
@@ -41,6 +41,20 @@
 		c.scheduler.RecordStart("w1", s.Run, nil, c.now)
 		wantSafeRestart(c)
 	})
+	t.Run("the answer to a start comes within the first millisecond of the new clock", func(t *testing.T) {
+		c := newRestartedCell(t)
+		s := c.pass()[0]
+		lease := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+		c.scheduler.RecordAnswer("w1", lease, 0, c.now, c.now)
+		c.scheduler.RecordStart("w1", s.Run, nil, c.now)
+		wantSafeRestart(c)
+	})
+	t.Run("an answer that does not tell the clock is no restart", func(t *testing.T) {
+		c := newRestartedCell(t)
+		lease := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+		c.scheduler.RecordAnswer("w1", lease, hoist.UnknownClock, c.now, c.now)
+		c.wantStarts(c.pass(), 1)
+	})
 	t.Run("a poll carried the lease", func(t *testing.T) {
 		c := newRestartedCell(t)
 		c.scheduler.GrantLease("w1", 6*time.Second, c.now)
--- a/internal/peer/helper/relay.go
+++ b/internal/peer/helper/relay.go
@@ -224,7 +224,7 @@
 		Saved: string(o.Saved), Ticket: string(o.Ticket),
 	}})
 	if answer.ClockUs == nil {
-		return 0, err
+		return hoist.UnknownClock, err
 	}
 	return codec.ToWorkerClock(*answer.ClockUs), err
 }
--- a/internal/peer/helper/runners.go
+++ b/internal/peer/helper/runners.go
@@ -205,6 +205,9 @@
 		Run: codec.ToTaskRun(q.Run), Term: hoist.Term(q.Term), Payload: q.Payload, Lease: codec.ToWorkerClock(q.LeaseUs),
 		Saved: hoist.Checkpoint(q.Saved), Ticket: hoist.Ticket(q.Ticket),
 	})
+	if at == hoist.UnknownClock {
+		return rows.RelayAnswer{}, err
+	}
 	clock := codec.ClockMicros(at)
 	return rows.RelayAnswer{ClockUs: &clock}, err
 }
--- a/plan.go
+++ b/plan.go
@@ -198,6 +198,10 @@
 // WorkerClock is a time on the monotonic clock of a worker.
 type WorkerClock time.Duration
 
+// UnknownClock stands for the clock of a worker that did not tell it. 0 does not: a clock
+// that counts whole milliseconds shows it for the first millisecond after a restart.
+const UnknownClock WorkerClock = -1
+
 // MaxLease is the longest lease of a worker by default; a worker shortens longer ones.
 const MaxLease = 10 * time.Second
 
--- a/runner.go
+++ b/runner.go
@@ -44,8 +44,8 @@
 // effect, ErrStaleTerm if the worker has received a higher term, and
 // ErrReplaced if a different worker answers at the address.
 type Runner interface {
-	// Start starts an attempt and returns the worker's clock. Besides the errors
-	// above it returns ErrConflict if this or a later attempt has ended there,
+	// Start starts an attempt and returns the worker's clock, or UnknownClock if no
+	// answer told it. Besides the errors above it returns ErrConflict if this or a later attempt has ended there,
 	// ErrNoCapacity, ErrLeaseExpired, ErrTicket, and ErrInvalid.
 	Start(ctx context.Context, r StartRequest) (WorkerClock, error)
 	// Stop ends an attempt. If the attempt has not arrived yet, the worker
