Start a task beyond the rest of a quota of which less than half is used

A task that needs more than the rest of its team's quota waited although the team used less than half of it, and nothing bounded the wait. One such task may start now. No other start of the team may be on its way then: it would arrive above the quota by more than one task. Account counts these starts. While there are any, the task holds back the jobs behind it for up to 1 s in every 2 s, so that a stream of small jobs does not keep it waiting.

The tests of the scheduler allowed a start above the quota only to a team that runs nothing else; their bound follows the rule, which is stricter than that of the users.

--- a/internal/decide/quota/account_test.go
+++ b/internal/decide/quota/account_test.go
@@ -29,6 +29,9 @@
 		{"no limits", hoist.Resources{}, 2, math.MaxInt32},
 		{"larger than the quota, alone", hoist.Resources{CPU: 500}, 0, 1},
 		{"larger than the quota, not alone", hoist.Resources{CPU: 500}, 1, 0},
+		{"larger than the rest, team below half", hoist.Resources{CPU: 4500, Memory: 250}, 1, 1},
+		{"larger than the rest, team at half of one resource", hoist.Resources{CPU: 4500, Memory: 200}, 1, 1},
+		{"larger than the rest, team above half of one resource", hoist.Resources{CPU: 4500, Memory: 199}, 1, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -38,6 +41,11 @@
 			for range c.running {
 				a.Charge(need)
 			}
+			if c.running > 0 && c.quota.CPU > 2*need.CPU*hoist.MilliCPU(c.running) {
+				a.ExpectStart()
+				is.Equal(a.Startable(need), a.Room(need)) // a start that arrives late
+				a.SettleStart()
+			}
 			is.Equal(a.Startable(need), c.want)
 			is.True(c.want == 0 || a.CanStart(need, c.want))
 			is.True(!a.CanStart(need, c.want+1) || c.want == math.MaxInt32)
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -165,6 +165,9 @@
 	firstStep.SavesProgress = rapid.Bool().Draw(fx.t, "saves")
 	p := hoist.Plan{ID: id, Queue: queue, Steps: []hoist.Step{firstStep, step(1, after)}, Accepted: fx.now}
 	p.Team = rapid.SampledFrom([]hoist.TeamID{"", "t1", "t2"}).Draw(fx.t, "team")
+	if p.Team == "t1" && !firstStep.IsGang && firstStep.SavesProgress {
+		p.Steps[0].Need.CPU = 2500 // more than the rest of some quotas of which less than half is used
+	}
 	fx.store[id] = storedPlan{plan: p, state: hoist.PlanState{Queue: queue.Name, Team: p.Team, Phase: hoist.PlanQueued}}
 	fx.owner().scheduler.Add(p, 1, fx.now)
 }
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil || isConfirmed:
 		t.isStartInDoubt = false
+		t.setArriving(false)
 		if t.Phase == Starting {
 			t.Phase = Running
 			t.phaseSince = now
@@ -210,6 +211,7 @@
 		}
 		found[t] = true
 		t.isStartInDoubt = false
+		t.setArriving(false)
 		t.measurement = status.Measurement
 		if status.Saved != "" {
 			t.Saved = status.Saved
--- a/internal/decide/sched/reserve.go
+++ b/internal/decide/sched/reserve.go
@@ -34,10 +34,37 @@
 	return t.reservation.passNo == sc.passNo && t.reservation != reservation{}
 }
 
+// maxHold bounds how long the other starts of a team are held back at a time until a task may
+// start that exceeds the quota. A start is on its way for at most longestCall, unless a fault
+// leaves its outcome open for longer; the team's other jobs then go on for as long.
+const maxHold = 2 * longestCall
+
+// holdStarts reserves the whole quota of a team for a step that does not fit into the rest and
+// may start as soon as no start is on its way. It reports false if there is no such reason to
+// wait, no worker has room for the step, or the wait has taken too long for now.
+func (sc *Scheduler) holdStarts(s *StepTasks) bool {
+	t := s.Job.team
+	isSingle := !s.Step.IsGang || len(s.Tasks) == 1
+	if !isSingle || !t.account.AwaitsArrivals() || !sc.mayFit(s, demand(s.Step)) {
+		return false
+	}
+	if t.heldSince.IsZero() {
+		t.heldSince = sc.passAt
+	}
+	if sc.passAt.Sub(t.heldSince)%(2*maxHold) > maxHold {
+		return false
+	}
+	t.reservation = reservation{passNo: sc.passNo, isShort: [3]bool{true, true, true}}
+	return true
+}
+
 // reserve reserves the rest of the quota of a team for a step. It reports false if the step
 // needs more than half of the quota: jobs must not wait for such a step while their team
 // uses less than half of its quota. For others, the team uses more than half of it.
 func (sc *Scheduler) reserve(s *StepTasks) bool {
+	if sc.holdStarts(s) {
+		return true
+	}
 	t, n := s.Job.team, int64(1)
 	if s.Step.IsGang {
 		n = int64(len(s.Tasks))
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -93,6 +93,9 @@
 	// isStartInDoubt is set from the start of an attempt until the worker has confirmed
 	// it: the start may arrive late.
 	isStartInDoubt bool
+	// isArriving is set from the placement of an attempt until its start has certainly
+	// arrived, also if an earlier owner sent it. Use setArriving.
+	isArriving bool
 	// isRecovered is set for an attempt that an earlier owner started.
 	isRecovered bool
 	// failedWorkers are the workers that the task failed on.
@@ -464,6 +467,7 @@
 	w.tasks[t] = true
 	w.used = w.used.Add(demand(t.StepTasks.Step))
 	t.StepTasks.charge()
+	t.setArriving(true)
 }
 
 // requeue makes a placed task wait again. The caller ensures that the attempt
@@ -491,6 +495,7 @@
 	t.Worker = nil
 	t.StepTasks.Job.placed--
 	t.StepTasks.refund()
+	t.setArriving(false)
 }
 
 // demand returns what a task counts against the capacity of a worker. A
@@ -514,8 +519,9 @@
 func (sc *Scheduler) supersede(t *Task) {
 	old := &Task{
 		StepTasks: t.StepTasks, Index: t.Index, Phase: Stopping, Attempt: t.Attempt, Worker: t.Worker, phaseSince: t.phaseSince, isSuperseded: true,
-		isStartInDoubt: t.isStartInDoubt,
+		isStartInDoubt: t.isStartInDoubt, isArriving: t.isArriving,
 	}
+	t.isArriving = false
 	delete(t.Worker.tasks, t)
 	delete(sc.stopping, t)
 	t.Worker.tasks[old] = true
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -22,6 +22,9 @@
 	weight      float64
 	competition competition
 	reservation reservation
+	// heldSince is when starts were held back first for a task that exceeds the quota, since
+	// none was on its way last.
+	heldSince time.Time
 }
 
 // defaultWeight is the weight of a team without a valid one.
@@ -190,14 +193,29 @@
 	}
 }
 
-// exceedsQuota reports whether the team of a job has more running than its quota, as the
-// quota was lowered after the starts were chosen. One task alone may exceed it.
-func (j *Job) exceedsQuota() bool {
-	if j.team == nil {
-		return false
+// mayBeSent reports whether the quota of its team allows the start of a recorded task to be
+// sent.
+func (t *Task) mayBeSent() bool {
+	s := t.StepTasks
+	return s.Job.team == nil || s.Job.team.account.MaySend(s.Step.Need)
+}
+
+// setArriving records whether the start of the current attempt at a task may still arrive.
+func (t *Task) setArriving(isArriving bool) {
+	if t.isArriving == isArriving {
+		return
+	}
+	t.isArriving = isArriving
+	switch tm := t.StepTasks.Job.team; {
+	case tm == nil:
+	case isArriving:
+		tm.account.ExpectStart()
+	default:
+		tm.account.SettleStart()
+		if !tm.account.HasArriving() {
+			tm.heldSince = time.Time{}
+		}
 	}
-	u := j.team.account.Usage()
-	return u.Tasks > 1 && u.IsOverQuota()
 }
 
 // orphanCharge is the charge of an attempt that runs without a task that expects it.
