Keep the charge of an orphan whose job was removed

A worker may still list an attempt that no task expects after its job has ended and was removed, for instance a superseded attempt after a takeover. The next report refunded its charge, so that its team could exceed the quota by what still ran. The charge now stays until a report lacks the attempt or the lease has expired.

--- /dev/null
+++ b/internal/decide/sched/orphans_test.go
@@ -0,0 +1,44 @@
+package sched_test
+
+import (
+	"testing"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// newOrphanCell returns a cell in which w2 runs an attempt of team a that no task expects, and
+// which nothing else runs.
+func newOrphanCell(t *testing.T) (*cell, hoist.RunnerReport) {
+	c := newCell(t, "w1", "w2")
+	c.scheduler.SetTeams([]hoist.TeamConfig{quotaOfA(1000)})
+	c.submitAs("a", "p", step(1))
+	starts := c.run()
+	c.wantStarts(starts, 1)
+	c.is.Equal(starts[0].Worker, hoist.WorkerID("w1"))
+	stray := starts[0].Run
+	stray.Attempt++
+	report := hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: stray}}}
+	c.report("w2", report)
+	c.wantUsed(2000)
+	c.reportEnd(1, starts[0], hoist.EndDone)
+	c.wantUsed(1000)
+	return c, report
+}
+
+// TestOrphanOfRemovedJobIsCharged guards against starts beyond a quota while an attempt runs
+// that no task expects and whose job has ended, and against a charge that outlives it.
+func TestOrphanOfRemovedJobIsCharged(t *testing.T) {
+	c, report := newOrphanCell(t)
+	c.record()
+	c.is.True(c.scheduler.IsEndRecorded("p"))
+	c.scheduler.Remove("p")
+	c.submitAs("a", "next", step(1))
+	for range 2 {
+		c.report("w2", report)
+		c.wantUsed(1000)
+		c.wantStarts(c.run(), 0)
+	}
+	c.report("w2", hoist.RunnerReport{Incarnation: 1})
+	c.wantUsed(0)
+	c.wantStarts(c.run(), 1)
+}
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -226,18 +226,33 @@
 
 // chargeOrphans charges the orphans of a worker to the teams of their jobs, in place of
 // those charged before. A superseded attempt is such an orphan after a takeover, as it is
-// in no row.
+// in no row. One that was charged before stays so if its job has been removed since.
 func (sc *Scheduler) chargeOrphans(w *Worker) {
+	before := w.orphanCharges
 	w.refundOrphans()
 	for run := range w.orphans {
-		j, ok := sc.jobs[run.Task.Job]
-		if !ok || j.team == nil || int(run.Task.Step) >= len(j.Plan.Steps) || run.Task.Step < 0 {
+		c, ok := before[run]
+		if !ok {
+			c, ok = sc.orphanCharge(run)
+		}
+		if !ok {
 			continue
 		}
-		c := orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}
 		c.team.charge(c.need)
-		w.orphanCharges = append(w.orphanCharges, c)
+		if w.orphanCharges == nil {
+			w.orphanCharges = make(map[hoist.TaskRun]orphanCharge)
+		}
+		w.orphanCharges[run] = c
+	}
+}
+
+// orphanCharge returns the charge of an attempt whose job is known and has a team.
+func (sc *Scheduler) orphanCharge(run hoist.TaskRun) (orphanCharge, bool) {
+	j, ok := sc.jobs[run.Task.Job]
+	if !ok || j.team == nil || int(run.Task.Step) >= len(j.Plan.Steps) || run.Task.Step < 0 {
+		return orphanCharge{}, false
 	}
+	return orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}, true
 }
 
 // refundOrphans undoes chargeOrphans.
@@ -245,5 +260,5 @@
 	for _, c := range w.orphanCharges {
 		c.team.refund(c.need)
 	}
-	w.orphanCharges = w.orphanCharges[:0]
+	w.orphanCharges = nil
 }
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -49,7 +49,7 @@
 	// them, each with the time at which a stop was last sent.
 	orphans map[hoist.TaskRun]time.Time
 	// orphanCharges are the charges of the orphans to their teams.
-	orphanCharges []orphanCharge
+	orphanCharges map[hoist.TaskRun]orphanCharge
 	// doubts are attempts that count as ended and whose start may still arrive.
 	doubts doubts
 	// leaseExpiresAt is when all attempts on the worker have certainly ended
