Forget the orphans of a worker that is no longer listed

The orphans of a worker were removed only by its next report. A worker that went away for good was kept for as long as the owner, and got a stop of each orphan every 0.4 s, each with a log line. They are now forgotten once the lease has expired. TestNoStopsToRemovedWorker failed with a stop after a minute.

--- a/internal/decide/sched/orphans_test.go
+++ b/internal/decide/sched/orphans_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
 // newOrphanCell returns a cell in which w2 runs an attempt of team a that no task expects, and
@@ -42,3 +44,24 @@
 	c.wantUsed(0)
 	c.wantStarts(c.run(), 1)
 }
+
+// TestNoStopsToRemovedWorker guards against stops without end, and memory that is never freed,
+// after a worker has gone that ran an attempt that no task expects.
+func TestNoStopsToRemovedWorker(t *testing.T) {
+	c, _ := newOrphanCell(t)
+	stopsAt := func() []sched.Stop {
+		c.run()
+		return c.stops
+	}
+	c.is.Equal(len(stopsAt()), 1)
+	c.entries = c.entries[:1]
+	c.scheduler.SetWorkers(c.entries, c.now)
+	c.now = c.now.Add(time.Minute)
+	c.run()
+	c.wantUsed(0)
+	c.scheduler.SetWorkers(c.entries, c.now)
+	c.now = c.now.Add(time.Second)
+	c.is.Equal(len(stopsAt()), 0)
+	_, isKnown := c.scheduler.WorkerEntry("w2")
+	c.is.True(!isKnown)
+}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -333,6 +333,10 @@
 			continue
 		}
 		w.refundOrphans()
+		if !w.isListed {
+			// No report will tell that the orphans have ended.
+			sc.setOrphans(w, nil)
+		}
 		if len(w.tasks) > 0 {
 			sc.releaseAll(w, now)
 		}
