Judge only the jobs whose place in the bucket of their team changes

A new job made the bucket of its team judge all jobs again that were accepted later. A host whose clock is ahead accepts such jobs, and they are kept until their time has passed: beside 20,000 jobs of a host that is an hour ahead, each new job took 0.65 ms in the pass.

--- a/internal/decide/rate/rate.go
+++ b/internal/decide/rate/rate.go
@@ -110,10 +110,15 @@
 // Settle judges the jobs that were added, and again those that were accepted after them.
 func (b *Bucket) Settle(now time.Time) {
 	slices.SortFunc(b.added, compareTimes)
+	// last is the last entry whose result may change whatever the state before it.
+	last := -1
+	if b.settled < len(b.entries) {
+		last = len(b.entries) + len(b.added)
+	}
 	for _, e := range b.added {
 		i, _ := slices.BinarySearchFunc(b.entries, e, compareTimes)
 		b.entries = slices.Insert(b.entries, i, e)
-		b.settled = min(b.settled, i)
+		b.settled, last = min(b.settled, i), max(last, i)
 	}
 	clear(b.added)
 	b.added = b.added[:0]
@@ -121,9 +126,16 @@
 	if b.settled > 0 {
 		before = b.entries[b.settled-1].after
 	}
-	for _, e := range b.entries[b.settled:] {
+	for i := b.settled; i < len(b.entries); i++ {
+		e := b.entries[i]
+		earlier := e.after
 		b.judge(e, before)
 		before = e.after
+		if i > last && before == earlier {
+			// So are the results of the entries after it. A host whose clock is far ahead
+			// may have accepted many of them.
+			break
+		}
 	}
 	b.settled = len(b.entries)
 	b.forget(now)
@@ -135,14 +147,16 @@
 	if at.Before(b.forgottenAt) {
 		at = b.forgottenAt
 	}
-	e.after, e.IsBeyond, e.CoveredAt = before, false, time.Time{}
+	// A time in the past is the same as none, so states become equal again after a pause.
+	e.after = state{within: before.within, beyond: latest(before.beyond, at)}
+	e.IsBeyond, e.CoveredAt = false, time.Time{}
 	next := latest(before.within, at)
 	if next.Sub(at) <= Burst {
 		e.after.within = next.Add(b.interval)
 		return
 	}
 	e.IsBeyond = true
-	e.after.beyond = latest(before.beyond, at).Add(b.interval)
+	e.after.beyond = e.after.beyond.Add(b.interval)
 	e.CoveredAt = e.after.beyond
 }
 
--- a/internal/decide/rate/rate_test.go
+++ b/internal/decide/rate/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -156,3 +157,36 @@
 	b.Settle(now)
 	is.True(countBeyond(late) >= 140)
 }
+
+// TestSettledInSteps guards against verdicts that depend on when a job becomes known: of jobs
+// with pauses between them, a few at a time are added and judged, in any order.
+func TestSettledInSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offsets := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 60).Draw(t, "tenths")
+		var atOnce, inSteps rate.Bucket
+		var want, got []*rate.Entry
+		atOnce.SetRate(0.5)
+		inSteps.SetRate(4)
+		for i, tenths := range offsets {
+			at := start.Add(time.Duration(tenths%25) * 100 * time.Millisecond)
+			if tenths >= 25 {
+				at = at.Add(20 * time.Second)
+			}
+			id := hoist.JobID(strconv.Itoa(i))
+			want, got = append(want, atOnce.Add(at, id)), append(got, inSteps.Add(at, id))
+			if i == len(offsets)/2 {
+				inSteps.SetRate(0.5)
+			}
+			if rapid.Bool().Draw(t, "settles") {
+				inSteps.Settle(start)
+			}
+		}
+		inSteps.Settle(start)
+		atOnce.Settle(start)
+		for i := range want {
+			if want[i].IsBeyond != got[i].IsBeyond || !want[i].CoveredAt.Equal(got[i].CoveredAt) {
+				t.Fatalf("job %d is beyond the rate: %t, %v; expected %t, %v", i, got[i].IsBeyond, got[i].CoveredAt, want[i].IsBeyond, want[i].CoveredAt)
+			}
+		}
+	})
+}
