--- /dev/null
+++ b/internal/decide/sched/export_test.go
@@ -0,0 +1,43 @@
+package sched
+
+import (
+	"fmt"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// CheckAccounts returns an error if the account of a team differs from what its attempts and
+// orphans add up to.
+func (sc *Scheduler) CheckAccounts() error {
+	type sum struct {
+		used            hoist.Resources
+		tasks, arriving int
+	}
+	sums := make(map[*team]sum)
+	add := func(tm *team, need hoist.Resources, isArriving bool) {
+		s := sums[tm]
+		s.used = s.used.Add(need)
+		s.tasks++
+		if isArriving {
+			s.arriving++
+		}
+		sums[tm] = s
+	}
+	for _, w := range sc.workers {
+		for t := range w.tasks {
+			if s := t.StepTasks; s.Job.team != nil {
+				add(s.Job.team, s.Step.Need, t.isArriving)
+			}
+		}
+		for _, c := range w.orphanCharges {
+			add(c.team, c.need, false)
+		}
+	}
+	for id, tm := range sc.teams.byID {
+		u, want := tm.account.Usage(), sums[tm]
+		if u.Used != want.used || u.Tasks != want.tasks || tm.account.HasArriving() != (want.arriving > 0) {
+			return fmt.Errorf("the account of team %s has %v in %d tasks, expected %v in %d", id, u.Used, u.Tasks, want.used, want.tasks)
+		}
+	}
+	return nil
+}
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -520,14 +520,19 @@
 
 // TestInvariantsUnderFaults guards, under faults in any order, against a task
 // that runs twice at the same time or again after its success, against more
-// failures than allowed, against workers over their capacity, and against teams over their
-// quota.
+// failures than allowed, against workers over their capacity, against teams over their quota,
+// and against charges that are left out, or left over.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fx := newFixture(t)
 		fx.submit()
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			fx.act()
+			for _, o := range fx.owners {
+				if err := o.scheduler.CheckAccounts(); err != nil {
+					t.Fatal(err)
+				}
+			}
 		}
 	})
 }
