--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -164,6 +164,9 @@
 	firstStep.SavesProgress = rapid.Bool().Draw(fx.t, "saves")
 	p := hoist.Plan{ID: id, Queue: queue, Steps: []hoist.Step{firstStep, step(1, after)}, Accepted: fx.now}
 	p.Team = rapid.SampledFrom([]hoist.TeamID{"", "t1", "t2"}).Draw(fx.t, "team")
+	if p.Team == "t1" && !firstStep.IsGang && firstStep.SavesProgress {
+		p.Steps[0].Need.CPU = 2500 // more than the rest of some quotas of which less than half is used
+	}
 	fx.store[id] = storedPlan{plan: p, state: hoist.PlanState{Queue: queue.Name, Team: p.Team, Phase: hoist.PlanQueued}}
 	fx.owner().scheduler.Add(p, 1, fx.now)
 }
@@ -516,14 +519,19 @@
 
 // TestInvariantsUnderFaults guards, under faults in any order, against a task
 // that runs twice at the same time or again after its success, against more
-// failures than allowed, against workers over their capacity, and against teams over their
-// quota.
+// failures than allowed, against workers over their capacity, against teams over their quota,
+// and against charges that are left out, or left over.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fx := newFixture(t)
 		fx.submit()
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			fx.act()
+			for _, o := range fx.owners {
+				if err := o.scheduler.CheckAccounts(); err != nil {
+					t.Fatal(err)
+				}
+			}
 		}
 	})
 }
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -104,13 +104,13 @@
 }
 
 // RecordAnswer records what the clock of a worker showed in the answer to a request
-// that may have carried a lease; 0 if the answer did not tell. A clock that was set back shows
+// that may have carried a lease; hoist.UnknownClock if the answer did not tell. A clock that was set back shows
 // that the worker has restarted: on its new clock the lease is as long as leases can be, and the
 // worker gets neither starts nor leases until it answers a poll that was not sent before since.
 func (sc *Scheduler) RecordAnswer(id hoist.WorkerID, lease Lease, clock hoist.WorkerClock, since, now time.Time) {
 	w, ok := sc.workers[id]
 	switch {
-	case !ok || clock == 0:
+	case !ok || clock == hoist.UnknownClock:
 	case clock >= lease.earliest:
 		w.heldUntil = max(w.heldUntil, lease.Until)
 	default:
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil || isConfirmed:
 		t.isStartInDoubt = false
+		t.setArriving(false)
 		if t.Phase == Starting {
 			t.Phase = Running
 			t.phaseSince = now
@@ -214,6 +215,7 @@
 		}
 		found[t] = true
 		t.isStartInDoubt = false
+		t.setArriving(false)
 		t.measurement = status.Measurement
 		t.keepCheckpoint(status.Saved)
 		if t.Phase == Recovered || t.Phase == Starting {
@@ -335,6 +337,10 @@
 			continue
 		}
 		w.refundOrphans()
+		if !w.isListed {
+			// No report will tell that the orphans have ended.
+			sc.setOrphans(w, nil)
+		}
 		if len(w.tasks) > 0 {
 			sc.releaseAll(w, now)
 		}
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -22,6 +22,9 @@
 	weight      float64
 	competition competition
 	reservation reservation
+	// heldSince is when starts were held back first for a task that exceeds the quota, since
+	// none was on its way last.
+	heldSince time.Time
 }
 
 // defaultWeight is the weight of a team without a valid one.
@@ -190,14 +193,29 @@
 	}
 }
 
-// exceedsQuota reports whether the team of a job has more running than its quota, as the
-// quota was lowered after the starts were chosen. One task alone may exceed it.
-func (j *Job) exceedsQuota() bool {
-	if j.team == nil {
-		return false
+// mayBeSent reports whether the quota of its team allows the start of a recorded task to be
+// sent.
+func (t *Task) mayBeSent() bool {
+	s := t.StepTasks
+	return s.Job.team == nil || s.Job.team.account.MaySend(s.Step.Need)
+}
+
+// setArriving records whether the start of the current attempt at a task may still arrive.
+func (t *Task) setArriving(isArriving bool) {
+	if t.isArriving == isArriving {
+		return
+	}
+	t.isArriving = isArriving
+	switch tm := t.StepTasks.Job.team; {
+	case tm == nil:
+	case isArriving:
+		tm.account.ExpectStart()
+	default:
+		tm.account.SettleStart()
+		if !tm.account.HasArriving() {
+			tm.heldSince = time.Time{}
+		}
 	}
-	u := j.team.account.Usage()
-	return u.Tasks > 1 && u.IsOverQuota()
 }
 
 // orphanCharge is the charge of an attempt that runs without a task that expects it.
@@ -208,18 +226,33 @@
 
 // chargeOrphans charges the orphans of a worker to the teams of their jobs, in place of
 // those charged before. A superseded attempt is such an orphan after a takeover, as it is
-// in no row.
+// in no row. One that was charged before stays so if its job has been removed since.
 func (sc *Scheduler) chargeOrphans(w *Worker) {
+	before := w.orphanCharges
 	w.refundOrphans()
 	for run := range w.orphans {
-		j, ok := sc.jobs[run.Task.Job]
-		if !ok || j.team == nil || int(run.Task.Step) >= len(j.Plan.Steps) || run.Task.Step < 0 {
+		c, ok := before[run]
+		if !ok {
+			c, ok = sc.orphanCharge(run)
+		}
+		if !ok {
 			continue
 		}
-		c := orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}
 		c.team.charge(c.need)
-		w.orphanCharges = append(w.orphanCharges, c)
+		if w.orphanCharges == nil {
+			w.orphanCharges = make(map[hoist.TaskRun]orphanCharge)
+		}
+		w.orphanCharges[run] = c
+	}
+}
+
+// orphanCharge returns the charge of an attempt whose job is known and has a team.
+func (sc *Scheduler) orphanCharge(run hoist.TaskRun) (orphanCharge, bool) {
+	j, ok := sc.jobs[run.Task.Job]
+	if !ok || j.team == nil || int(run.Task.Step) >= len(j.Plan.Steps) || run.Task.Step < 0 {
+		return orphanCharge{}, false
 	}
+	return orphanCharge{j.team, j.Plan.Steps[run.Task.Step].Need}, true
 }
 
 // refundOrphans undoes chargeOrphans.
@@ -227,5 +260,5 @@
 	for _, c := range w.orphanCharges {
 		c.team.refund(c.need)
 	}
-	w.orphanCharges = w.orphanCharges[:0]
+	w.orphanCharges = nil
 }
