Let steps with an adviser wait for near placements

Cause: a start needs a ticket for the worker, and tickets were requested for workers with room only, so no step of a queue with an adviser could wait.

Change: the request of a step that may wait near also names near workers that the forecast expects to have room within the wait. The decision counts the near workers for which the step holds a ticket that is still valid when they have room. A step that waits sends no request.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -36,6 +36,9 @@
 	// pendingSince is when the unanswered request was sent; it is zero if there
 	// is none.
 	pendingSince time.Time
+	// wantedSince is when a request was first wanted for workers with room, whether or not
+	// a host was free to send it.
+	wantedSince time.Time
 	// notBefore is the earliest time of the next request after a failed one.
 	notBefore time.Time
 }
@@ -106,18 +109,28 @@
 // now.
 func (sc *Scheduler) adviceRequest(s *StepTasks, isPrefetch bool, reserve Reserve, now time.Time) (AdviceRequest, bool) {
 	isPending := !s.advice.pendingSince.IsZero() && now.Sub(s.advice.pendingSince) < adviceTimeout
-	if isPending || now.Before(s.advice.notBefore) {
+	// A step that waits for a near placement has the tickets for it.
+	if isPending || now.Before(s.advice.notBefore) || sc.considersNearOnly(s) {
 		return AdviceRequest{}, false
 	}
 	adviser := s.Job.Plan.Queue.Advice
 	need := demand(s.Step)
-	if adviser.Base+adviser.PerWorker >= sc.shortestRefused || (!isPrefetch && !sc.mayFit(s, need)) {
+	if !isPrefetch && !sc.mayFit(s, need) {
+		return AdviceRequest{}, false
+	}
+	if !isPrefetch && s.advice.wantedSince.IsZero() {
+		s.advice.wantedSince = now
+	}
+	if adviser.Base+adviser.PerWorker >= sc.shortestRefused {
 		return AdviceRequest{}, false
 	}
 	chosen := sc.adviceCandidates(s, isPrefetch, now)
 	if len(chosen) == 0 {
 		return AdviceRequest{}, false
 	}
+	if !isPrefetch {
+		chosen = append(chosen, sc.expectedNearWorkers(s, chosen, now)...)
+	}
 	adviceRequest := AdviceRequest{Step: s.Ref(), Workers: chosen, AnswerTime: adviser.Base + time.Duration(len(chosen))*adviser.PerWorker}
 	var ok bool
 	if adviceRequest.Host, ok = reserve(adviceRequest.AnswerTime, now); !ok {
--- a/internal/decide/sched/cell_test.go
+++ b/internal/decide/sched/cell_test.go
@@ -34,11 +34,14 @@
 	now       time.Time
 	entries   []hoist.WorkerEntry
 	requests  []sched.AdviceRequest
-	stops     []sched.Stop
+	// reserve finds the host of a request for advice.
+	reserve sched.Reserve
+	stops   []sched.Stop
 }
 
 func newCell(t *testing.T, workers ...hoist.WorkerID) *cell {
 	c := &cell{t: t, is: is.New(t), now: start}
+	c.reserve = func(time.Duration, time.Time) (hoist.HostID, bool) { return adviserHost, true }
 	c.scheduler = sched.NewScheduler(1, start)
 	c.addWorkers(workers...)
 	return c
@@ -86,7 +89,7 @@
 func (c *cell) pass() []sched.Start {
 	c.now = c.now.Add(time.Millisecond)
 	c.scheduler.Tick(c.now)
-	d := c.scheduler.Pass(c.now, func(time.Duration, time.Time) (hoist.HostID, bool) { return adviserHost, true })
+	d := c.scheduler.Pass(c.now, c.reserve)
 	c.requests, c.stops = d.AdviceRequests, d.Stops
 	return c.record()
 }
--- a/internal/decide/sched/explain.go
+++ b/internal/decide/sched/explain.go
@@ -284,10 +284,10 @@
 	if claimed+count > maxForecastPlaces {
 		return 0, false
 	}
-	if waits := f.waits(sc, s, claimed, count); len(waits) == count {
+	if waits := f.waits(sc, s, expectedTickets{}, claimed, count); len(waits) == count {
 		return waits[count-1], true
 	}
-	total := f.waits(sc, s, 0, claimed+count)
+	total := f.waits(sc, s, expectedTickets{}, 0, claimed+count)
 	if len(total) < count || total[len(total)-1] <= 0 {
 		return 0, false
 	}
--- a/internal/decide/sched/locality.go
+++ b/internal/decide/sched/locality.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -44,6 +45,9 @@
 	// Since is when the step began to wait, or Now.
 	Since   time.Time
 	MaxWait time.Duration
+	// Latest is the latest end of the wait, by the tickets and the time spent on advice. It
+	// is zero for a step without an adviser.
+	Latest time.Time
 }
 
 // WaitUntil returns until when to wait for the near placement. It reports false if the
@@ -67,6 +71,9 @@
 			latest = deadline.Add(-c.Remote)
 		}
 		latest = earlier(latest, c.Since.Add(min(c.MaxWait, (c.Remote-c.Near)/maxWaitDivisor)))
+		if !c.Latest.IsZero() {
+			latest = earlier(latest, c.Latest)
+		}
 		return latest, c.Now.Before(latest) && !free.After(latest)
 	}
 	return time.Time{}, false
@@ -228,33 +235,73 @@
 // waits returns the expected times until the rack has room for the first task of a step
 // after those that others claim, for the second one, and so on up to count. The
 // result is shorter if no more places are expected.
-func (f *rackForecast) waits(sc *Scheduler, s *StepTasks, claimed, count int) []time.Duration {
+func (f *rackForecast) waits(sc *Scheduler, s *StepTasks, tickets expectedTickets, claimed, count int) []time.Duration {
 	out := make([]time.Duration, 0, count)
-	free := make([]hoist.Resources, len(f.workers))
-	places := -claimed
-	record := func(after time.Duration) {
-		for len(out) < min(places, count) {
-			out = append(out, after)
+	for growth := range f.growth(sc, s, tickets, claimed) {
+		for len(out) < count && float64(len(out)+1) <= growth.places {
+			out = append(out, growth.after)
 		}
-	}
-	for i, w := range f.workers {
-		free[i] = w.free()
-		places += sc.placesIn(s, w, free[i])
-	}
-	record(0)
-	for _, r := range f.releases {
 		if len(out) == count {
 			break
 		}
-		w := f.workers[r.worker]
-		places -= sc.placesIn(s, w, free[r.worker])
-		free[r.worker] = free[r.worker].Add(r.need)
-		places += sc.placesIn(s, w, free[r.worker])
-		record(r.after)
 	}
 	return out
 }
 
+// growth is a time at which a worker has more room for tasks of a step.
+type growth struct {
+	after  time.Duration
+	worker *Worker
+	// places is how many tasks the rack can take from then on, by the chances of tickets.
+	places float64
+}
+
+// growth returns the times at which the rack has more room for tasks of a step, in order.
+// The claimed places are left out.
+func (f *rackForecast) growth(sc *Scheduler, s *StepTasks, tickets expectedTickets, claimed int) iter.Seq[growth] {
+	return func(yield func(growth) bool) {
+		free := make([]hoist.Resources, len(f.workers))
+		counted := make([]float64, len(f.workers))
+		chances := make([]ticketChance, len(f.workers))
+		sum, nextExpiry := 0.0, maxDuration
+		for i, w := range f.workers {
+			free[i], chances[i] = w.free(), tickets.chance(w)
+			counted[i] = chances[i].share * float64(sc.placesIn(s, w, free[i]))
+			sum += chances[i].share
+			nextExpiry = min(nextExpiry, chances[i].expiresAfter)
+		}
+		// The claims are met by all workers of the rack, and the step uses a part of them.
+		places := -math.Ceil(float64(claimed) * sum / float64(max(1, len(f.workers))))
+		for i, w := range f.workers {
+			places += counted[i]
+			if counted[i] > 0 && !yield(growth{0, w, places}) {
+				return
+			}
+		}
+		for _, r := range f.releases {
+			if r.after >= nextExpiry {
+				nextExpiry = maxDuration
+				for i, c := range chances {
+					if c.expiresAfter > r.after {
+						nextExpiry = min(nextExpiry, c.expiresAfter)
+						continue
+					}
+					places -= counted[i]
+					counted[i], chances[i].share = 0, 0
+				}
+			}
+			w := f.workers[r.worker]
+			free[r.worker] = free[r.worker].Add(r.need)
+			before := counted[r.worker]
+			counted[r.worker] = chances[r.worker].share * float64(sc.placesIn(s, w, free[r.worker]))
+			places += counted[r.worker] - before
+			if counted[r.worker] > before && !yield(growth{r.after, w, places}) {
+				return
+			}
+		}
+	}
+}
+
 // placesIn returns how many tasks of a step fit into the given room of a worker.
 func (sc *Scheduler) placesIn(s *StepTasks, w *Worker, room hoist.Resources) int {
 	if !sc.isCandidate(s, w) {
@@ -314,11 +361,10 @@
 	return s.Step.PreferredRack
 }
 
-// mayWaitNear reports whether a step may wait for a near placement. A ticket of an adviser
-// cannot be had for a place that is not free yet, and a long-running task has no end that
-// the wait could bring forward.
+// mayWaitNear reports whether a step may wait for a near placement. A long-running task has
+// no end that the wait could bring forward.
 func (sc *Scheduler) mayWaitNear(s *StepTasks) bool {
-	return sc.MaxNearWait > 0 && !s.near.isOver && s.Step.Estimate > 0 && !s.Step.IsLongRunning && !s.Job.Plan.Queue.Advice.IsUsed()
+	return sc.MaxNearWait > 0 && !s.near.isOver && s.Step.Estimate > 0 && !s.Step.IsLongRunning
 }
 
 // considersNearOnly reports whether only near workers are candidates for a step in this
@@ -327,15 +373,16 @@
 	return sc.passAt.Before(s.near.checkAt)
 }
 
-// choice returns the choice for a step, without the wait.
-func (sc *Scheduler) choice(s *StepTasks, near, remote time.Duration, now time.Time) NearChoice {
+// choice returns the choice for a step, without the wait. The workers are those of the
+// remote placement.
+func (sc *Scheduler) choice(s *StepTasks, near, remote time.Duration, workers []*Worker, now time.Time) NearChoice {
 	since := s.near.since
 	if since.IsZero() {
 		since = now
 	}
 	return NearChoice{
 		Now: now, Near: near, Remote: remote, Rest: sc.restTime(s), Deadlines: [...]time.Time{s.Job.due, s.Job.deprioritiseAt},
-		Since: since, MaxWait: sc.MaxNearWait,
+		Since: since, MaxWait: sc.MaxNearWait, Latest: sc.latestNearWait(s, now, workers),
 	}
 }
 
@@ -370,8 +417,8 @@
 	key := rackKey{s.Job.Plan.Queue.Service, s.Step.PreferredRack}
 	f := sc.forecast(key, now)
 	near := sc.runTime(s, f.slowness)
-	c := sc.choice(s, near, sc.expectedRunTime(s, remote), now)
-	waits := f.waits(sc, s, sc.claimedPlaces(key, s), count)
+	c := sc.choice(s, near, sc.expectedRunTime(s, remote), []*Worker{remote}, now)
+	waits := f.waits(sc, s, sc.heldTickets(s, now), sc.claimedPlaces(key, s), count)
 	if len(waits) < count {
 		s.endWaiting()
 		return false
@@ -390,15 +437,11 @@
 		return true
 	}
 	service := s.Job.Plan.Queue.Service
-	racks := []hoist.RackID{s.Step.PreferredRack}
-	if s.Step.PreferredRack == "" {
-		racks = sc.racks(service)
-	}
 	var best NearChoice
 	var bestRack hoist.RackID
 	hasBest := false
-	for _, rack := range racks {
-		c, ok := sc.gangChoice(s, rackKey{service, rack}, now)
+	for _, rack := range sc.nearRacks(s) {
+		c, ok := sc.gangChoice(s, rackKey{service, rack}, workers, now)
 		if ok && (!hasBest || c.Wait+c.Near < best.Wait+best.Near) {
 			best, bestRack, hasBest = c, rack, true
 		}
@@ -413,19 +456,19 @@
 // gangChoice returns the choice for a gang if it is placed on a rack. A gang cannot hold
 // the places that become free one by one, so those that other tasks take meanwhile count
 // as claimed. It reports false if no room for the whole gang is expected.
-func (sc *Scheduler) gangChoice(s *StepTasks, key rackKey, now time.Time) (NearChoice, bool) {
+func (sc *Scheduler) gangChoice(s *StepTasks, key rackKey, workers []*Worker, now time.Time) (NearChoice, bool) {
 	f := sc.forecast(key, now)
 	near := sc.runTime(s, f.slowness)
-	c := sc.choice(s, near, time.Duration(float64(near)*sc.RemoteFactor), now)
-	claimed := sc.claimedPlaces(key, s)
-	waits := f.waits(sc, s, claimed, len(s.Tasks))
+	c := sc.choice(s, near, time.Duration(float64(near)*sc.RemoteFactor), workers, now)
+	claimed, tickets := sc.claimedPlaces(key, s), sc.heldTickets(s, now)
+	waits := f.waits(sc, s, tickets, claimed, len(s.Tasks))
 	if len(waits) < len(s.Tasks) {
 		return c, false
 	}
 	c.Wait = waits[len(waits)-1]
 	if cpu := demand(s.Step).CPU; cpu > 0 && c.Wait > 0 {
 		claimed += int(math.Ceil(sc.localities.taken[key].within(c.Wait, now) / float64(cpu)))
-		waits = f.waits(sc, s, claimed, len(s.Tasks))
+		waits = f.waits(sc, s, tickets, claimed, len(s.Tasks))
 		if len(waits) < len(s.Tasks) {
 			return c, false
 		}
@@ -434,6 +477,14 @@
 	return c, true
 }
 
+// nearRacks returns the racks on each of which the tasks of a step would be near.
+func (sc *Scheduler) nearRacks(s *StepTasks) []hoist.RackID {
+	if s.Step.PreferredRack != "" {
+		return []hoist.RackID{s.Step.PreferredRack}
+	}
+	return sc.racks(s.Job.Plan.Queue.Service)
+}
+
 // racks returns the racks of a service in a fixed order.
 func (sc *Scheduler) racks(service hoist.ServiceName) []hoist.RackID {
 	var out []hoist.RackID
--- a/internal/decide/sched/locality_sim_test.go
+++ b/internal/decide/sched/locality_sim_test.go
@@ -41,6 +41,9 @@
 	// started lists the starts in their order.
 	started []sched.Start
 	waits   sched.NearWaits
+	adviser *simAdviser
+	// requested lists the requests for advice in their order.
+	requested []sched.AdviceRequest
 }
 
 type simRun struct {
@@ -49,12 +52,16 @@
 }
 
 // newSimulation returns a simulation with the given limit on the wait for near placements.
-func newSimulation(t *testing.T, racks int, maxWait time.Duration) *simulation {
+// All queues have the adviser, unless it is nil.
+func newSimulation(t *testing.T, racks int, maxWait time.Duration, adviser *simAdviser) *simulation {
 	s := &simulation{
 		cell: newCell(t), random: rand.New(rand.NewPCG(1, 2)),
 		plans: make(map[hoist.JobID]hoist.Plan), running: make(map[hoist.TaskRun]simRun), gangs: make(map[hoist.StepRef][]simRun),
 		lastEnd: make(map[hoist.WorkerID]hoist.EndNo), reported: make(map[hoist.WorkerID]time.Time), used: make(map[hoist.WorkerID]hoist.Resources),
-		idleSince: make(map[hoist.JobID]time.Time), ended: make(map[hoist.JobID]time.Duration),
+		idleSince: make(map[hoist.JobID]time.Time), ended: make(map[hoist.JobID]time.Duration), adviser: adviser,
+	}
+	if adviser != nil {
+		s.reserve = adviser.reserve
 	}
 	s.scheduler.MaxNearWait = maxWait
 	for i := range racks * workersPerRack {
@@ -70,6 +77,9 @@
 
 // arrive adds a plan that is accepted some time after the start.
 func (s *simulation) arrive(after time.Duration, id string, q hoist.Queue, steps ...hoist.Step) {
+	if s.adviser != nil {
+		q.Advice = s.adviser.config
+	}
 	s.arrivals = append(s.arrivals, hoist.Plan{ID: hoist.JobID(id), Queue: q, Steps: steps, Accepted: start.Add(after)})
 }
 
@@ -94,7 +104,13 @@
 		return true
 	})
 	s.reportAll()
-	for _, st := range s.pass() {
+	s.answerAdvice()
+	starts := s.pass()
+	s.requested = append(s.requested, s.requests...)
+	if s.adviser != nil {
+		s.adviser.ask(s.requests)
+	}
+	for _, st := range starts {
 		s.scheduler.RecordStart(st.Worker, st.Run, nil, s.now)
 		s.begin(st)
 	}
@@ -117,6 +133,7 @@
 func (s *simulation) begin(st sched.Start) {
 	task := st.Run.Task
 	step := s.step(task)
+	s.checkTicket(st)
 	s.started = append(s.started, st)
 	s.used[st.Worker] = s.used[st.Worker].Add(step.Need)
 	runTime := time.Duration(float64(step.Estimate) * (0.75 + s.random.Float64()/2))
@@ -223,18 +240,18 @@
 	return n >= step.Count || !step.IsGang && n > 0
 }
 
-// result summarises the plans of a queue.
+// result summarises the plans of the queue "checks".
 type result struct {
 	plans, inTime int
 	mean          time.Duration
 }
 
-func (s *simulation) result(name hoist.QueueName) result {
+func (s *simulation) result() result {
 	var r result
 	var total time.Duration
 	for id, took := range s.ended {
 		p := s.plans[id]
-		if p.Queue.Name != name {
+		if p.Queue.Name != "checks" {
 			continue
 		}
 		r.plans++
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -229,8 +229,7 @@
 		if s.waiting == 0 || len(s.advice.isGood) > 0 || j.isReady(s) {
 			continue
 		}
-		const typicalWorkers = 20
-		leadTime := adviser.Base + typicalWorkers*adviser.PerWorker + prefetchMargin
+		leadTime := adviceTime(adviser) + prefetchMargin
 		if sc.remainingTime(j, s, now) > leadTime {
 			continue
 		}
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -134,10 +134,14 @@
 // advisedCandidates is candidates for a step that may run only on workers with a
 // ticket.
 func (sc *Scheduler) advisedCandidates(s *StepTasks, now time.Time) []*Worker {
+	nearOnly := sc.considersNearOnly(s)
 	var out []*Worker
 	for id := range s.advice.tickets {
 		w, ok := sc.workers[id]
-		if ok && sc.isUsableNow(w) && s.isAllowedOn(w, now) && sc.fits(s, w) && sc.isCandidate(s, w) {
+		if !ok || nearOnly && sc.isRemote(s, w) {
+			continue
+		}
+		if sc.isUsableNow(w) && s.isAllowedOn(w, now) && sc.fits(s, w) && sc.isCandidate(s, w) {
 			out = append(out, w)
 		}
 	}
