Look for near workers to name only if a host may send the request

Cause: a request that no host was free for was composed again for every step of the pass, as it took longer than the same request without near workers.

Change: the shorter request is tried if no host is free for the longer one, and near workers are not looked up once the shorter one was refused.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -128,14 +128,23 @@
 	if len(chosen) == 0 {
 		return AdviceRequest{}, false
 	}
+	answerTime := func(workers int) time.Duration { return adviser.Base + time.Duration(workers)*adviser.PerWorker }
+	if answerTime(len(chosen)) >= sc.shortestRefused {
+		return AdviceRequest{}, false
+	}
+	named := chosen
 	if !isPrefetch {
-		chosen = append(chosen, sc.expectedNearWorkers(s, chosen, now)...)
+		named = append(named, sc.expectedNearWorkers(s, chosen, now)...)
 	}
-	adviceRequest := AdviceRequest{Step: s.Ref(), Workers: chosen, AnswerTime: adviser.Base + time.Duration(len(chosen))*adviser.PerWorker}
-	var ok bool
-	if adviceRequest.Host, ok = reserve(adviceRequest.AnswerTime, now); !ok {
+	host, ok := reserve(answerTime(len(named)), now)
+	if !ok && len(named) > len(chosen) {
+		named = chosen
+		host, ok = reserve(answerTime(len(named)), now)
+	}
+	if !ok {
 		return AdviceRequest{}, false
 	}
+	adviceRequest := AdviceRequest{Step: s.Ref(), Workers: named, Host: host, AnswerTime: answerTime(len(named))}
 	s.advice.pendingSince = now
 	return adviceRequest, true
 }
