Count no timeout when net/http ends its own read

net/http reads from a connection while a request is handled, and ends that read after the response by a deadline in the past. The gate counted each as slow-body, so every ordinary request was counted and logged as a refused client. A deadline as early as that of net/http is now taken as an end by the server.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -318,8 +318,14 @@
 
 	mu        sync.Mutex
 	isRefused bool
+	// isAborted is set while the server itself ends a read.
+	isAborted bool
 }
 
+// abortDeadline is later than the deadline by which net/http ends its own read that waits
+// for the client to go away, after each request: 1 s after the epoch.
+var abortDeadline = time.Unix(2, 0)
+
 // refuse makes all reads fail from now on.
 func (c *Conn) refuse() {
 	c.mu.Lock()
@@ -339,13 +345,14 @@
 	if c.isRefused {
 		return nil
 	}
+	c.isAborted = !t.IsZero() && t.Before(abortDeadline)
 	return c.Conn.SetReadDeadline(t)
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.wasRefused() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.wasEnded() {
 		c.gate.timedOut(c, false)
 	}
 	if n > 0 {
@@ -356,10 +363,12 @@
 	return n, err
 }
 
-func (c *Conn) wasRefused() bool {
+// wasEnded reports whether reads fail because the host refused the request or ended the
+// read, rather than because the client is slow.
+func (c *Conn) wasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isRefused
+	return c.isRefused || c.isAborted
 }
 
 // Write implements net.Conn.
