Close connections without an answer if there is no memory for the header

net/http answers an unknown error of Read with 400, which tells the client that its request is wrong and not to be repeated. The error is now one of reading from the network, after which net/http closes the connection.

TestLackOfMemoryIsNoClientError read 400 before.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -357,7 +357,8 @@
 	}
 	if n > 0 {
 		if err := c.gate.arrived(c, n); err != nil {
-			return 0, err
+			// net/http answers other errors with 400, as if the request were wrong.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
 	}
 	return n, err
