Count only the header of a request at the factor for headers

A read of up to 4 KiB returns a part of the body with the header, and all of it was counted 20 times until the response was sent. While the store is slow, submissions of usual size exhausted the memory for requests. On the other hand, a request that was read together with the previous one was not counted at all. The memory of a request is now set to that of its own header when it begins.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -163,6 +163,11 @@
 func (g *Gate) hold(c *Conn, n admit.Bytes) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.holdLocked(c, n)
+}
+
+// holdLocked is hold while the mutex is held.
+func (g *Gate) holdLocked(c *Conn, n admit.Bytes) error {
 	victims, ok := g.clients.Hold(c, n, time.Now())
 	for _, victim := range victims {
 		g.end(victim)
@@ -185,6 +190,20 @@
 	return nil
 }
 
+// beginRequest records that a request with a header of the given size is handled from now
+// on.
+func (g *Gate) beginRequest(c *Conn, header admit.Bytes) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.clients.SetPhase(c, admit.Working, time.Now()) {
+		return ErrRefused
+	}
+	if missing := g.clients.Shrink(c, header*max(1, g.Factor)); missing > 0 {
+		return g.holdLocked(c, missing)
+	}
+	return nil
+}
+
 // phaseOf returns the phase of a connection.
 func (g *Gate) phaseOf(c *Conn) admit.Phase {
 	g.mu.Lock()
--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -211,6 +211,21 @@
 	return victims, true
 }
 
+// Shrink releases what the request of a connection holds beyond n bytes. It returns how
+// many bytes it holds less than that, which the caller may reserve by Hold.
+func (c *Clients[K]) Shrink(k K, n Bytes) (missing Bytes) {
+	o := c.conns[k]
+	if o == nil || o.isLeaving {
+		return 0
+	}
+	if o.held < n {
+		return n - o.held
+	}
+	c.held -= o.held - n
+	o.held = n
+	return 0
+}
+
 // costliest returns the request that arrives and has the largest product of its memory
 // and its age. Request k counts with n more bytes.
 func (c *Clients[K]) costliest(k K, n Bytes, now time.Time) (K, bool) {
--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -165,7 +165,8 @@
 			w.Header().Set("connection", "close")
 		}
 		conn := gate.ConnOf(r.Context())
-		if conn.SetPhase(admit.Working) != nil {
+		if gate.BeginRequest(r) != nil {
+			w.Header().Set("connection", "close")
 			rest.WriteError(w, hoist.ErrUnavailable)
 			return
 		}
