Bound the response to a refused request by 0.5 s

No connection is closed for a new one while a refused one has not ended, and a client that does not read its response could keep it open until the timeout of 10 s (30 s at hoistd). All other clients waited to be accepted.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -57,6 +57,9 @@
 	// MessageFactor is the same for the messages between hosts: the buffer of the decoder,
 	// its growth, and the decoded message.
 	MessageFactor = 4
+	// refusalTimeout bounds the time to take the response to a refused request. No other
+	// connection is closed for a new one until this one has ended.
+	refusalTimeout = 500 * time.Millisecond
 	// logInterval is the time between two log lines of a gate.
 	logInterval = 10 * time.Second
 )
@@ -345,13 +348,14 @@
 // for the client to go away, after each request: 1 s after the epoch.
 var abortDeadline = time.Unix(2, 0)
 
-// refuse makes all reads fail from now on.
+// refuse makes all reads fail from now on, and writes after refusalTimeout.
 func (c *Conn) refuse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isRefused = true
 	// If this fails, the connection is closed already.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 }
 
 // SetReadDeadline implements net.Conn. It has no effect on a victim.
@@ -393,10 +397,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	if timeout := c.gate.WriteTimeout; timeout > 0 {
-		// If this fails, the write does too.
-		_ = c.SetWriteDeadline(time.Now().Add(timeout))
-	}
+	c.extendWrite()
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.timedOut(c, true)
@@ -404,6 +405,20 @@
 	return n, err
 }
 
+// extendWrite bounds the next write, unless the request was refused.
+func (c *Conn) extendWrite() {
+	timeout := c.gate.WriteTimeout
+	if timeout <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isRefused {
+		// If this fails, the write does too.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(timeout))
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
