Let net/http close the sending side of an admitted connection

The wrapped connection hid CloseWrite. After an early response such as 431, net/http then waited for 0.5 s and closed the connection with unread bytes, which resets it: the client read the status but lost the body, as it ends with the connection.

--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -419,6 +419,15 @@
 	}
 }
 
+// CloseWrite ends the sending side, if the connection supports that. net/http uses it so
+// that a client that still sends reads its response before the connection is reset.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
