Keep connections between hosts on which calls may be in progress

A connection counted as idle as soon as a message had been decoded, while its calls were still in progress, and idle ones are closed first. At the limit, each silent new connection to the port closed the connection of the owner or of a standby, although silent ones had been open for longer.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -24,6 +24,8 @@
 	Conns int
 	// Memory is the memory for headers and bodies of requests in progress.
 	Memory Bytes
+	// MinIdle is how long a connection must be idle before it may be closed for a new one.
+	MinIdle time.Duration
 }
 
 const (
@@ -55,6 +57,9 @@
 	maxPeerConns = 256
 	// minPeerMemory lets a message with a few hundred starts of the largest payload through.
 	minPeerMemory = 8 << 20
+	// minPeerIdle is longer than a call through a relay takes. Calls are in progress on a
+	// connection between hosts while no message arrives.
+	minPeerIdle = 6 * time.Second
 	// checkConns and checkMemory are for ports with a single regular client: the check of
 	// the balancer, and the collection of metrics.
 	checkConns  = 16
@@ -63,7 +68,9 @@
 
 // ForPeers returns the limits of the port between hosts.
 func (l Limits) ForPeers() Limits {
-	return Limits{Conns: min(maxPeerConns, max(minConns, l.Conns/peerShare)), Memory: max(minPeerMemory, l.Memory)}
+	return Limits{
+		Conns: min(maxPeerConns, max(minConns, l.Conns/peerShare)), Memory: max(minPeerMemory, l.Memory), MinIdle: minPeerIdle,
+	}
 }
 
 // ForChecks returns the limits of a port with a single regular client.
@@ -177,7 +184,7 @@
 	for k, o := range c.conns {
 		age, isIdle := now.Sub(o.since), o.phase == Idle
 		switch {
-		case o.isLeaving || o.phase == Working || !isIdle && age < stuckAfter:
+		case o.isLeaving || o.phase == Working || !isIdle && age < stuckAfter || isIdle && age < c.limits.MinIdle:
 			continue
 		case !found || isIdle && !bestIsIdle || isIdle == bestIsIdle && age > best:
 			victim, best, bestIsIdle, found = k, age, isIdle, true
--- a/internal/decide/admit/admit_test.go
+++ b/internal/decide/admit/admit_test.go
@@ -244,3 +244,20 @@
 	is.Equal(admit.BodyDeadline(begin, 2048, end), end)
 	is.Equal(admit.BodyDeadline(begin, 1<<20, begin.Add(100*time.Millisecond)), begin.Add(100*time.Millisecond))
 }
+
+// TestPeersInUseAreKept guards against connections between hosts that are closed for new
+// ones while calls on them may be in progress, and against ones that are kept for ever.
+func TestPeersInUseAreKept(t *testing.T) {
+	is := is.New(t)
+	limits := admit.LimitsFor(0, 0).ForPeers()
+	limits.Conns = 1
+	c := admit.New[int](limits)
+	_, verdict := c.Open(1, begin)
+	is.Equal(verdict, admit.Admitted)
+	is.True(c.SetPhase(1, admit.Idle, begin))
+	_, verdict = c.Open(2, begin.Add(5*time.Second))
+	is.Equal(verdict, admit.Wait)
+	victim, verdict := c.Open(2, begin.Add(10*time.Second))
+	is.Equal(verdict, admit.Evict)
+	is.Equal(victim, 1)
+}
