--- a/internal/decide/admit/admit_test.go
+++ b/internal/decide/admit/admit_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+func (m *model) shrink(k int, n admit.Bytes) {
+	c := m.clients[k]
+	missing := m.all.Shrink(k, n)
+	want := max(0, n-c.held)
+	if c.isLeaving {
+		want = 0
+	} else {
+		c.held = min(c.held, n)
+	}
+	if missing != want {
+		m.Fatalf("%d bytes are missing, expected %d", missing, want)
+	}
+}
+
 func (m *model) setPhase(k int, p admit.Phase) {
 	c := m.clients[k]
 	if m.all.SetPhase(k, p, m.now) == c.isLeaving {
@@ -149,12 +163,14 @@
 		}
 	}
 	k := rapid.SampledFrom(keys).Draw(m.T, "client")
-	switch rapid.IntRange(0, 3).Draw(m.T, "action") {
+	switch rapid.IntRange(0, 4).Draw(m.T, "action") {
 	case 0:
 		m.all.Close(k)
 		delete(m.clients, k)
 	case 1:
 		m.setPhase(k, admit.Phase(rapid.IntRange(int(admit.Header), int(admit.Answering)).Draw(m.T, "phase")))
+	case 2:
+		m.shrink(k, admit.Bytes(rapid.IntRange(0, 60).Draw(m.T, "rest")))
 	default:
 		m.hold(k, admit.Bytes(rapid.IntRange(0, 60).Draw(m.T, "bytes")))
 	}
