--- a/internal/peer/helper/crowd_test.go
+++ b/internal/peer/helper/crowd_test.go
@@ -27,7 +27,9 @@
 	g := &gate.Gate{Limits: limits, Factor: gate.MessageFactor}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
-	go func() { ended <- (&helper.Server{Listener: g.Listen(l), Adviser: fakeAdviser{}, Dial: dialFake}).Run(ctx) }()
+	go func() {
+		ended <- (&helper.Server{Listener: g.Listen(l), Adviser: fakeAdviser{}, Dial: dialFake}).Run(ctx)
+	}()
 	defer func() {
 		cancel()
 		is.NoErr(<-ended)
