Do not cut off responses for lack of memory

A request that had been handled counted as a victim between the end of its handling and its response, as nothing but Working was exempt. Its connection was closed and the client of an accepted submission got no response. A response is now a victim only once its client has not taken it for 0.5 s, like for a lack of connections.

TestSubmissionsAreAnswered sends submissions from 40 clients while limits change, connections or memory are short, and the server drains.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -233,8 +233,8 @@
 	return 0
 }
 
-// costliest returns the request that arrives and has the largest product of its memory
-// and its age. Request k counts with n more bytes.
+// costliest returns the request that arrives, or whose response is stuck, and that has the
+// largest product of its memory and its age. Request k counts with n more bytes.
 func (c *Clients[K]) costliest(k K, n Bytes, now time.Time) (K, bool) {
 	var victim K
 	best := -1.0
@@ -243,7 +243,8 @@
 		if key == k {
 			held += n
 		}
-		if o.isLeaving || held == 0 || o.phase == Working {
+		// A response that was just begun is not cut off: the request may have had an effect.
+		if o.isLeaving || held == 0 || o.phase == Working || o.phase == Answering && now.Sub(o.since) < stuckAfter {
 			continue
 		}
 		if cost := float64(held) * now.Sub(o.began).Seconds(); cost > best {
