--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -355,7 +355,7 @@
 	c.isRefused = true
 	// If this fails, the connection is closed already.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 }
 
 // SetReadDeadline implements net.Conn. It has no effect on a victim.
@@ -415,7 +415,7 @@
 	defer c.mu.Unlock()
 	if !c.isRefused {
 		// If this fails, the write does too.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(timeout))
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
 	}
 }
 
