--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -57,6 +57,9 @@
 	// MessageFactor is the same for the messages between hosts: the buffer of the decoder,
 	// its growth, and the decoded message.
 	MessageFactor = 4
+	// refusalTimeout bounds the time to take the response to a refused request. No other
+	// connection is closed for a new one until this one has ended.
+	refusalTimeout = 500 * time.Millisecond
 	// logInterval is the time between two log lines of a gate.
 	logInterval = 10 * time.Second
 )
@@ -163,6 +166,11 @@
 func (g *Gate) hold(c *Conn, n admit.Bytes) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.holdLocked(c, n)
+}
+
+// holdLocked is hold while the mutex is held.
+func (g *Gate) holdLocked(c *Conn, n admit.Bytes) error {
 	victims, ok := g.clients.Hold(c, n, time.Now())
 	for _, victim := range victims {
 		g.end(victim)
@@ -185,6 +193,20 @@
 	return nil
 }
 
+// beginRequest records that a request with a header of the given size is handled from now
+// on.
+func (g *Gate) beginRequest(c *Conn, header admit.Bytes) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.clients.SetPhase(c, admit.Working, time.Now()) {
+		return ErrRefused
+	}
+	if missing := g.clients.Shrink(c, header*max(1, g.Factor)); missing > 0 {
+		return g.holdLocked(c, missing)
+	}
+	return nil
+}
+
 // phaseOf returns the phase of a connection.
 func (g *Gate) phaseOf(c *Conn) admit.Phase {
 	g.mu.Lock()
@@ -318,15 +340,22 @@
 
 	mu        sync.Mutex
 	isRefused bool
+	// isAborted is set while the server itself ends a read.
+	isAborted bool
 }
 
-// refuse makes all reads fail from now on.
+// abortDeadline is later than the deadline by which net/http ends its own read that waits
+// for the client to go away, after each request: 1 s after the epoch.
+var abortDeadline = time.Unix(2, 0)
+
+// refuse makes all reads fail from now on, and writes after refusalTimeout.
 func (c *Conn) refuse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isRefused = true
 	// If this fails, the connection is closed already.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 }
 
 // SetReadDeadline implements net.Conn. It has no effect on a victim.
@@ -339,35 +368,36 @@
 	if c.isRefused {
 		return nil
 	}
+	c.isAborted = !t.IsZero() && t.Before(abortDeadline)
 	return c.Conn.SetReadDeadline(t)
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.wasRefused() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.wasEnded() {
 		c.gate.timedOut(c, false)
 	}
 	if n > 0 {
 		if err := c.gate.arrived(c, n); err != nil {
-			return 0, err
+			// net/http answers other errors with 400, as if the request were wrong.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 		}
 	}
 	return n, err
 }
 
-func (c *Conn) wasRefused() bool {
+// wasEnded reports whether reads fail because the host refused the request or ended the
+// read, rather than because the client is slow.
+func (c *Conn) wasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isRefused
+	return c.isRefused || c.isAborted
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	if timeout := c.gate.WriteTimeout; timeout > 0 {
-		// If this fails, the write does too.
-		_ = c.SetWriteDeadline(time.Now().Add(timeout))
-	}
+	c.extendWrite()
 	n, err := c.Conn.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.timedOut(c, true)
@@ -375,6 +405,29 @@
 	return n, err
 }
 
+// extendWrite bounds the next write, unless the request was refused.
+func (c *Conn) extendWrite() {
+	timeout := c.gate.WriteTimeout
+	if timeout <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isRefused {
+		// If this fails, the write does too.
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
+	}
+}
+
+// CloseWrite ends the sending side, if the connection supports that. net/http uses it so
+// that a client that still sends reads its response before the connection is reset.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
