Add a failing test of a lost poll before a lost start

A worker restarts unseen. A poll that is sent just after brings a lease on its earlier clock, which the new incarnation takes for 10 s; the answer is lost. A start without a lease, which the worker would otherwise refuse, is carried out under it and gets no answer. The owner counts 6.1 s and starts the task elsewhere.

RecordSilence counts the longest lease only within 5 s after a restart was shown, and here none was.

TestLostPollAfterAnsweredStart passes: confirmed attempts are released after 6.1 s as before.

--- a/internal/decide/sched/lease_test.go
+++ b/internal/decide/sched/lease_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
 // TestLeaseOfEarlierIncarnation guards against starting a task elsewhere while it runs under
@@ -210,3 +211,58 @@
 		c.wantStarts(c.pass(), wait.want)
 	}
 }
+
+// newHolderWithStart returns a cell with a worker that has confirmed a lease, and a start without
+// a lease of its own that is on its way there.
+func newHolderWithStart(t *testing.T) (*cell, sched.Start) {
+	t.Helper()
+	c := newCell(t, "w1")
+	report := hoist.RunnerReport{Incarnation: 1, Clock: hoist.WorkerClock(100 * time.Second)}
+	c.report("w1", report)
+	lease := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	c.scheduler.RecordAnswer("w1", lease, report.Clock, c.now, c.now)
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	lease, maySend := c.scheduler.LeaseStart("w1", 6*time.Second, c.now)
+	c.is.True(maySend)
+	c.is.Equal(lease.Until, hoist.WorkerClock(0))
+	return c, s
+}
+
+// losePoll loses the answer to a poll that brings a lease.
+func losePoll(c *cell) {
+	c.t.Helper()
+	c.is.True(c.scheduler.GrantLease("w1", 6*time.Second, c.now).Until > 0)
+	c.scheduler.RecordSilence("w1", c.now)
+}
+
+// TestLostPollBeforeLostStart guards against starting a task elsewhere while it runs on a
+// restarted worker that the owner has not heard from since: a poll without an answer brought a
+// lease on the earlier clock, which the worker took for the longest one, and a start that was on
+// its way was carried out under it.
+func TestLostPollBeforeLostStart(t *testing.T) {
+	c, s := newHolderWithStart(t)
+	losePoll(c) // the new incarnation takes the lease for 10 s
+	lost := c.now
+	c.scheduler.RecordLostStart("w1", sched.Lease{}, c.now) // and carries out the start
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.now = lost.Add(10 * time.Second)
+	c.addWorkers("w2")
+	c.wantStarts(c.pass(), 0)
+}
+
+// TestLostPollAfterAnsweredStart guards against a task that waits for longer than its lease after
+// its worker has confirmed the start: a restart ends the attempt, so that a lease of the new
+// incarnation does not matter.
+func TestLostPollAfterAnsweredStart(t *testing.T) {
+	c, s := newHolderWithStart(t)
+	c.scheduler.RecordStart("w1", s.Run, nil, c.now)
+	losePoll(c)
+	lost := c.now
+	c.now = lost.Add(6 * time.Second)
+	c.addWorkers("w2")
+	c.wantStarts(c.pass(), 0)
+	c.now = lost.Add(6200 * time.Millisecond)
+	c.report("w2", hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 1)
+}
