Explain names and rules in the decision packages

The comments on the shares of limits in admit did not tell that they are divisors, several doc comments in sched and rate were missing or hard to follow, and a few private names (leave, longest, memory) were ambiguous. No change of behaviour.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -31,13 +31,13 @@
 const (
 	// reservedFiles is the number of descriptors that the platform sets aside for files.
 	reservedFiles = 200
-	// clientShare is the part of the other descriptors that clients get. The owner of the
-	// cell needs about 3.3 for each of its workers, besides those for the store, the
+	// clientShare divides the other descriptors: clients get a third of them. The owner of
+	// the cell needs about 3.3 for each of its workers, besides those for the store, the
 	// relays and its peers.
 	clientShare = 3
-	// memoryShare is the part of the memory of the machine for requests, and again for
-	// connections. Both together leave more than half of the soft memory limit of the
-	// process for the work of the host itself.
+	// memoryShare divides the memory of the machine: requests get an eighth of it, and
+	// connections another. Both together leave more than half of the soft memory limit of
+	// the process for the work of the host itself.
 	memoryShare = 8
 	// connMemory is what an open connection takes: goroutines and buffers of net/http, and
 	// the request being handled.
@@ -51,8 +51,9 @@
 )
 
 const (
-	// peerShare is the part of the connections of clients that the port between hosts gets
-	// in addition, and as much memory. Of the hosts of a cell, the owner and up to four standbys connect.
+	// peerShare divides the connections of clients: the port between hosts gets a quarter as
+	// many in addition, up to maxPeerConns, and as much memory as clients. Of the hosts of a
+	// cell, the owner and up to four standbys connect.
 	peerShare    = 4
 	maxPeerConns = 256
 	// minPeerMemory lets a message with a few hundred starts of the largest payload through.
@@ -121,7 +122,7 @@
 	// since is when the phase began, and began when the request did.
 	since, began time.Time
 	held         Bytes
-	isLeaving    bool
+	isVictim     bool
 }
 
 // Clients is the state of all connections of the clients. K identifies a connection.
@@ -129,9 +130,10 @@
 	limits Limits
 	conns  map[K]*conn
 	held   Bytes
-	// leaving and leavingHeld count the victims that are not closed yet.
-	leaving     int
-	leavingHeld Bytes
+	// victims is the number of victims that are not closed yet, and victimsHeld the memory
+	// that they hold.
+	victims     int
+	victimsHeld Bytes
 }
 
 // New returns the state without a connection.
@@ -164,27 +166,27 @@
 		c.conns[k] = &conn{phase: Header, since: now, began: now}
 		return victim, Admitted
 	}
-	if c.leaving > 0 {
+	if c.victims > 0 {
 		return victim, Wait
 	}
-	victim, ok := c.longest(now)
+	victim, ok := c.chooseVictim(now)
 	if !ok {
 		return victim, Wait
 	}
-	c.leave(victim)
+	c.markVictim(victim)
 	return victim, Evict
 }
 
-// longest returns the connection that was idle for the longest time, or else the one
-// whose client keeps it waiting for the longest time.
-func (c *Clients[K]) longest(now time.Time) (K, bool) {
+// chooseVictim returns the connection that was idle for the longest time, or else the one
+// whose header, body or response takes the longest. It reports false if none may be closed.
+func (c *Clients[K]) chooseVictim(now time.Time) (K, bool) {
 	var victim K
 	var best time.Duration
 	bestIsIdle, found := false, false
 	for k, o := range c.conns {
 		age, isIdle := now.Sub(o.since), o.phase == Idle
 		switch {
-		case o.isLeaving || o.phase == Working || !isIdle && age < stuckAfter || isIdle && age < c.limits.MinIdle:
+		case o.isVictim || o.phase == Working || !isIdle && age < stuckAfter || isIdle && age < c.limits.MinIdle:
 			continue
 		case !found || isIdle && !bestIsIdle || isIdle == bestIsIdle && age > best:
 			victim, best, bestIsIdle, found = k, age, isIdle, true
@@ -198,19 +200,19 @@
 // false if the request itself is refused.
 func (c *Clients[K]) Hold(k K, n Bytes, now time.Time) (victims []K, ok bool) {
 	o := c.conns[k]
-	if o == nil || o.isLeaving {
+	if o == nil || o.isVictim {
 		return nil, false
 	}
 	// The memory of victims is free only when they have ended.
 	if c.held+n > c.limits.Memory+c.limits.Memory/2 {
 		return nil, false
 	}
-	for c.held-c.leavingHeld+n > c.limits.Memory {
+	for c.held-c.victimsHeld+n > c.limits.Memory {
 		victim, found := c.costliest(k, n, now)
 		if !found || victim == k {
 			return victims, false
 		}
-		c.leave(victim)
+		c.markVictim(victim)
 		victims = append(victims, victim)
 	}
 	o.held += n
@@ -222,7 +224,7 @@
 // many bytes it holds less than that, which the caller may reserve by Hold.
 func (c *Clients[K]) Shrink(k K, n Bytes) (missing Bytes) {
 	o := c.conns[k]
-	if o == nil || o.isLeaving {
+	if o == nil || o.isVictim {
 		return 0
 	}
 	if o.held < n {
@@ -244,7 +246,7 @@
 			held += n
 		}
 		// A response that was just begun is not cut off: the request may have had an effect.
-		if o.isLeaving || held == 0 || o.phase == Working || o.phase == Answering && now.Sub(o.since) < stuckAfter {
+		if o.isVictim || held == 0 || o.phase == Working || o.phase == Answering && now.Sub(o.since) < stuckAfter {
 			continue
 		}
 		if cost := float64(held) * now.Sub(o.began).Seconds(); cost > best {
@@ -258,7 +260,7 @@
 // connection is a victim, whose request must not be handled.
 func (c *Clients[K]) SetPhase(k K, p Phase, now time.Time) bool {
 	o := c.conns[k]
-	if o == nil || o.isLeaving {
+	if o == nil || o.isVictim {
 		return false
 	}
 	if o.phase == Idle {
@@ -283,17 +285,17 @@
 
 // Refuse makes a connection a victim: its request is not handled any more.
 func (c *Clients[K]) Refuse(k K) {
-	if o := c.conns[k]; o != nil && !o.isLeaving {
-		c.leave(k)
+	if o := c.conns[k]; o != nil && !o.isVictim {
+		c.markVictim(k)
 	}
 }
 
-// leave makes a connection a victim.
-func (c *Clients[K]) leave(k K) {
+// markVictim makes a connection a victim, which the caller closes.
+func (c *Clients[K]) markVictim(k K) {
 	o := c.conns[k]
-	o.isLeaving = true
-	c.leaving++
-	c.leavingHeld += o.held
+	o.isVictim = true
+	c.victims++
+	c.victimsHeld += o.held
 }
 
 // Close records that a connection was closed.
@@ -304,8 +306,8 @@
 	}
 	delete(c.conns, k)
 	c.held -= o.held
-	if o.isLeaving {
-		c.leaving--
-		c.leavingHeld -= o.held
+	if o.isVictim {
+		c.victims--
+		c.victimsHeld -= o.held
 	}
 }
--- a/internal/decide/rate/rate.go
+++ b/internal/decide/rate/rate.go
@@ -41,9 +41,9 @@
 	// not answer for a few seconds. A longer one would let a burst displace the work of
 	// other teams for as long.
 	Burst = 5 * time.Second
-	// memory is how long entries are kept so that a job that becomes known late is judged
+	// retention is how long entries are kept so that a job that becomes known late is judged
 	// in its place. Hosts repeat a submission for less than this.
-	memory = time.Minute
+	retention = time.Minute
 )
 
 // Entry is the place of one job in the bucket of its team. Its results are valid after
@@ -132,8 +132,8 @@
 		b.judge(e, before)
 		before = e.after
 		if i > last && before == earlier {
-			// So are the results of the entries after it. A host whose clock is far ahead
-			// may have accepted many of them.
+			// The later entries keep their results, as the state before them is the same.
+			// There may be many, accepted by a host whose clock is far ahead.
 			break
 		}
 	}
@@ -163,7 +163,7 @@
 // forget removes old entries, whose jobs keep their results.
 func (b *Bucket) forget(now time.Time) {
 	n := 0
-	for n < len(b.entries) && now.Sub(b.entries[n].at) > memory {
+	for n < len(b.entries) && now.Sub(b.entries[n].at) > retention {
 		n++
 	}
 	if n == 0 {
--- a/internal/decide/sched/explain.go
+++ b/internal/decide/sched/explain.go
@@ -128,8 +128,8 @@
 	dry           *Scheduler
 	now           time.Time
 	maxCandidates int
-	// ends holds when the steps before are expected to end; it is negative if that is not
-	// known.
+	// ends holds how long after now each step is expected to end, up to the current one; it
+	// is negative if that is not known.
 	ends []time.Duration
 	// all is the forecast of all workers of the service, once it is needed.
 	all *rackForecast
@@ -137,6 +137,8 @@
 	looked int
 }
 
+// explainStep places a step and returns its explanation. A step that waits for earlier ones
+// is released again.
 func (e *explainer) explainStep(s *StepTasks) hoist.StepExplanation {
 	out := hoist.StepExplanation{Step: s.No, Count: s.Step.Count, IsReady: len(s.Step.After) == 0, Workers: len(e.dry.workers)}
 	e.ends[s.No] = -1
@@ -244,8 +246,8 @@
 	return ""
 }
 
-// expectedStart estimates when the first task of a step starts, or the whole gang. It
-// reports false if that cannot be expected.
+// expectedStart estimates how long after now the first task of a step starts, or the whole
+// gang. It reports false if that cannot be expected.
 func (e *explainer) expectedStart(s *StepTasks, x hoist.StepExplanation) (time.Duration, bool) {
 	var earliest time.Duration
 	for _, earlier := range s.Step.After {
--- a/internal/decide/sched/fair.go
+++ b/internal/decide/sched/fair.go
@@ -24,11 +24,11 @@
 	later []*Job
 }
 
-// competition is the part of a team in one group of jobs.
+// competition is the state of a team in the division of capacity within a group of jobs.
 type competition struct {
 	// group is the last group in which the team had a task that could start.
 	group uint64
-	// bound is the dominant share up to which the team comes before those above theirs.
+	// bound is the dominant share from which on the team comes after the others.
 	bound float64
 	// share is the dominant share that the team holds, if isMeasured is set.
 	share      float64
@@ -38,14 +38,15 @@
 // sharesTolerance is how much a share may exceed another by rounding.
 const sharesTolerance = 1e-9
 
-// inFairOrder divides the capacity among the teams within a priority. It returns the jobs
+// inFairOrder divides the capacity among the teams within a priority. It yields the jobs
 // that are within the rate of their team in the given order, but within each priority those
 // of teams that hold more than their weighted share after the others; then those beyond the
 // rate. Shares are compared as tasks are placed, while the jobs are taken from the sequence.
-// A job that may place more once the others had their turn is returned twice, and one
-// whose team can start none of its tasks not at all.
+// A job that may place more once the others had their turn comes twice, and one whose team
+// can start none of its tasks not at all.
 func (sc *Scheduler) inFairOrder(within, beyond []*Job) iter.Seq[*Job] {
 	if len(sc.teams.byID) == 0 {
+		// Without teams there are no rates, so beyond is empty.
 		return slices.Values(within)
 	}
 	return func(yieldAny func(*Job) bool) {
@@ -71,6 +72,7 @@
 	}
 }
 
+// yieldAll passes jobs on in their order. It reports whether more may follow.
 func yieldAll(jobs []*Job, yield func(*Job) bool) bool {
 	for _, j := range jobs {
 		if !yield(j) {
@@ -81,6 +83,7 @@
 }
 
 // yieldFairly passes the jobs of one priority on: those of teams below their share first.
+// It reports whether more may follow.
 func (sc *Scheduler) yieldFairly(jobs []*Job, yield func(*Job) bool) bool {
 	f := &sc.fair
 	if !sc.setBounds(jobs) {
@@ -154,7 +157,7 @@
 	return false
 }
 
-// measureCapacity computes the capacity of this pass.
+// measureCapacity computes the total capacity and the free share, once in a pass.
 func (sc *Scheduler) measureCapacity() {
 	f := &sc.fair
 	if f.passNo == sc.passNo {
@@ -187,8 +190,8 @@
 	return most
 }
 
-// ratios returns the shares of the resources of a total. That of a resource of which there
-// is nothing is infinite.
+// ratios returns part as a share of total for each resource. The share of a resource of
+// which total has none is infinite.
 func ratios(part, total hoist.Resources) [3]float64 {
 	ratio := func(part, total int64) float64 {
 		if total <= 0 {
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -52,9 +52,9 @@
 }
 
 // LeaseStart returns the lease that a start brings to a worker, and whether the start may be
-// sent. If the worker has confirmed a lease that lasts, the start brings none: a worker that
-// has restarted refuses it then, as it has no lease, while it would take a lease on its
-// earlier clock for the longest one.
+// sent. If the worker has confirmed a lease that lasts, the start brings none. If the worker
+// has restarted unnoticed, it then refuses the start, as it holds no lease; a lease that was
+// granted on its earlier clock would last on its new one as long as leases can.
 func (sc *Scheduler) LeaseStart(id hoist.WorkerID, length time.Duration, now time.Time) (Lease, bool) {
 	w, ok := sc.workers[id]
 	if !ok || length <= 0 || !sc.mayGrant(w) {
@@ -104,9 +104,10 @@
 }
 
 // RecordAnswer records what the clock of a worker showed in the answer to a request
-// that may have carried a lease; hoist.UnknownClock if the answer did not tell. A clock that was set back shows
-// that the worker has restarted: on its new clock the lease is as long as leases can be, and the
-// worker gets neither starts nor leases until it answers a poll that was not sent before since.
+// that may have carried a lease; hoist.UnknownClock if the answer did not tell. A clock that
+// was set back shows that the worker has restarted: on its new clock the lease is as long as
+// leases can be, and the worker gets neither starts nor leases until it answers a poll that was
+// not sent before since.
 func (sc *Scheduler) RecordAnswer(id hoist.WorkerID, lease Lease, clock hoist.WorkerClock, since, now time.Time) {
 	w, ok := sc.workers[id]
 	switch {
--- a/internal/decide/sched/locality.go
+++ b/internal/decide/sched/locality.go
@@ -25,7 +25,8 @@
 	// a longer time are often wrong. In TestNearWaitGain half of the saving gives shorter
 	// means than the whole or three quarters of it.
 	maxWaitDivisor = 2
-	// goldenRatio has multiples whose fractions are spread evenly.
+	// goldenRatio spreads numbered tasks over a range: the fractional parts of its multiples
+	// are distributed evenly.
 	goldenRatio = 0.6180339887
 )
 
@@ -114,6 +115,7 @@
 	counts NearWaits
 }
 
+// rackKey identifies a rack among the workers of a service.
 type rackKey struct {
 	service hoist.ServiceName
 	rack    hoist.RackID
@@ -141,7 +143,8 @@
 	return counts
 }
 
-// takenRate is a decaying sum of the CPU of the tasks placed in a rack.
+// takenRate is the rate at which tasks placed in a rack take CPU, kept as a sum that decays
+// with the time constant takenDecay.
 type takenRate struct {
 	cpu float64
 	at  time.Time
@@ -164,7 +167,7 @@
 type rackForecast struct {
 	workers  []*Worker
 	releases []release
-	// slowness is the mean of the workers.
+	// slowness is the mean slowness of the workers, near to the data.
 	slowness float64
 }
 
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -15,6 +15,7 @@
 	}
 }
 
+// placeOnCandidates is placeTasks without a claim on the rack that the remaining tasks wait for.
 func (sc *Scheduler) placeOnCandidates(s *StepTasks, now time.Time) {
 	workers := sc.candidates(s, now)
 	if len(workers) == 0 {
--- a/internal/decide/sched/room.go
+++ b/internal/decide/sched/room.go
@@ -92,7 +92,9 @@
 	return slices.ContainsFunc(j.Plan.Steps, func(s hoist.Step) bool { return s.SavesProgress })
 }
 
-// placeable returns how many more tasks fit into a state of a size.
+// placeable returns how many more tasks than when the job was measured fit into a state of a
+// size. The workers count with their longest name for each task, or once each, whichever allows
+// more.
 func (sc *Scheduler) placeable(j *Job, size int) int {
 	sz := sc.sizes
 	room := sc.MaxState - size - j.sizedPlaced*sz.failed
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -293,7 +293,8 @@
 	// fits.
 	StateSize func(hoist.PlanState) int
 	MaxState  int
-	sizes     stateSizes
+	// sizes holds the result of measureSizes once it is needed.
+	sizes stateSizes
 	// longestName and nameBytes are the longest and the total length of the ids of the workers.
 	longestName, nameBytes int
 	// withdrawn holds the jobs that are quarantined while attempts of them may still run.
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// restoreFailures restores the failures of tasks, of which there is no state for long-running
-// ones. Earlier versions recorded them.
+// restoreFailures restores the failures of tasks. It is not called for long-running tasks, whose
+// failures are in states of earlier versions only.
 func (s *StepTasks) restoreFailures(state hoist.StepState, isIndex func(int) bool) {
 	for _, f := range state.Failed {
 		if isIndex(f.Index) {
--- a/internal/decide/sched/teams.go
+++ b/internal/decide/sched/teams.go
@@ -22,8 +22,8 @@
 	weight      float64
 	competition competition
 	reservation reservation
-	// heldSince is when starts were held back first for a task that exceeds the quota, since
-	// none was on its way last.
+	// heldSince is when starts were first held back for a task that exceeds the quota. It is
+	// zero again once no start is on its way.
 	heldSince time.Time
 }
 
@@ -63,8 +63,8 @@
 	}
 }
 
-// isSameSlice reports whether x and y have the same elements in memory. A new configuration has a new
-// slice, so that an unchanged one need not be compared in each pass.
+// isSameSlice reports whether x and y are the same slice in memory. A new configuration has
+// a new slice, so that an unchanged one need not be compared in each pass.
 func isSameSlice[T any](x, y []T) bool {
 	return len(x) == len(y) && (len(x) == 0 || &x[0] == &y[0])
 }
--- a/internal/decide/sched/teamusage.go
+++ b/internal/decide/sched/teamusage.go
@@ -9,7 +9,8 @@
 )
 
 // Teams returns what the scheduler knows of the teams that have waiting jobs or anything
-// running, sorted by name, and nil if it knows no team. The shares are those of the last pass.
+// running, sorted by name, and nil if it knows no team. The shares are of the capacity in the
+// last pass.
 func (sc *Scheduler) Teams() []hoist.TeamUsage {
 	if len(sc.teams.byID) == 0 {
 		return nil
