Name the functions of near waits by what they do

decide, endWaiting and endNearWait did not tell that they start, give up and count the wait of a step. The package comment names both cases in which a task may exceed the quota. No change of behaviour.

--- a/internal/decide/sched/locality.go
+++ b/internal/decide/sched/locality.go
@@ -423,11 +423,11 @@
 	c := sc.choice(s, near, sc.expectedRunTime(s, remote), []*Worker{remote}, now)
 	waits := f.waits(sc, s, sc.heldTickets(s, now), sc.claimedPlaces(key, s), count)
 	if len(waits) < count {
-		s.endWaiting()
+		s.giveUpNearWait()
 		return false
 	}
 	c.Wait = waits[count-1]
-	return sc.decide(s, c, s.Step.PreferredRack, now)
+	return sc.waitIfWorthwhile(s, c, s.Step.PreferredRack, now)
 }
 
 // gangWaitsNear reports whether a gang that fits on no single rack, or not on its
@@ -450,10 +450,10 @@
 		}
 	}
 	if !hasBest {
-		s.endWaiting()
+		s.giveUpNearWait()
 		return false
 	}
-	return sc.decide(s, best, bestRack, now)
+	return sc.waitIfWorthwhile(s, best, bestRack, now)
 }
 
 // gangChoice returns the choice for a gang if it is placed on a rack. A gang cannot hold
@@ -507,11 +507,11 @@
 	return n
 }
 
-// decide makes a step wait for the given rack, or continue to wait, if that pays.
-func (sc *Scheduler) decide(s *StepTasks, c NearChoice, rack hoist.RackID, now time.Time) bool {
+// waitIfWorthwhile makes a step wait for the given rack, or continue to wait, if that pays.
+func (sc *Scheduler) waitIfWorthwhile(s *StepTasks, c NearChoice, rack hoist.RackID, now time.Time) bool {
 	until, ok := c.WaitUntil()
 	if !ok {
-		s.endWaiting()
+		s.giveUpNearWait()
 		return false
 	}
 	if s.near.since.IsZero() {
@@ -523,8 +523,8 @@
 	return true
 }
 
-// endWaiting makes a step give up its wait for a near placement, if it waits.
-func (s *StepTasks) endWaiting() {
+// giveUpNearWait makes a step give up its wait for a near placement, if it waits.
+func (s *StepTasks) giveUpNearWait() {
 	s.near.isOver = !s.near.since.IsZero()
 }
 
@@ -536,9 +536,9 @@
 	return x
 }
 
-// endNearWait counts how the wait of a step ended, if it has waited. It is called after
+// countNearWait counts how the wait of a step ended, if it has waited. It is called after
 // each placement, and does nothing while tasks of the step still wait.
-func (sc *Scheduler) endNearWait(s *StepTasks) {
+func (sc *Scheduler) countNearWait(s *StepTasks) {
 	if s.near.since.IsZero() || s.near.isCounted || s.waiting > 0 {
 		return
 	}
@@ -550,9 +550,9 @@
 	}
 }
 
-// forgetNearWaits ends the waits of the steps of a recovered job that are ready: the
+// endRestoredNearWaits ends the waits of the steps of a recovered job that are ready: the
 // earlier owner may have let them wait as long as is allowed.
-func (j *Job) forgetNearWaits() {
+func (j *Job) endRestoredNearWaits() {
 	for _, s := range j.steps {
 		s.near.isOver = j.isReady(s)
 	}
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -62,7 +62,7 @@
 		}
 		sc.assign(t, w, sc.newAttempt(s.Job), now)
 		sc.recordTaken(t, now)
-		sc.endNearWait(s)
+		sc.countNearWait(s)
 		left--
 	}
 }
@@ -186,7 +186,7 @@
 	near, others := nearGroups(s, workers)
 	for _, group := range near {
 		if sc.placeAllOrNone(s, group, attempt, now) {
-			sc.endNearWait(s)
+			sc.countNearWait(s)
 			return
 		}
 	}
@@ -195,7 +195,7 @@
 	}
 	for _, group := range others {
 		if sc.placeAllOrNone(s, group, attempt, now) {
-			sc.endNearWait(s)
+			sc.countNearWait(s)
 			return
 		}
 	}
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -31,9 +31,10 @@
 //
 // # Teams
 //
-// No start brings what may run for a team above its quota, except for one task alone. Jobs
-// beyond the rate of their team come after all others, and within a priority the teams
-// share the capacity by weight. docs/design/quotas.md has the rules.
+// No start brings what may run for a team above its quota, except for one task of a team that
+// has nothing running or uses less than half of it. Jobs beyond the rate of their team come
+// after all others, and within a priority the teams share the capacity by weight.
+// docs/design/quotas.md has the rules.
 //
 // Scheduler is not safe for concurrent use and reads no clock.
 package sched
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -137,7 +137,7 @@
 	delete(j.changed, p.ID)
 	j.updateDue()
 	sc.beginOccurrences(j, now)
-	j.forgetNearWaits()
+	j.endRestoredNearWaits()
 	if len(j.unfinishedSteps) == 0 && j.nextOccurrence == j.numOccurrences() && !j.Phase.IsFinal() {
 		sc.finish(j, hoist.PlanDone, now)
 	}
