--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -15,6 +15,7 @@
 	}
 }
 
+// placeOnCandidates is placeTasks without a claim on the rack that the remaining tasks wait for.
 func (sc *Scheduler) placeOnCandidates(s *StepTasks, now time.Time) {
 	workers := sc.candidates(s, now)
 	if len(workers) == 0 {
@@ -61,7 +62,7 @@
 		}
 		sc.assign(t, w, sc.newAttempt(s.Job), now)
 		sc.recordTaken(t, now)
-		sc.endNearWait(s)
+		sc.countNearWait(s)
 		left--
 	}
 }
@@ -185,7 +186,7 @@
 	near, others := nearGroups(s, workers)
 	for _, group := range near {
 		if sc.placeAllOrNone(s, group, attempt, now) {
-			sc.endNearWait(s)
+			sc.countNearWait(s)
 			return
 		}
 	}
@@ -194,7 +195,7 @@
 	}
 	for _, group := range others {
 		if sc.placeAllOrNone(s, group, attempt, now) {
-			sc.endNearWait(s)
+			sc.countNearWait(s)
 			return
 		}
 	}
