--- a/explain.go
+++ b/explain.go
@@ -8,8 +8,8 @@
 // Explainer tells where a plan would be placed now, without accepting it.
 type Explainer interface {
 	// Explain returns where a plan would be placed, with at most maxCandidates workers
-	// for each step. It returns ErrUnavailable if the host does not act for the cell, and
-	// ErrOverLimit if it was asked a moment ago.
+	// for each step. It returns ErrUnavailable if the host does not act for the cell,
+	// ErrOverLimit if it was asked a moment ago, and ErrInvalid if the plan breaks a limit.
 	Explain(ctx context.Context, p Plan, maxCandidates int) (PlanExplanation, error)
 }
 
--- a/internal/core/batch/batch.go
+++ b/internal/core/batch/batch.go
@@ -1,5 +1,5 @@
-// Package batch combines transactions of the platform's store, of which each call has a
-// price and counts against a rate.
+// Package batch combines transactions of the platform's store, as each call to it has a
+// price and counts against a rate limit.
 //
 // # Usage
 //
@@ -13,8 +13,8 @@
 // one in a single part, but is one call. Nothing waits for others to arrive.
 //
 // Transactions are sent separately for a while after a combined one that failed, and once
-// any has taken long, those that wait for it included: a part that is away or slow, or a
-// lost answer, then delays no other.
+// any has taken long, including those that wait for it: a part that is unavailable or slow,
+// or a lost answer, then delays no other part.
 package batch
 
 import (
@@ -38,8 +38,8 @@
 	// that a transaction waits for another. A transaction over several parts takes twice as
 	// long on a slow store.
 	slowCommit = 40 * time.Millisecond
-	// separateTime is how long transactions are sent separately then. It covers several
-	// rounds of the parts that still work.
+	// separateTime is how long transactions are sent separately after a combined one has
+	// failed or one has taken slowCommit. It covers several commits of the available parts.
 	separateTime = 2 * time.Second
 )
 
@@ -159,7 +159,7 @@
 		}
 		return
 	}
-	// One request may be at fault, or a part away.
+	// One of the requests may have caused the failure, or one part may be unavailable.
 	for _, r := range batch {
 		go s.commitOne(r)
 	}
--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -158,7 +158,7 @@
 		c.refuse()
 		return
 	}
-	// Whoever uses the connection closes it again, which removes it from the admit.
+	// Whoever uses the connection closes it again, which removes it from the clients.
 	_ = c.Conn.Close()
 }
 
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -124,7 +124,9 @@
 func (h *Host) init() {
 	h.once.Do(func() {
 		h.monitored = &monitoredStore{Store: h.Store, clock: h.Clock, log: h.Log}
-		h.follower = &queues.Follower{Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome, Clock: h.LeaseClock, Rules: h.KeyRules}
+		h.follower = &queues.Follower{
+			Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome, Clock: h.LeaseClock, Rules: h.KeyRules,
+		}
 		h.manager = &claim.Manager{
 			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.LeaseClock, Log: h.Log,
 			RunOwner: h.runOwner, Waiting: h.waiting, Dial: h.dialOwner, StoreAge: h.monitored.outage,
@@ -136,7 +138,8 @@
 func (h *Host) Plans() *intake.Service {
 	h.init()
 	return &intake.Service{
-		Store: failFastStore{h.monitored}, Find: h.follower.Find, Identify: h.follower.Identify, Refused: h.Refused, Limits: h.Limits, Guard: h.Guard, Clock: h.Clock, Log: h.Log,
+		Store: failFastStore{h.monitored}, Find: h.follower.Find, Identify: h.follower.Identify, Refused: h.Refused,
+		Limits: h.Limits, Guard: h.Guard, Clock: h.Clock, Log: h.Log,
 	}
 }
 
@@ -236,7 +239,9 @@
 func (h *Host) runOwner(ctx context.Context, o *claim.Ownership) {
 	d := &plans.Driver{
 		Claim: o, Store: h.monitored, Registry: h.Registry, Dial: h.Dial, Advisers: &plans.AdviserPool{},
-		Queue: h.follower.Queue, Teams: h.follower.Teams, HasService: h.follower.HasService, Clock: h.Clock, Log: h.Log, Metrics: h.Metrics, StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor, MaxLease: h.MaxLease,
+		Queue: h.follower.Queue, Teams: h.follower.Teams, HasService: h.follower.HasService,
+		Clock: h.Clock, Log: h.Log, Metrics: h.Metrics,
+		StateRetention: h.StateRetention, RemoteFactor: h.RemoteFactor, MaxLease: h.MaxLease,
 		Guard: h.Guard, Limits: h.Limits, Open: h.Open, MaxDirect: h.MaxDirect, CanCombine: h.CanCombine,
 	}
 	d.Relays = &plans.RelayPool{Clock: h.Clock, Log: h.Log, Guard: h.Guard}
--- a/internal/core/intake/intake.go
+++ b/internal/core/intake/intake.go
@@ -390,8 +390,8 @@
 	state, part, err := s.state(ctx, caller, queue, id)
 	if errors.Is(err, hoist.ErrNotFound) && part == "" {
 		// Its submission may still be on its way.
-		if forbidden := s.forbid(ctx, caller.Team, queue, id); !errors.Is(forbidden, hoist.ErrConflict) {
-			return cmp.Or(forbidden, err)
+		if failed := s.writeTombstones(ctx, caller.Team, queue, id); !errors.Is(failed, hoist.ErrConflict) {
+			return cmp.Or(failed, err)
 		}
 		state, part, err = s.state(ctx, caller, queue, id)
 	}
--- a/internal/core/intake/tombstone.go
+++ b/internal/core/intake/tombstone.go
@@ -26,10 +26,10 @@
 	}
 }
 
-// forbid writes the tombstone of a plan that no part has to all of its parts. It returns nil
-// once none of them can accept the plan any more, and hoist.ErrConflict if one of them has
-// accepted it meanwhile.
-func (s *Service) forbid(ctx context.Context, team hoist.TeamID, queue hoist.QueueName, id hoist.JobID) error {
+// writeTombstones writes the tombstone of a plan that no part has to all of its parts. It
+// returns nil once none of them can accept the plan any more, and hoist.ErrConflict if one of
+// them has accepted it meanwhile.
+func (s *Service) writeTombstones(ctx context.Context, team hoist.TeamID, queue hoist.QueueName, id hoist.JobID) error {
 	for _, part := range keys.PartsOf(id) {
 		_, _, err := s.commit(ctx, part, s.tombstone(part, team, queue, id))
 		if err == nil {
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -17,20 +17,20 @@
 
 // PlanMetrics holds the metrics of a host that schedules plans.
 type PlanMetrics struct {
-	registry *prometheus.Registry
-	answers  *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	starts   *prometheus.CounterVec
-	ends     *prometheus.CounterVec
-	presumed *prometheus.CounterVec
-	late     *prometheus.CounterVec
-	near     *prometheus.CounterVec
-	waits    *prometheus.HistogramVec
-	panics   *prometheus.CounterVec
-	backlog  *prometheus.GaugeVec
-	teams    *teamMetrics
-	closed   *prometheus.CounterVec
-	refused  *prometheus.CounterVec
+	registry       *prometheus.Registry
+	answers        *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	starts         *prometheus.CounterVec
+	ends           *prometheus.CounterVec
+	presumed       *prometheus.CounterVec
+	late           *prometheus.CounterVec
+	near           *prometheus.CounterVec
+	waits          *prometheus.HistogramVec
+	panics         *prometheus.CounterVec
+	backlog        *prometheus.GaugeVec
+	teams          *teamMetrics
+	refusedClients *prometheus.CounterVec
+	refusedCalls   *prometheus.CounterVec
 }
 
 // NewPlans returns the metrics of a host. dropped returns the number of dropped log
@@ -70,17 +70,20 @@
 		backlog: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "hoist_backlog", Help: "What the owner of the cell holds: open tasks, delayed occurrences and quarantined plans.",
 		}, []string{"kind"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refusedCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_refused_calls_total", Help: "Calls of clients refused because of their key, by cause.",
 		}, []string{"cause"}),
 	}
-	p.closed = prometheus.NewCounterVec(prometheus.CounterOpts{
+	p.refusedClients = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "hoist_refused_clients_total", Help: "Clients that were refused or whose connection was closed, by port and cause.",
 	}, []string{"port", "cause"})
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
-	p.registry.MustRegister(p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog, p.refused, p.closed, droppedLines, collectors.NewGoCollector())
+	p.registry.MustRegister(
+		p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog,
+		p.refusedCalls, p.refusedClients, droppedLines, collectors.NewGoCollector(),
+	)
 	p.teams = newTeamMetrics(p.registry)
 	return p
 }
@@ -132,12 +135,12 @@
 
 // RecordRefusal counts a call that was refused because of its key, by the cause.
 func (p *PlanMetrics) RecordRefusal(cause string) {
-	p.refused.WithLabelValues(cause).Inc()
+	p.refusedCalls.WithLabelValues(cause).Inc()
 }
 
 // RecordRefusedClient counts a client that was refused or whose connection was closed.
 func (p *PlanMetrics) RecordRefusedClient(port string, cause gate.Cause) {
-	p.closed.WithLabelValues(port, string(cause)).Inc()
+	p.refusedClients.WithLabelValues(port, string(cause)).Inc()
 }
 
 // ObserveClients registers the usage of a port, which is read whenever the metrics are
--- a/internal/core/plans/plans.go
+++ b/internal/core/plans/plans.go
@@ -153,7 +153,7 @@
 // them.
 func (d *Driver) applyPlans(ctx context.Context, changed []hoist.StoredRow, states map[hoist.RowRef]hoist.StoredRow) {
 	var plans []hoist.StoredRow
-	var cancelled, forbidden []quar.Ref
+	var cancelled, tombstones []quar.Ref
 	for _, row := range changed {
 		if e, ok := quar.Decode(row); ok {
 			d.update(ctx, workPlans, func() { d.applyQuarantine(ctx, e, row.IsRemoved) })
@@ -165,7 +165,7 @@
 		if id, isCancel := keys.CancelOf(row.Key); isCancel {
 			ref := quar.Ref{Part: row.Part, Job: id}
 			if string(row.Value) == keys.TombstoneCancel {
-				forbidden = append(forbidden, ref)
+				tombstones = append(tombstones, ref)
 			} else {
 				cancelled = append(cancelled, ref)
 			}
@@ -179,7 +179,7 @@
 	for _, ref := range cancelled {
 		d.update(ctx, workPlans, func() { d.applyCancel(ctx, ref) })
 	}
-	for _, ref := range forbidden {
+	for _, ref := range tombstones {
 		// The plan was cancelled before it was accepted. Its rows expire like those of a plan
 		// that has ended; the submission may be on its way until then.
 		d.update(ctx, workPlans, func() { d.ended = append(d.ended, endedPlan{ref.Part, ref.Job, d.Clock.Now()}) })
--- a/internal/core/queues/keys.go
+++ b/internal/core/queues/keys.go
@@ -54,8 +54,8 @@
 	return r.ApplyTime
 }
 
-// teamIndex finds the team of a key. The values are indexes of the list of teams: with
-// them, 10,000 keys take less than with names.
+// teamIndex finds the team of a key. The values are indexes of the list of teams, as they
+// take less memory than names.
 type teamIndex map[hoist.KeyHash]uint32
 
 func newTeamIndex(teams []hoist.TeamConfig) teamIndex {
--- a/internal/peer/helper/helper.go
+++ b/internal/peer/helper/helper.go
@@ -217,9 +217,8 @@
 
 // The kinds of work of a server, in logs and metrics.
 const (
-	workHealth guard.Work = "health"
-	workAdvice guard.Work = "advice"
-	// workExplain is the explanation of a plan.
+	workHealth  guard.Work = "health"
+	workAdvice  guard.Work = "advice"
 	workExplain guard.Work = "explain"
 )
 
@@ -243,7 +242,7 @@
 			return merry.Prepend(err, "accepting connections of other hosts")
 		}
 		if err != nil {
-			// Such as a lack of descriptors, which passes.
+			// The cause may pass, such as a lack of descriptors.
 			clock.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
@@ -274,6 +273,11 @@
 	net.Conn
 }
 
+// Read implements io.Reader.
+func (c bufferedConn) Read(p []byte) (int, error) {
+	return c.Reader.Read(p)
+}
+
 // Write implements io.Writer. It fails if the peer does not read.
 func (c bufferedConn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(relayWriteTimeout)); err != nil {
@@ -297,11 +301,6 @@
 	return s.ObjectStream.ReadObject(v)
 }
 
-// Read implements io.Reader.
-func (c bufferedConn) Read(p []byte) (int, error) {
-	return c.Reader.Read(p)
-}
-
 // serveCalls serves the calls of JSON-RPC on a connection until it ends, or ctx does.
 func (s *Server) serveCalls(ctx context.Context, conn bufferedConn) {
 	calls := &connHandler{ctx: ctx, server: s, adviceSlots: make(chan struct{}, maxAdviceCalls)}
@@ -416,7 +415,9 @@
 		return rows.Explanation{}, err
 	}
 	if len(q.Plan) > maxExplainedBytes {
-		return rows.Explanation{}, merry.Wrap(hoist.ErrInvalid, merry.AppendMessagef("the plan has %d bytes, expected at most %d", len(q.Plan), maxExplainedBytes))
+		return rows.Explanation{}, merry.Wrap(
+			hoist.ErrInvalid, merry.AppendMessagef("the plan has %d bytes, expected at most %d", len(q.Plan), maxExplainedBytes),
+		)
 	}
 	p, err := codec.DecodePlan("", []byte(q.Plan))
 	if err != nil {
--- a/internal/proto/codec/packed.go
+++ b/internal/proto/codec/packed.go
@@ -17,7 +17,9 @@
 // refusedByEarlier is in the list of steps of a state whose steps are in the short form. Its
 // numbers are out of range, so that the owner of an earlier version, which does not know the
 // short form, quarantines the plan. It would take an empty list for a plan that is done.
-var refusedByEarlier = rows.StepState{Occurrence: -1, Step: -1, Done: []int{}, Placed: []rows.Placed{}, Failed: []rows.Failed{}, Saved: []rows.Saved{}}
+var refusedByEarlier = rows.StepState{
+	Occurrence: -1, Step: -1, Done: []int{}, Placed: []rows.Placed{}, Failed: []rows.Failed{}, Saved: []rows.Saved{},
+}
 
 func packedState(s hoist.PlanState) rows.PlanState {
 	r := planStateHead(s)
--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -163,7 +163,10 @@
 
 // planStateHead returns the fields of a state besides its steps.
 func planStateHead(s hoist.PlanState) rows.PlanState {
-	return rows.PlanState{Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next), EndedMs: unixMillis(s.Ended), NeverAccepted: s.IsTombstone}
+	return rows.PlanState{
+		Queue: string(s.Queue), Team: string(s.Team), Phase: string(s.Phase), Next: int(s.Next),
+		EndedMs: unixMillis(s.Ended), NeverAccepted: s.IsTombstone,
+	}
 }
 
 // DecodePlanState decodes the state of a plan. It returns hoist.ErrInvalid if
--- a/runner.go
+++ b/runner.go
@@ -45,8 +45,8 @@
 // ErrReplaced if a different worker answers at the address.
 type Runner interface {
 	// Start starts an attempt and returns the worker's clock, or UnknownClock if no
-	// answer told it. Besides the errors above it returns ErrConflict if this or a later attempt has ended there,
-	// ErrNoCapacity, ErrLeaseExpired, ErrTicket, and ErrInvalid.
+	// answer told it. Besides the errors above it returns ErrConflict if this or a later
+	// attempt has ended there, ErrNoCapacity, ErrLeaseExpired, ErrTicket, and ErrInvalid.
 	Start(ctx context.Context, r StartRequest) (WorkerClock, error)
 	// Stop ends an attempt. If the attempt has not arrived yet, the worker
 	// refuses it from then on.
@@ -149,8 +149,8 @@
 	Team TeamID
 	// Keys are the hashes of the keys that identify the team's calls.
 	Keys []KeyHash
-	// Weight is the team's share of the room when all is in use, and the number of
-	// plans a second up to which the team is owed service.
+	// Weight is the team's relative share of the capacity when all of it is in use, and
+	// the rate of plans, per second, that the team is entitled to.
 	Weight float64
 	// Quota bounds what the team may have running on all workers together. A component
 	// of 0 means that the resource is not limited.
