Do not evict clients for a response that asks for memory

Cause: a request whose response has just begun is protected from eviction, also when it asks for memory itself, so that smaller requests were evicted for it.

--- a/internal/decide/admit/admit.go
+++ b/internal/decide/admit/admit.go
@@ -246,7 +246,9 @@
 			held += n
 		}
 		// A response that was just begun is not cut off: the request may have had an effect.
-		if o.isVictim || held == 0 || o.phase == Working || o.phase == Answering && now.Sub(o.since) < stuckAfter {
+		// Nor does such a request take memory from others that hold less.
+		isProtected := o.phase == Working || o.phase == Answering && now.Sub(o.since) < stuckAfter && key != k
+		if o.isVictim || held == 0 || isProtected {
 			continue
 		}
 		if cost := float64(held) * now.Sub(o.began).Seconds(); cost > best {
