--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -168,7 +168,7 @@
 	now := m.Clock.Now()
 	leasesExpireAt := m.leasesExpireAt(reason, previous, now)
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
-		"silent", began.Sub(m.observed.renewed), "version", version)
+		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", leasesExpireAt.Sub(now))
 	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
 	return &Ownership{Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, clock: m.Clock, renewed: began}, true
 }
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -152,6 +152,7 @@
 	RunStillRunning      = register(631, slog.LevelWarn, "attempt that counted as ended still runs; it is stopped")
 	RunEndedLate         = register(632, slog.LevelWarn, "worker listed the end of an attempt that had counted as ended")
 	CheckpointsOmitted   = register(633, slog.LevelWarn, "state of a plan is recorded without some checkpoints, as it would not fit into a row")
+	WorkerRestarted      = register(634, slog.LevelInfo, "worker has restarted under its id")
 )
 
 // Events of teams: 640 to 659.
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -23,6 +23,7 @@
 	starts         *prometheus.CounterVec
 	ends           *prometheus.CounterVec
 	presumed       *prometheus.CounterVec
+	restarts       *prometheus.CounterVec
 	late           *prometheus.CounterVec
 	near           *prometheus.CounterVec
 	waits          *prometheus.HistogramVec
@@ -57,6 +58,9 @@
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_late_signs_total", Help: "Attempts that counted as ended and that a worker listed afterwards, by reason and state.",
 		}, []string{"why", "state"}),
+		restarts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_worker_restarts_total", Help: "Restarts of workers under their ids, by what showed them.",
+		}, []string{"sign"}),
 		near: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_near_waits_total", Help: "Steps that waited for a placement near their data or on one rack: begun, and how the waits ended.",
 		}, []string{"what"}),
@@ -81,7 +85,7 @@
 		Name: "hoist_log_lines_dropped_total", Help: "Log lines dropped because the buffer was full.",
 	}, func() float64 { return float64(dropped()) })
 	p.registry.MustRegister(
-		p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.near, p.waits, p.panics, p.backlog,
+		p.answers, p.latency, p.starts, p.ends, p.presumed, p.late, p.restarts, p.near, p.waits, p.panics, p.backlog,
 		p.refusedCalls, p.refusedClients, droppedLines, collectors.NewGoCollector(),
 	)
 	p.teams = newTeamMetrics(p.registry)
@@ -114,6 +118,11 @@
 	p.late.WithLabelValues(reason, state).Inc()
 }
 
+// RecordRestart implements hoist.PlanMetrics.
+func (p *PlanMetrics) RecordRestart(sign string) {
+	p.restarts.WithLabelValues(sign).Inc()
+}
+
 // RecordNearWaits implements hoist.PlanMetrics.
 func (p *PlanMetrics) RecordNearWaits(begun, near, remote uint64) {
 	p.near.WithLabelValues("begun").Add(float64(begun))
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -40,6 +40,7 @@
 	err := d.Guard.Do(ctx, work, f)
 	d.logPresumedEnds(ctx)
 	d.logLateSigns(ctx)
+	d.logRestarts(ctx)
 	if err == nil {
 		return true
 	}
@@ -59,6 +60,7 @@
 		}
 		event.Log(ctx, d.Log, "plan", e.Run.Task.Job, "task", taskName(e.Run.Task), "attempt", e.Run.Attempt,
 			"worker", e.Worker, "why", e.Reason, "since-poll", e.SincePoll, "since-lease", e.SinceLease,
+			"since-restart", e.SinceRestart, "life", e.Incarnation, "confirmed", e.IsConfirmed,
 			"listed", e.IsListed, "leaving", e.IsLeaving)
 		if d.Metrics != nil {
 			d.Metrics.RecordPresumedEnd(string(e.Reason))
@@ -82,6 +84,17 @@
 	}
 }
 
+// logRestarts logs and counts the restarts of workers under their ids. d.mu must be held.
+func (d *Driver) logRestarts(ctx context.Context) {
+	for _, r := range d.scheduler.TakeRestarts() {
+		events.WorkerRestarted.Log(ctx, d.Log, "worker", r.Worker, "sign", r.Sign, "earlier-life", r.Earlier, "life", r.Incarnation,
+			"lease-left", r.LeaseLeft, "term", d.Claim.Term)
+		if d.Metrics != nil {
+			d.Metrics.RecordRestart(string(r.Sign))
+		}
+	}
+}
+
 // suspect returns the new quarantine entry of the plan that was being handled, or
 // the zero value if there is none. d.mu must be held.
 func (d *Driver) suspect(err error) quar.Entry {
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -118,6 +118,7 @@
 		w.extendLease(now, sc.MaxLease+longestCall)
 		w.restartShownAt = now
 		w.awaitReport(since)
+		sc.addRestart(w, ClockSetBack, w.incarnation, 0, now)
 	}
 }
 
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -142,11 +142,13 @@
 	if reported == 0 && w.incarnation != 0 || polledAt.Before(w.incarnationPolledAt) {
 		return "", false
 	}
+	earlier := w.incarnation
 	w.incarnation, w.incarnationPolledAt = reported, polledAt
 	if isFirst {
 		return NotReported, true
 	}
 	sc.recordRestart(w, now)
+	sc.addRestart(w, NewIncarnation, earlier, reported, now)
 	return WorkerRestarted, true
 }
 
--- a/internal/decide/sched/presume.go
+++ b/internal/decide/sched/presume.go
@@ -36,6 +36,13 @@
 	// SincePoll is the time since the last answered poll was sent, and SinceLease the
 	// time since the lease expired; it is negative while the lease is valid.
 	SincePoll, SinceLease time.Duration
+	// SinceRestart is the time since a restart of the worker was last shown to this owner; it
+	// is negative if none was.
+	SinceRestart time.Duration
+	// Incarnation is the incarnation of the worker that has reported last.
+	Incarnation hoist.Incarnation
+	// IsConfirmed tells that the worker has confirmed the start of the attempt to this owner.
+	IsConfirmed bool
 	// IsListed tells that the registry has an entry of the worker, and IsLeaving that the
 	// last one said that the worker leaves.
 	IsListed, IsLeaving bool
@@ -74,9 +81,14 @@
 // presumedEnd describes the current attempt at a placed task.
 func (t *Task) presumedEnd(reason EndReason, now time.Time) PresumedEnd {
 	w := t.Worker
+	sinceRestart := time.Duration(-1)
+	if !w.restartShownAt.IsZero() {
+		sinceRestart = now.Sub(w.restartShownAt)
+	}
 	return PresumedEnd{
 		Run: t.Run(), Worker: w.entry.Worker, Reason: reason,
 		SincePoll: now.Sub(w.lastPolledAt), SinceLease: now.Sub(w.leaseExpiresAt),
+		SinceRestart: sinceRestart, Incarnation: w.incarnation, IsConfirmed: !t.isRecovered && !t.isStartInDoubt,
 		IsListed: w.isListed, IsLeaving: w.entry.IsLeaving,
 	}
 }
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -321,7 +321,9 @@
 	doubtsCheckedAt time.Time
 	// presumedEnds holds the presumed ends that TakePresumedEnds has not returned yet.
 	presumedEnds []PresumedEnd
-	lateSigns    lateSigns
+	// restarts holds the restarts that TakeRestarts has not returned yet.
+	restarts  []Restart
+	lateSigns lateSigns
 	// leasesCheckedAt is when the leases of all workers were last checked.
 	leasesCheckedAt time.Time
 	// orders sorts the workers of each service.
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -236,6 +236,9 @@
 // RecordLateSign implements hoist.PlanMetrics.
 func (*planSim) RecordLateSign(string, string) {}
 
+// RecordRestart implements hoist.PlanMetrics.
+func (*planSim) RecordRestart(string) {}
+
 // RecordNearWaits implements hoist.PlanMetrics.
 func (*planSim) RecordNearWaits(uint64, uint64, uint64) {}
 
--- a/runner.go
+++ b/runner.go
@@ -229,6 +229,8 @@
 	// RecordLateSign counts an attempt that counted as ended, by the reason, and that a
 	// worker lists afterwards: as running, or with how it ended.
 	RecordLateSign(reason, state string)
+	// RecordRestart counts a restart of a worker under its id, by what showed it.
+	RecordRestart(sign string)
 	// RecordNearWaits counts steps that waited for a placement near their data or on one
 	// rack: those that began to, and those that ended near and remote.
 	RecordNearWaits(begun, near, remote uint64)
