--- a/internal/core/claim/claim_test.go
+++ b/internal/core/claim/claim_test.go
@@ -339,3 +339,36 @@
 		})
 	})
 }
+
+// TestNextOwnerCountsLongestLease guards against an owner that starts tasks elsewhere while they
+// run under the longest lease that a worker accepts: a restarted worker takes that for a lease
+// which the earlier owner had granted on the clock of an earlier incarnation.
+func TestNextOwnerCountsLongestLease(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lose makes the first owner lose the cell.
+		lose func(link *memory.Link, stop func())
+	}{
+		{"owner is cut off from the store", func(link *memory.Link, _ func()) { link.SetError(hoist.ErrUnavailable) }},
+		{"owner releases the cell", func(_ *memory.Link, stop func()) { stop() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := newHosts(t)
+				link := &memory.Link{Store: h.store}
+				stopA := sync.OnceFunc(h.run("a", 1, 400, link))
+				time.Sleep(time.Second)
+				stopB := h.run("b", 1, 400, h.store)
+				time.Sleep(2 * time.Second)
+				c.lose(link, stopA)
+				time.Sleep(5 * time.Second)
+				_, isB := h.ownership("b")
+				stopA()
+				stopB()
+				is.True(isB)
+				is.True(h.leaseWait("b") > hoist.MaxLease+hoist.MaxLease/50) // the clock of a worker may run 2% slow
+			})
+		})
+	}
+}
--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -49,11 +49,15 @@
 	// acked is the last end that was acknowledged.
 	acked hoist.EndNo
 	// losesPolls is set while polls get no answer, and isCutOffByStart if the worker is to
-	// be cut off when it has carried out a start.
-	losesPolls, isCutOffByStart bool
+	// be cut off when it has carried out a start. holdsPolls is set while polls get no answer
+	// and are held to arrive later.
+	losesPolls, isCutOffByStart, holdsPolls bool
+	heldPolls                               []hoist.PollRequest
 	// restarts counts the restarts, and resets those that broke the connections. began is
 	// when the worker started last, at which its clock shows 0.
 	restarts, resets int
+	// term is the highest term of the polls that this incarnation has answered.
+	term hoist.Term
 	// firstIncarnation is added to the number of restarts in the incarnation, and reports
 	// counts the answered polls.
 	firstIncarnation, reports int
@@ -174,7 +178,7 @@
 		w.resets++
 	}
 	w.running, w.stopped = make(map[hoist.TaskRun]bool), make(map[hoist.TaskRun]bool)
-	w.ends, w.leaseUntil, w.began = nil, time.Time{}, time.Now()
+	w.ends, w.leaseUntil, w.began, w.term = nil, time.Time{}, time.Now(), 0
 }
 
 // numStarts returns how many starts the worker has carried out.
@@ -212,6 +216,16 @@
 	}
 }
 
+// deliverPolls carries out the polls that were held, unless the worker refuses them.
+func (w *leasedWorker) deliverPolls() {
+	for _, r := range w.heldPolls {
+		if r.Term >= w.term {
+			w.extendLease(r.Lease)
+		}
+	}
+	w.heldPolls = nil
+}
+
 // carryOut starts a task. It fails the test if the task runs on another worker.
 func (w *leasedWorker) carryOut(r hoist.StartRequest) {
 	c := w.cell
@@ -258,9 +272,13 @@
 	if w.refusesAll || (w.refusesNew && !r.EnablesAcks) {
 		return hoist.RunnerReport{}, hoist.ErrNotListening
 	}
-	if w.isCutOff || w.losesPolls {
+	if w.holdsPolls {
+		w.heldPolls = append(w.heldPolls, r)
+	}
+	if w.isCutOff || w.losesPolls || w.holdsPolls {
 		return hoist.RunnerReport{}, hoist.ErrOutcomeUnknown
 	}
+	w.term = max(w.term, r.Term)
 	w.extendLease(r.Lease)
 	w.acked = max(w.acked, r.Acked)
 	w.reports++
--- a/internal/decide/sched/takeover_test.go
+++ b/internal/decide/sched/takeover_test.go
@@ -100,3 +100,23 @@
 	c.wantStarts(starts, 1)
 	c.is.Equal(starts[0].Worker, hoist.WorkerID("w1"))
 }
+
+// TestLongLeaseOfEarlierOwner guards against a task that runs twice because its worker got the
+// longest lease from a poll of an earlier owner: it was a time on the clock of an earlier
+// incarnation. The next owner knows of neither.
+func TestLongLeaseOfEarlierOwner(t *testing.T) {
+	c := newCell(t)
+	c.scheduler = sched.NewScheduler(2, start.Add(time.Second))
+	c.addWorkers("w1")
+	firstReport := c.now
+	c.submit("p", queue, step(1))
+	c.wantStarts(c.run(), 1)
+	for _, wait := range []struct {
+		after time.Duration
+		want  int
+	}{{6200 * time.Millisecond, 0}, {10 * time.Second, 0}, {10800 * time.Millisecond, 1}} {
+		c.now = firstReport.Add(wait.after)
+		c.addWorkers("w2")
+		c.wantStarts(c.pass(), wait.want)
+	}
+}
