--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -22,10 +22,11 @@
 // worker that the later owner cannot reach may still accept requests of the stale
 // one. The leases that an owner grants therefore expire GrantTime after its last
 // renewal at the store, and the next owner considers an attempt on such a worker
-// ended only after that time.
+// ended only after that time, and after the longest lease that a worker accepts.
 package claim
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -85,6 +86,8 @@
 	// this host may grant expire as well; see clock.Lease.
 	Clock hoist.Clock
 	Log   *slog.Logger
+	// MaxLease is the longest lease that a worker accepts. 0 leaves hoist.MaxLease.
+	MaxLease time.Duration
 	// RunOwner acts for the cell until ctx ends.
 	RunOwner func(ctx context.Context, o *Ownership)
 	// Waiting returns how many plans wait in each queue, or nil if that is not known yet.
@@ -178,16 +181,22 @@
 // grants no more; any other may grant leases until GrantTime after its last renewal,
 // which was before the next owner's claim. An address that refuses connections proves
 // nothing: the owner may be cut off from this host, or accept no new connections.
+//
+// A worker that restarted may hold the longest lease, from a poll that was meant for its earlier
+// incarnation. It had answered the owner since then if anything was started there, which was
+// before the claim.
 func (m *Manager) leasesExpireAt(reason claimReason, previous rows.Owner, now time.Time) time.Time {
-	switch {
-	case previous.Term == 0:
+	if previous.Term == 0 {
 		return now
+	}
+	longest := expiry(now, cmp.Or(m.MaxLease, hoist.MaxLease))
+	switch {
 	case previous.Released || previous.Host == string(m.Host):
-		return later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime))
+		return later(longest, later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime)))
 	case reason.replacesLiveOwner():
-		return expiry(now, GrantTime)
+		return later(longest, expiry(now, GrantTime))
 	default:
-		return expiry(m.observed.renewed, GrantTime)
+		return later(longest, expiry(m.observed.renewed, GrantTime))
 	}
 }
 
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -128,7 +128,7 @@
 			Source: h.Source, Log: h.Log, OnRead: h.monitored.recordOutcome, Clock: h.LeaseClock, Rules: h.KeyRules,
 		}
 		h.manager = &claim.Manager{
-			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.LeaseClock, Log: h.Log,
+			Host: h.ID, Addr: h.Addr, Epoch: h.Epoch, Weight: h.Weight, Store: h.monitored, Clock: h.LeaseClock, Log: h.Log, MaxLease: h.MaxLease,
 			RunOwner: h.runOwner, Waiting: h.waiting, Dial: h.dialOwner, StoreAge: h.monitored.outage,
 		}
 	})
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -145,6 +145,10 @@
 	earlier := w.incarnation
 	w.incarnation, w.incarnationPolledAt = reported, polledAt
 	if isFirst {
+		if now.Before(sc.earlierLeasesExpire) {
+			// The worker may hold a lease of an earlier owner on the clock of another incarnation.
+			w.extendLease(now, sc.MaxLease+longestCall)
+		}
 		return NotReported, true
 	}
 	sc.recordRestart(w, now)
