--- a/ids.go
+++ b/ids.go
@@ -59,6 +59,23 @@
 // Term numbers the successive ownerships of one shard. It only increases.
 type Term uint64
 
+// FencingToken is part of each request to a worker. A worker refuses requests with a lower
+// token than the highest one that it has seen since it started.
+type FencingToken uint64
+
+// TokensPerTerm is how many tokens the owner of a cell has in its term. The last of them equals
+// the term: owners of earlier versions use that as their token, so that the terms which
+// follow theirs, and those which they claim, have higher tokens.
+const TokensPerTerm = 1 << 14
+
+// FirstToken returns the lowest token of a term.
+func FirstToken(t Term) FencingToken {
+	if t < TokensPerTerm {
+		return FencingToken(t)
+	}
+	return FencingToken(t - TokensPerTerm + 1)
+}
+
 // Epoch numbers the process starts of one host. It only increases.
 type Epoch uint64
 
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -141,7 +141,7 @@
 func (m *Manager) claim(ctx context.Context, reason claimReason) (*Ownership, bool) {
 	began := m.Clock.Now()
 	previous := m.observed.owner
-	term := hoist.Term(previous.Term + 1)
+	term := hoist.Term(previous.Term) + hoist.TokensPerTerm
 	owner := rows.Owner{Host: string(m.Host), Epoch: int(m.Epoch), Addr: m.Addr, Term: int(term), Weight: int(m.Weight)}
 	txn := hoist.Transaction{
 		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: m.observed.ownerVersion}},
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -256,6 +256,9 @@
 	d.update(ctx, workPass, func() {
 		now := d.Clock.Now()
 		d.scheduler.Tick(now)
+		if !d.scheduler.HasTokens() {
+			d.Claim.StepDown()
+		}
 		d.setTeams()
 		if d.isReady {
 			due = d.scheduler.Pass(now, d.Advisers.Reserve)
--- a/internal/core/plans/links.go
+++ b/internal/core/plans/links.go
@@ -8,6 +8,7 @@
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
 	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
 // link is the connection to one worker, with the state of the polls.
@@ -187,7 +188,7 @@
 	l := &link{runner: runner, addr: entry.Addr, via: via, relay: relay, cancel: cancel, recorded: make(chan struct{}, 1)}
 	d.links[entry.Worker] = l
 	// What answers at another address may be another incarnation.
-	d.scheduler.RecordSilence(entry.Worker, d.Clock.Now())
+	d.scheduler.RecordSilence(entry.Worker, sched.Lease{}, d.Clock.Now())
 	d.calls.Go(func() {
 		defer runner.Close()
 		d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, entry.Worker, l) })
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -72,6 +72,7 @@
 type pollCall struct {
 	request hoist.PollRequest
 	lease   sched.Lease
+	poll    sched.Poll
 }
 
 // newPollCall returns a poll that extends the lease as far as the ownership
@@ -79,26 +80,27 @@
 // an answer or after the connection was closed: the lease of an unresponsive worker
 // must expire, and if the worker has restarted, its ends have new numbers.
 func (d *Driver) newPollCall(ctx context.Context, id hoist.WorkerID, l *link) pollCall {
-	var lease sched.Lease
-	req := hoist.PollRequest{Term: d.Claim.Term, EnablesAcks: true}
+	var call pollCall
 	d.update(ctx, workPoll, func() {
+		now := d.Clock.Now()
+		call.poll = d.scheduler.NewPoll(id, now)
+		call.request = hoist.PollRequest{Token: call.poll.Token, EnablesAcks: true}
 		if !l.hasAnswered || l.isUnresponsive || l.isConnClosed {
 			return
 		}
-		req.Acked, req.Incarnation = d.scheduler.AckableEnd(id)
-		lease = d.scheduler.GrantLease(id, d.leaseLength(), d.Clock.Now())
-		req.Lease = lease.Until
-		isFirstLease := req.Lease > 0 && !d.scheduler.HasConfirmedLease(id)
-		if !d.scheduler.HasUnrecordedEnds(id) && !isFirstLease {
-			// If ends are listed, the worker answers at once instead of waiting. The first poll
-			// with a lease does not wait either: starts bring leases until it is answered.
-			req.Wait = pollWait
-			if d.losses.isLossy(d.Clock.Now()) {
-				req.Wait = shortPollWait
+		call.request.Acked, call.request.Incarnation = d.scheduler.AckableEnd(id)
+		call.lease = d.scheduler.GrantLease(id, d.leaseLength(), now)
+		call.request.Lease = call.lease.Until
+		if !d.scheduler.HasUnrecordedEnds(id) && !d.scheduler.AwaitsReport(id) {
+			// If ends are listed, the worker answers at once instead of waiting. The first poll of
+			// a session does not wait either, as starts wait for its answer.
+			call.request.Wait = pollWait
+			if d.losses.isLossy(now) {
+				call.request.Wait = shortPollWait
 			}
 		}
 	})
-	return pollCall{req, lease}
+	return call
 }
 
 // pollLimit returns the time-out of a poll.
@@ -117,7 +119,7 @@
 // poll polls a worker and passes its report to the scheduler. It reports whether the
 // worker answered.
 func (d *Driver) poll(ctx context.Context, id hoist.WorkerID, l *link, call pollCall) bool {
-	req, sentAt := call.request, d.Clock.Now()
+	req := call.request
 	callCtx, cancel := context.WithTimeout(ctx, d.pollLimit(req))
 	defer cancel()
 	report, err := l.runner.Poll(callCtx, req)
@@ -127,7 +129,7 @@
 	if err != nil && req.Acked > 0 && errors.Is(err, hoist.ErrUnavailable) {
 		d.update(ctx, workPoll, func() {
 			l.isConnClosed = true
-			d.scheduler.RecordSilence(id, d.Clock.Now())
+			d.recordSilence(id, call, err)
 		})
 		return false
 	}
@@ -143,15 +145,17 @@
 		return false
 	case <-d.restored:
 	}
-	isDone := d.update(ctx, workPoll, func() { d.applyReport(ctx, id, l, call, report, sentAt, now) })
+	isAccepted := false
+	d.update(ctx, workPoll, func() { isAccepted = d.applyReport(ctx, id, l, call, report, now) })
 	d.requestPass()
-	return isDone
+	return isAccepted
 }
 
-// applyReport passes the report of a worker to the scheduler. d.mu must be held.
+// applyReport passes the report of a worker to the scheduler, and reports whether it counts.
+// d.mu must be held.
 func (d *Driver) applyReport(
-	ctx context.Context, id hoist.WorkerID, l *link, call pollCall, report hoist.RunnerReport, sentAt, now time.Time,
-) {
+	ctx context.Context, id hoist.WorkerID, l *link, call pollCall, report hoist.RunnerReport, now time.Time,
+) bool {
 	if l.isUnresponsive {
 		events.WorkerResponsive.Log(ctx, d.Log, "worker", id, "life", report.Incarnation)
 	}
@@ -168,16 +172,20 @@
 			}
 		}
 	}
-	d.scheduler.RecordAnswer(id, call.lease, report.Clock, sentAt, now)
-	d.scheduler.RecordReport(id, report, sentAt, now)
+	d.scheduler.RecordAnswer(id, call.lease, report.Clock, now)
+	return d.scheduler.RecordReport(id, report, call.poll, now)
 }
 
 // recordPollFailure handles a poll without an answer.
 func (d *Driver) recordPollFailure(ctx context.Context, id hoist.WorkerID, l *link, call pollCall, err error) {
-	if errors.Is(err, hoist.ErrStaleTerm) {
+	if d.isReplaced(id, call.request.Token, err) {
 		d.Claim.StepDown()
 		return
 	}
+	if errors.Is(err, hoist.ErrStaleTerm) {
+		// The worker has answered a request of a later session meanwhile.
+		return
+	}
 	isRelayLost := l.via != "" && !d.Relays.isUp(l.via)
 	if !errors.Is(err, hoist.ErrNotListening) && !isRelayLost {
 		d.losses.record(id, d.Clock.Now())
@@ -186,17 +194,33 @@
 	d.update(ctx, workPoll, func() {
 		wasUnresponsive = l.isUnresponsive
 		l.isUnresponsive = true
-		if call.request.Lease == 0 {
-			d.scheduler.RecordUnreadClock(id, d.Clock.Now())
-			return
-		}
-		d.scheduler.RecordSilence(id, d.Clock.Now())
+		d.recordSilence(id, call, err)
 	})
 	if !wasUnresponsive {
 		events.WorkerUnresponsive.Log(ctx, d.Log, "worker", id, "error", err)
 	}
 }
 
+// recordSilence records a poll without an answer. d.mu must be held.
+func (d *Driver) recordSilence(id hoist.WorkerID, call pollCall, err error) {
+	lease := call.lease
+	if !errors.Is(err, hoist.ErrOutcomeUnknown) {
+		lease = sched.Lease{}
+	}
+	d.scheduler.RecordSilence(id, lease, d.Clock.Now())
+}
+
+// isReplaced reports whether a worker has refused a request because it has seen the token of a
+// later owner. If the session of the request has ended, the token may be one of this owner.
+func (d *Driver) isReplaced(id hoist.WorkerID, token hoist.FencingToken, err error) bool {
+	if !errors.Is(err, hoist.ErrStaleTerm) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler.IsTokenCurrent(id, token)
+}
+
 // pollNow polls a worker without waiting for an end, and acknowledges none. A poll
 // that is in flight may have been sent before the start or stop.
 func (d *Driver) pollNow(ctx context.Context, id hoist.WorkerID, l *link) {
--- a/internal/core/plans/starts.go
+++ b/internal/core/plans/starts.go
@@ -31,10 +31,11 @@
 // newStartCall returns the call for a start. d.mu must be held.
 func (d *Driver) newStartCall(s sched.Start, now time.Time) startCall {
 	call := startCall{start: s, link: d.links[s.Worker]}
-	call.request = hoist.StartRequest{Run: s.Run, Term: d.Claim.Term, Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket}
+	call.request = hoist.StartRequest{Run: s.Run, Token: s.Token, Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket}
 	if call.link != nil {
-		call.lease, call.maySend = d.scheduler.LeaseStart(s.Worker, d.leaseLength(), now)
+		call.lease = d.scheduler.GrantLease(s.Worker, d.leaseLength(), now)
 		call.request.Lease = call.lease.Until
+		call.maySend = call.request.Lease > 0
 	}
 	return call
 }
@@ -42,7 +43,7 @@
 // start sends a start and records its outcome.
 func (d *Driver) start(ctx context.Context, call startCall) {
 	workerClock, err := d.sendStart(ctx, call)
-	if errors.Is(err, hoist.ErrStaleTerm) {
+	if d.isReplaced(call.start.Worker, call.start.Token, err) {
 		d.Claim.StepDown()
 		return
 	}
@@ -60,16 +61,14 @@
 		d.Metrics.RecordStart(outcomeOf(err))
 	}
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
-		// The worker may run the attempt although its answer was lost.
+		// The worker may run the attempt although its answer was lost. The poll has a higher
+		// token, so that the start has no effect any more once the poll is answered.
 		d.losses.record(call.start.Worker, d.Clock.Now())
+		d.update(ctx, workStart, func() { d.scheduler.RecordLostStart(call.start.Worker, call.lease, d.Clock.Now()) })
 		d.pollNow(ctx, call.start.Worker, call.link)
 	}
 	d.update(ctx, workStart, func() {
-		now := d.Clock.Now()
-		if errors.Is(err, hoist.ErrOutcomeUnknown) {
-			d.scheduler.RecordLostStart(call.start.Worker, call.lease, now)
-		}
-		d.scheduler.RecordAnswer(call.start.Worker, call.lease, workerClock, now, now)
+		d.scheduler.RecordAnswer(call.start.Worker, call.lease, workerClock, d.Clock.Now())
 		d.recordStart(call.start, err)
 	})
 	if err != nil {
@@ -113,22 +112,22 @@
 
 // sendStop sends a stop over a link, which is nil for a worker without an
 // address.
-func (d *Driver) sendStop(ctx context.Context, l *link, s sched.Stop) error {
+func (d *Driver) sendStop(ctx context.Context, l *link, s sched.Stop, token hoist.FencingToken) error {
 	if l == nil {
 		return hoist.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	return l.runner.Stop(ctx, s.Run, d.Claim.Term)
+	return l.runner.Stop(ctx, s.Run, token)
 }
 
 // stop sends a stop and records its outcome.
 func (d *Driver) stop(ctx context.Context, s sched.Stop) {
 	d.mu.Lock()
-	l := d.links[s.Worker]
+	l, token := d.links[s.Worker], d.scheduler.Token(s.Worker)
 	d.mu.Unlock()
-	err := d.sendStop(ctx, l, s)
-	if errors.Is(err, hoist.ErrStaleTerm) {
+	err := d.sendStop(ctx, l, s, token)
+	if d.isReplaced(s.Worker, token, err) {
 		d.Claim.StepDown()
 		return
 	}
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -15,12 +15,6 @@
 	// longestCall is how long a request of this owner may be on its way; after that its
 	// outcome counts as unknown.
 	longestCall = 500 * time.Millisecond
-	// minHeldLease is how much of its lease a worker must have left for a start that brings
-	// none. A poll renews the lease at least once in 1.6 s.
-	minHeldLease = 2 * time.Second
-	// strayPollTime is how long after a restart was shown the polls that were sent before may
-	// fail. Their time-out is 1.6 s; the rest is for hosts that are late.
-	strayPollTime = 5 * time.Second
 )
 
 // clockReading is what the clock of a worker showed in a report that arrived at a time.
@@ -33,9 +27,11 @@
 type Lease struct {
 	// Until is when it expires, on the clock of the worker. It is 0 if there is none.
 	Until hoist.WorkerClock
-	// earliest is what that clock shows at least when the lease reaches the worker, unless
+	// earliest is what that clock shows at least when the request reaches the worker, unless
 	// the worker has restarted since the reading that Until was computed from.
 	earliest hoist.WorkerClock
+	// session is that of the request.
+	session session
 }
 
 // GrantLease returns a lease of the given length for a worker, and records that the
@@ -48,41 +44,16 @@
 	}
 	elapsed := now.Sub(w.reading.at)
 	w.extendLease(w.reading.at, elapsed+length)
-	return Lease{Until: w.reading.clock + hoist.WorkerClock(elapsed+length), earliest: w.earliestClock(now)}
-}
-
-// LeaseStart returns the lease that a start brings to a worker, and whether the start may be
-// sent. If the worker has confirmed a lease that lasts, the start brings none. If the worker
-// has restarted unnoticed, it then refuses the start, as it holds no lease; a lease that was
-// granted on its earlier clock would last on its new one as long as leases can.
-func (sc *Scheduler) LeaseStart(id hoist.WorkerID, length time.Duration, now time.Time) (Lease, bool) {
-	w, ok := sc.workers[id]
-	if !ok || length <= 0 || !sc.mayGrant(w) {
-		return Lease{}, false
-	}
-	if w.holdsLease(now) {
-		return Lease{earliest: w.earliestClock(now)}, true
-	}
-	lease := sc.GrantLease(id, length, now)
-	return lease, lease.Until > 0
-}
-
-// HasConfirmedLease reports whether a worker has confirmed a lease since it was last silent.
-func (sc *Scheduler) HasConfirmedLease(id hoist.WorkerID) bool {
-	w, ok := sc.workers[id]
-	return ok && w.heldUntil > 0
-}
-
-// holdsLease reports whether the worker has confirmed a lease that lasts for some time, and does
-// not want one with each start.
-func (w *Worker) holdsLease(now time.Time) bool {
-	latest := w.reading.clock + hoist.WorkerClock(now.Sub(w.reading.at))
-	return !w.needsLeases && w.heldUntil >= latest+hoist.WorkerClock(minHeldLease)
+	w.isSessionUsed = true
+	return Lease{Until: w.reading.clock + hoist.WorkerClock(elapsed+length), earliest: w.earliestClock(now), session: w.session}
 }
 
 // earliestClock returns what the clock of a worker shows at least, unless the worker has
 // restarted since it was read.
 func (w *Worker) earliestClock(now time.Time) hoist.WorkerClock {
+	if w.reading.at.IsZero() {
+		return 0
+	}
 	elapsed := float64(now.Sub(w.reading.at)) * (1 - clockDriftBound)
 	return w.reading.clock + hoist.WorkerClock(elapsed) - hoist.WorkerClock(clockResolution)
 }
@@ -97,64 +68,63 @@
 // extendLease records that the attempts on a worker may run until a time has passed on
 // its clock since a moment.
 func (w *Worker) extendLease(since time.Time, length time.Duration) {
-	expiresAt := since.Add(time.Duration(float64(length) / (1 - clockDriftBound)))
-	if expiresAt.After(w.leaseExpiresAt) {
-		w.leaseExpiresAt = expiresAt
-	}
+	w.leaseExpiresAt = latest(w.leaseExpiresAt, since.Add(onSlowClock(length)))
 }
 
-// RecordAnswer records what the clock of a worker showed in the answer to a request
-// that may have carried a lease; hoist.UnknownClock if the answer did not tell. A clock that
-// was set back shows that the worker has restarted: on its new clock the lease is as long as
-// leases can be, and the worker gets neither starts nor leases until it answers a poll that was
-// not sent before since.
-func (sc *Scheduler) RecordAnswer(id hoist.WorkerID, lease Lease, clock hoist.WorkerClock, since, now time.Time) {
-	w, ok := sc.workers[id]
-	switch {
-	case !ok || clock == hoist.UnknownClock:
-	case clock >= lease.earliest:
-		w.heldUntil = max(w.heldUntil, lease.Until)
-	default:
-		w.extendLease(now, sc.MaxLease+longestCall)
-		w.restartShownAt = now
-		w.awaitReport(since)
-		sc.addRestart(w, ClockSetBack, w.incarnation, 0, now)
-	}
+// onSlowClock returns the time in which a clock that runs slow advances by d.
+func onSlowClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - clockDriftBound))
 }
 
-// RecordLostStart records that a start got no answer. If it brought a lease, a new incarnation
-// of the worker may have taken that for the longest one.
-func (sc *Scheduler) RecordLostStart(id hoist.WorkerID, lease Lease, now time.Time) {
-	if w, ok := sc.workers[id]; ok && lease.Until > 0 {
-		w.extendLease(now, sc.MaxLease+longestCall)
+// RecordAnswer records what the clock of a worker showed in the answer to a request with a lease;
+// hoist.UnknownClock if the answer did not tell. A clock that was set back shows that the worker
+// has restarted: on its new clock the lease is as long as leases can be.
+func (sc *Scheduler) RecordAnswer(id hoist.WorkerID, lease Lease, clock hoist.WorkerClock, now time.Time) {
+	w, ok := sc.workers[id]
+	if !ok || clock == hoist.UnknownClock || clock >= lease.earliest {
+		return
 	}
+	if lease.session != w.session {
+		// The session has ended since.
+		sc.countLongestLease(w, now)
+		return
+	}
+	sc.suspectStrayLease(w, now)
+	sc.addRestart(w, ClockSetBack, w.incarnation, 0, now)
 }
 
-// RecordSilence records that a worker did not answer a poll that may have carried a lease, or
-// that the connection to it was closed. As it may have restarted, it gets no starts and no
-// leases until it reports. If a restart was shown shortly before, the new incarnation may have
-// carried out the poll, with a lease on the earlier clock.
-func (sc *Scheduler) RecordSilence(id hoist.WorkerID, now time.Time) {
+// RecordSilence records that a poll got no answer, or that the connection to the worker was
+// closed. As the worker may have restarted, it gets no starts and no leases until it reports.
+// lease is that of the poll, unless the poll had certainly no effect. A new incarnation of the
+// worker may take it for the longest lease.
+func (sc *Scheduler) RecordSilence(id hoist.WorkerID, lease Lease, now time.Time) {
 	w, ok := sc.workers[id]
 	if !ok {
 		return
 	}
-	if !w.restartShownAt.IsZero() && now.Sub(w.restartShownAt) <= strayPollTime {
-		w.extendLease(now, sc.MaxLease+longestCall)
+	if lease.Until > 0 && w.mayHoldStrayLease {
+		sc.countLongestLease(w, now)
 	}
-	w.awaitReport(now)
+	sc.endSession(w, now)
 }
 
-// RecordUnreadClock is RecordSilence for a poll that carried no lease.
-func (sc *Scheduler) RecordUnreadClock(id hoist.WorkerID, now time.Time) {
-	if w, ok := sc.workers[id]; ok {
-		w.awaitReport(now)
+// RecordLostStart records that a start got no answer. If the worker has restarted, the new
+// incarnation may run the attempt under the longest lease.
+func (sc *Scheduler) RecordLostStart(id hoist.WorkerID, lease Lease, now time.Time) {
+	w, ok := sc.workers[id]
+	if !ok {
+		return
+	}
+	if lease.Until > 0 {
+		sc.countLongestLease(w, now)
+	}
+	if lease.session == w.session {
+		sc.endSession(w, now)
 	}
 }
 
-// awaitReport makes the worker get neither starts nor leases until it answers a poll that was
-// not sent before since.
-func (w *Worker) awaitReport(since time.Time) {
-	w.awaitsReport, w.silentAt = true, since
-	w.heldUntil = 0
+// AwaitsReport reports whether a worker gets neither starts nor leases until it answers a poll.
+func (sc *Scheduler) AwaitsReport(id hoist.WorkerID) bool {
+	w, ok := sc.workers[id]
+	return ok && w.awaitsReport
 }
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -53,11 +53,10 @@
 		return ""
 	case errors.Is(err, hoist.ErrTicket):
 		delete(t.StepTasks.advice.tickets, id)
+	case errors.Is(err, hoist.ErrStaleTerm):
+		// The worker has answered a request of a later session before it got the start.
 	case errors.Is(err, hoist.ErrReplaced):
 		w.isConfirmed = false
-	case errors.Is(err, hoist.ErrLeaseExpired):
-		w.needsLeases = w.needsLeases || w.holdsLease(now)
-		w.health.recordRefusal(now)
 	case errors.Is(err, hoist.ErrInvalid):
 		t.notBefore = now.Add(time.Second)
 	default:
@@ -100,21 +99,24 @@
 	}
 }
 
-// RecordReport records what a worker runs and which attempts have ended there. polledAt
-// is when the poll was sent. It reports false, and records nothing, if the worker is
+// RecordReport records what a worker runs and which attempts have ended there, as it answered
+// to a poll. It reports false, and records nothing, if the worker is
 // unknown, the report is a late one of an earlier incarnation, or it names no incarnation
 // although the worker has named one.
-func (sc *Scheduler) RecordReport(id hoist.WorkerID, report hoist.RunnerReport, polledAt, now time.Time) bool {
+func (sc *Scheduler) RecordReport(id hoist.WorkerID, report hoist.RunnerReport, poll Poll, now time.Time) bool {
 	w, ok := sc.workers[id]
 	if !ok {
 		return false
 	}
+	polledAt := poll.SentAt
 	absence, ok := sc.recordIncarnation(w, report.Incarnation, polledAt, now)
 	if !ok {
 		return false
 	}
 	w.isConfirmed = true
-	w.awaitsReport = w.awaitsReport && polledAt.Before(w.silentAt)
+	if w.awaitsReport && !polledAt.Before(w.silentAt) && poll.Token == sc.tokenOf(w.session) {
+		sc.beginSession(w, now)
+	}
 	w.reading = clockReading{report.Clock, now}
 	if polledAt.After(w.lastPolledAt) {
 		w.lastPolledAt, w.listedEnds = polledAt, len(report.Ends)
@@ -147,7 +149,7 @@
 	if isFirst {
 		if now.Before(sc.earlierLeasesExpire) {
 			// The worker may hold a lease of an earlier owner on the clock of another incarnation.
-			w.extendLease(now, sc.MaxLease+longestCall)
+			sc.countLongestLease(w, now)
 		}
 		return NotReported, true
 	}
@@ -187,10 +189,14 @@
 // for absent attempts apply as to any other report. A start that is in flight may still
 // reach the new incarnation, so attempts must be stopped there again. The new incarnation
 // may have received a lease on the clock of the earlier one, which is then as long as
-// leases can be.
+// leases can be, and may receive another one until it has answered a poll of the next session.
 func (sc *Scheduler) recordRestart(w *Worker, now time.Time) {
-	w.extendLease(now, sc.MaxLease+longestCall)
-	w.restartShownAt, w.heldUntil, w.needsLeases = now, 0, false
+	if w.isSessionUsed {
+		sc.suspectStrayLease(w, now)
+	} else {
+		w.restartShownAt = now
+		sc.countLongestLease(w, now)
+	}
 	w.ends = endLog{}
 	sc.setOrphans(w, nil)
 	w.doubts.revive()
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -301,6 +301,7 @@
 type Start struct {
 	Worker  hoist.WorkerID
 	Run     hoist.TaskRun
+	Token   hoist.FencingToken
 	Payload string
 	Saved   hoist.Checkpoint
 	Ticket  hoist.Ticket
@@ -348,7 +349,8 @@
 	t.Phase = Starting
 	t.phaseSince = now
 	t.isStartInDoubt = true
+	w.isSessionUsed = true
 	return Start{
-		Worker: w.entry.Worker, Run: t.Run(), Payload: t.StepTasks.Job.Plan.Payload, Saved: t.Saved, Ticket: t.ticket.value,
+		Worker: w.entry.Worker, Run: t.Run(), Token: sc.tokenOf(w.session), Payload: t.StepTasks.Job.Plan.Payload, Saved: t.Saved, Ticket: t.ticket.value,
 	}, true
 }
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -12,7 +12,7 @@
 //	// write the states of s.Unrecorded(part, isAll, limit, now), then
 //	starts := s.MarkRecorded(job, change, version, now) // starts to send
 //	s.RecordStart(worker, run, err, now)
-//	s.RecordReport(worker, report, polledAt, now)
+//	s.RecordReport(worker, report, poll, now)
 //	s.Tick(now)
 //
 // # Guarantees
@@ -281,6 +281,10 @@
 	speeds     speeds
 	teams      teams
 	fair       fairness
+	// firstSession is the first session of workers that are added. isOutOfTokens is set once
+	// the term has no token for another session of a worker.
+	firstSession  session
+	isOutOfTokens bool
 	// earlierLeasesExpire is when all leases granted by earlier owners have
 	// expired. Recovered attempts on workers that stay unreachable are
 	// considered ended from then on.
--- /dev/null
+++ b/internal/decide/sched/session.go
@@ -0,0 +1,109 @@
+package sched
+
+import (
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// A worker that has restarted under its id also carries out requests that were meant for its
+// earlier incarnation, with leases on a clock that was further on. Such requests are told
+// apart by their fencing tokens: a worker refuses a lower token than it has seen. The requests
+// to a worker therefore belong to sessions, each with a higher token than the one before. A
+// session ends when a request may be lost or the worker may have restarted. The next one
+// begins with polls that grant nothing; once one of them is answered, no request of an earlier
+// session or owner takes effect in the incarnation that has answered.
+
+// session numbers the sessions of one worker within a term.
+type session uint64
+
+// Poll is what has to be known of a poll when its answer arrives.
+type Poll struct {
+	SentAt time.Time
+	Token  hoist.FencingToken
+}
+
+// NewPoll returns a poll of a worker that is sent now.
+func (sc *Scheduler) NewPoll(id hoist.WorkerID, now time.Time) Poll {
+	return Poll{SentAt: now, Token: sc.Token(id)}
+}
+
+// Token returns the fencing token of the requests to a worker.
+func (sc *Scheduler) Token(id hoist.WorkerID) hoist.FencingToken {
+	w, ok := sc.workers[id]
+	if !ok {
+		return sc.tokenOf(sc.firstSession)
+	}
+	return sc.tokenOf(w.session)
+}
+
+func (sc *Scheduler) tokenOf(s session) hoist.FencingToken {
+	return hoist.FirstToken(sc.term) + hoist.FencingToken(s)
+}
+
+// IsTokenCurrent reports whether requests to a worker still carry the given token.
+func (sc *Scheduler) IsTokenCurrent(id hoist.WorkerID, token hoist.FencingToken) bool {
+	return token == sc.Token(id)
+}
+
+// HasTokens reports whether the term has tokens for further sessions. The owner has to step
+// down once it has none, and the next one begins a new term.
+func (sc *Scheduler) HasTokens() bool {
+	return !sc.isOutOfTokens
+}
+
+// endSession ends the session of a worker. The worker gets neither starts nor leases until it
+// answers a poll of the next one.
+func (sc *Scheduler) endSession(w *Worker, now time.Time) {
+	w.awaitsReport, w.silentAt = true, now
+	if !w.isSessionUsed {
+		// Only polls that grant nothing were sent.
+		return
+	}
+	if w.session+1 >= hoist.TokensPerTerm {
+		sc.isOutOfTokens = true
+		return
+	}
+	w.session++
+	w.isSessionUsed = false
+}
+
+// beginSession lets a worker get starts and leases again: it has answered a poll of the present
+// session, so that no earlier request takes effect any more.
+func (sc *Scheduler) beginSession(w *Worker, now time.Time) {
+	w.awaitsReport = false
+	if w.mayHoldStrayLease {
+		sc.countLongestLease(w, now)
+		w.mayHoldStrayLease = false
+	}
+}
+
+// suspectStrayLease ends the session of a worker that has restarted in the course of it. Until
+// the next one begins, the new incarnation may receive leases on the clock of the earlier one.
+func (sc *Scheduler) suspectStrayLease(w *Worker, now time.Time) {
+	w.restartShownAt = now
+	w.mayHoldStrayLease = true
+	sc.countLongestLease(w, now)
+	sc.endSession(w, now)
+}
+
+// countLongestLease records that the worker may hold the longest lease that it accepts, from a
+// request of another session or owner.
+func (sc *Scheduler) countLongestLease(w *Worker, since time.Time) {
+	w.extendLease(since, sc.MaxLease+longestCall)
+}
+
+// forget removes a worker of which nothing is known that matters. If it comes back, its
+// sessions go on.
+func (sc *Scheduler) forget(w *Worker) {
+	sc.firstSession = max(sc.firstSession, min(w.session+1, hoist.TokensPerTerm-1))
+	delete(sc.workers, w.entry.Worker)
+}
+
+// latest returns the later of two times.
+func latest(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -39,11 +39,13 @@
 	reading      clockReading
 	awaitsReport bool
 	silentAt     time.Time
-	// heldUntil is the lease that the worker has confirmed by an answer; 0 if there is none.
-	heldUntil hoist.WorkerClock
-	// needsLeases is set once the worker has refused, as late, a start without a lease of its
-	// own although it had confirmed a lease.
-	needsLeases bool
+	// session is that of the requests to the worker. isSessionUsed is set once a start or a
+	// lease was sent in it.
+	session       session
+	isSessionUsed bool
+	// mayHoldStrayLease is set while the worker has restarted and may receive leases on an
+	// earlier clock, which are then as long as leases can be.
+	mayHoldStrayLease bool
 	// restartShownAt is when the last restart was shown, by a clock that was set back or by a
 	// report of a new incarnation.
 	restartShownAt time.Time
@@ -116,7 +118,7 @@
 			sc.drain(w, now)
 		}
 		if !w.isListed && !w.isOccupied() && len(w.doubts.byRun) == 0 {
-			delete(sc.workers, id)
+			sc.forget(w)
 		}
 	}
 	sc.measureNames()
@@ -146,7 +148,7 @@
 		w = &Worker{
 			entry: hoist.WorkerEntry{Worker: id},
 			tasks: make(map[*Task]bool), orphans: make(map[hoist.TaskRun]time.Time),
-			leaseExpiresAt: sc.earlierLeasesExpire,
+			leaseExpiresAt: sc.earlierLeasesExpire, session: sc.firstSession,
 		}
 		w.health.runTimeRatio = 1
 		sc.workers[id] = w
--- a/internal/peer/helper/relay.go
+++ b/internal/peer/helper/relay.go
@@ -220,7 +220,7 @@
 // Start implements hoist.Runner.
 func (r *relayedRunner) Start(ctx context.Context, o hoist.StartRequest) (hoist.WorkerClock, error) {
 	answer, err := r.call(ctx, rows.RelayCall{Start: &rows.RelayStart{
-		Run: codec.RelayRun(o.Run), Term: int(o.Term), Payload: o.Payload, LeaseUs: codec.ClockMicros(o.Lease),
+		Run: codec.RelayRun(o.Run), Term: int(o.Token), Payload: o.Payload, LeaseUs: codec.ClockMicros(o.Lease),
 		Saved: string(o.Saved), Ticket: string(o.Ticket),
 	}})
 	if answer.ClockUs == nil {
@@ -230,14 +230,14 @@
 }
 
 // Stop implements hoist.Runner.
-func (r *relayedRunner) Stop(ctx context.Context, run hoist.TaskRun, term hoist.Term) error {
-	_, err := r.call(ctx, rows.RelayCall{Stop: &rows.RelayStop{Run: codec.RelayRun(run), Term: int(term)}})
+func (r *relayedRunner) Stop(ctx context.Context, run hoist.TaskRun, token hoist.FencingToken) error {
+	_, err := r.call(ctx, rows.RelayCall{Stop: &rows.RelayStop{Run: codec.RelayRun(run), Term: int(token)}})
 	return err
 }
 
 // Throttle implements hoist.Runner.
-func (r *relayedRunner) Throttle(ctx context.Context, run hoist.TaskRun, term hoist.Term, share hoist.Percent) error {
-	_, err := r.call(ctx, rows.RelayCall{Pace: &rows.RelayPace{Run: codec.RelayRun(run), Term: int(term), Percent: float64(share)}})
+func (r *relayedRunner) Throttle(ctx context.Context, run hoist.TaskRun, token hoist.FencingToken, share hoist.Percent) error {
+	_, err := r.call(ctx, rows.RelayCall{Pace: &rows.RelayPace{Run: codec.RelayRun(run), Term: int(token), Percent: float64(share)}})
 	return err
 }
 
@@ -245,7 +245,7 @@
 func (r *relayedRunner) Poll(ctx context.Context, o hoist.PollRequest) (hoist.RunnerReport, error) {
 	incarnation := int(o.Incarnation)
 	answer, err := r.call(ctx, rows.RelayCall{Poll: &rows.RelayPoll{
-		Term: int(o.Term), Acked: int(o.Acked), Incarnation: &incarnation, EnablesAcks: o.EnablesAcks, LeaseUs: codec.ClockMicros(o.Lease), WaitMs: int(o.Wait.Milliseconds()),
+		Term: int(o.Token), Acked: int(o.Acked), Incarnation: &incarnation, EnablesAcks: o.EnablesAcks, LeaseUs: codec.ClockMicros(o.Lease), WaitMs: int(o.Wait.Milliseconds()),
 	}})
 	switch {
 	case err != nil:
--- a/internal/peer/helper/runners.go
+++ b/internal/peer/helper/runners.go
@@ -175,10 +175,10 @@
 	case call.Start != nil:
 		return relayStart(ctx, runner, *call.Start)
 	case call.Stop != nil:
-		return rows.RelayAnswer{}, runner.Stop(ctx, codec.ToTaskRun(call.Stop.Run), hoist.Term(call.Stop.Term))
+		return rows.RelayAnswer{}, runner.Stop(ctx, codec.ToTaskRun(call.Stop.Run), hoist.FencingToken(call.Stop.Term))
 	case call.Pace != nil:
 		p := call.Pace
-		return rows.RelayAnswer{}, runner.Throttle(ctx, codec.ToTaskRun(p.Run), hoist.Term(p.Term), hoist.Percent(p.Percent))
+		return rows.RelayAnswer{}, runner.Throttle(ctx, codec.ToTaskRun(p.Run), hoist.FencingToken(p.Term), hoist.Percent(p.Percent))
 	default:
 		return rows.RelayAnswer{}, hoist.ErrInvalid
 	}
@@ -186,7 +186,7 @@
 
 func relayPoll(ctx context.Context, runner hoist.Runner, q rows.RelayPoll) (rows.RelayAnswer, error) {
 	request := hoist.PollRequest{
-		Term: hoist.Term(q.Term), Acked: hoist.EndNo(q.Acked), EnablesAcks: q.EnablesAcks, Lease: codec.ToWorkerClock(q.LeaseUs),
+		Token: hoist.FencingToken(q.Term), Acked: hoist.EndNo(q.Acked), EnablesAcks: q.EnablesAcks, Lease: codec.ToWorkerClock(q.LeaseUs),
 		Wait: time.Duration(q.WaitMs) * time.Millisecond,
 	}
 	if q.Incarnation != nil {
@@ -202,7 +202,7 @@
 
 func relayStart(ctx context.Context, runner hoist.Runner, q rows.RelayStart) (rows.RelayAnswer, error) {
 	at, err := runner.Start(ctx, hoist.StartRequest{
-		Run: codec.ToTaskRun(q.Run), Term: hoist.Term(q.Term), Payload: q.Payload, Lease: codec.ToWorkerClock(q.LeaseUs),
+		Run: codec.ToTaskRun(q.Run), Token: hoist.FencingToken(q.Term), Payload: q.Payload, Lease: codec.ToWorkerClock(q.LeaseUs),
 		Saved: hoist.Checkpoint(q.Saved), Ticket: hoist.Ticket(q.Ticket),
 	})
 	if at == hoist.UnknownClock {
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -300,7 +300,7 @@
 }
 
 // Stop implements hoist.Runner.
-func (w *planWorker) Stop(_ context.Context, run hoist.TaskRun, _ hoist.Term) error {
+func (w *planWorker) Stop(_ context.Context, run hoist.TaskRun, _ hoist.FencingToken) error {
 	w.end(run, hoist.EndStopped)
 	return nil
 }
@@ -330,7 +330,7 @@
 }
 
 // Throttle implements hoist.Runner.
-func (*planWorker) Throttle(context.Context, hoist.TaskRun, hoist.Term, hoist.Percent) error {
+func (*planWorker) Throttle(context.Context, hoist.TaskRun, hoist.FencingToken, hoist.Percent) error {
 	return nil
 }
 
--- a/runner.go
+++ b/runner.go
@@ -9,10 +9,10 @@
 // StartRequest asks a worker to start an attempt.
 type StartRequest struct {
 	Run     TaskRun
-	Term    Term
+	Token   FencingToken
 	Payload string
 	// Lease is when the lease of all attempts on the worker expires, on the
-	// worker's clock; 0 leaves the lease unchanged.
+	// worker's clock. A worker refuses a start whose lease is past.
 	Lease  WorkerClock
 	Saved  Checkpoint
 	Ticket Ticket
@@ -20,7 +20,7 @@
 
 // PollRequest renews the lease of a worker and asks for a report.
 type PollRequest struct {
-	Term Term
+	Token FencingToken
 	// Acked is the last end that is acknowledged, so that the worker may discard
 	// it and all earlier ones; 0 acknowledges none.
 	Acked EndNo
@@ -41,7 +41,7 @@
 // Runner is a worker that runs the tasks of plans. Its methods may be called
 // concurrently. Their errors are ErrUnavailable or ErrNotListening if the
 // request certainly had no effect, ErrOutcomeUnknown if it may still take
-// effect, ErrStaleTerm if the worker has received a higher term, and
+// effect, ErrStaleTerm if the worker has received a higher token, and
 // ErrReplaced if a different worker answers at the address.
 type Runner interface {
 	// Start starts an attempt and returns the worker's clock, or UnknownClock if no
@@ -50,7 +50,7 @@
 	Start(ctx context.Context, r StartRequest) (WorkerClock, error)
 	// Stop ends an attempt. If the attempt has not arrived yet, the worker
 	// refuses it from then on.
-	Stop(ctx context.Context, run TaskRun, term Term) error
+	Stop(ctx context.Context, run TaskRun, token FencingToken) error
 	// Poll renews the lease and returns what runs and what ended. Ends are
 	// acknowledged only over the connection on which the last poll was answered:
 	// a worker that has restarted numbers its ends from the beginning again, and
@@ -59,7 +59,7 @@
 	// sent. Only one poll at a time may acknowledge ends or set EnablesAcks.
 	Poll(ctx context.Context, r PollRequest) (RunnerReport, error)
 	// Throttle limits a task to a share of its full speed.
-	Throttle(ctx context.Context, run TaskRun, term Term, share Percent) error
+	Throttle(ctx context.Context, run TaskRun, token FencingToken, share Percent) error
 	// Close closes the connections that are not in use. Calls in progress go on.
 	Close()
 }
