--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -102,8 +102,11 @@
 	if !ok {
 		return
 	}
-	if lease.Until > 0 && w.mayHoldStrayLease {
-		sc.countLongestLease(w, now)
+	if lease.Until > 0 {
+		w.lostRequestAt = now
+		if w.mayHoldStrayLease {
+			sc.countLongestLease(w, now)
+		}
 	}
 	sc.endSession(w, now)
 }
@@ -115,9 +118,7 @@
 	if !ok {
 		return
 	}
-	if lease.Until > 0 {
-		sc.countLongestLease(w, now)
-	}
+	w.lostRequestAt = now
 	if lease.session == w.session {
 		sc.endSession(w, now)
 	}
--- a/internal/decide/sched/lease_test.go
+++ b/internal/decide/sched/lease_test.go
@@ -279,6 +279,9 @@
 	c.now = lost.Add(10 * time.Second)
 	c.addWorkers("w2")
 	c.wantStarts(c.pass(), 0)
+	c.now = lost.Add(10800 * time.Millisecond)
+	c.report("w2", hoist.RunnerReport{Incarnation: 1})
+	c.wantStarts(c.pass(), 1)
 }
 
 // TestLostPollAfterAnsweredStart guards against a task that waits for longer than its lease after
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -93,6 +93,13 @@
 	w.extendLease(since, sc.MaxLease+longestCall)
 }
 
+// mayRunUnseen reports whether an attempt may run on another incarnation of its worker than
+// the one whose lease is known: its start, or a lease, got no answer, and may have reached a
+// worker that has restarted.
+func (sc *Scheduler) mayRunUnseen(t *Task, now time.Time) bool {
+	return t.isStartInDoubt && now.Before(t.Worker.lostRequestAt.Add(onSlowClock(sc.MaxLease+longestCall)))
+}
+
 // forget removes a worker of which nothing is known that matters. If it comes back, its
 // sessions go on.
 func (sc *Scheduler) forget(w *Worker) {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -46,6 +46,9 @@
 	// mayHoldStrayLease is set while the worker has restarted and may receive leases on an
 	// earlier clock, which are then as long as leases can be.
 	mayHoldStrayLease bool
+	// lostRequestAt is when a start or a poll with a lease was last found to be without an
+	// answer.
+	lostRequestAt time.Time
 	// restartShownAt is when the last restart was shown, by a clock that was set back or by a
 	// report of a new incarnation.
 	restartShownAt time.Time
@@ -211,7 +214,7 @@
 // are still being recorded are left alone; they are checked again before they are sent.
 func (sc *Scheduler) releaseAll(w *Worker, now time.Time) {
 	for t := range w.tasks {
-		if t.Phase == Recording {
+		if t.Phase == Recording || sc.mayRunUnseen(t, now) {
 			continue
 		}
 		sc.presumeEnded(t, LeaseExpired, now)
