--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -104,9 +104,13 @@
 	return g.clients.Usage()
 }
 
-// record counts clients that were refused or closed, and logs the sums now and then. The
-// mutex is held.
+// record counts n clients that were refused or closed, and logs the sums now and then. n
+// may be 0, as most requests find enough memory. The mutex is held.
 func (g *Gate) record(cause Cause, n int) {
+	if n == 0 {
+		// A log line means that a client was refused.
+		return
+	}
 	if g.Count != nil {
 		for range n {
 			g.Count(g.Port, cause)
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -1,9 +1,13 @@
 package gate_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
+	"regexp"
+	"strconv"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -127,3 +131,111 @@
 		is.Equal(held, admit.Bytes(0))
 	})
 }
+
+// refusals is a port whose refused clients are counted and logged.
+type refusals struct {
+	*testing.T
+	pipes    *pipes.Listener
+	listener net.Listener
+	log      bytes.Buffer
+	counted  int
+}
+
+// newRefusals returns a port that allows 100 bytes of memory.
+func newRefusals(t *testing.T) *refusals {
+	r := &refusals{T: t, pipes: pipes.New()}
+	g := &gate.Gate{
+		Limits: admit.Limits{Conns: 9, Memory: 100}, Log: slog.New(slog.NewTextHandler(&r.log, nil)),
+		Count: func(string, gate.Cause) { r.counted++ },
+	}
+	r.listener = g.Listen(r.pipes)
+	return r
+}
+
+// hold requests memory for a new client and returns the answer.
+func (r *refusals) hold(n admit.Bytes) error {
+	r.Helper()
+	_, c := accept(r.T, r.pipes, r.listener)
+	err := c.Hold(n)
+	is.New(r.T).NoErr(c.Close())
+	return err
+}
+
+// serve serves a client that needs little memory.
+func (r *refusals) serve() {
+	r.Helper()
+	is.New(r.T).NoErr(r.hold(1))
+}
+
+// refuse refuses a client that needs more than all memory.
+func (r *refusals) refuse() {
+	r.Helper()
+	is.New(r.T).True(errors.Is(r.hold(101), gate.ErrRefused))
+}
+
+// memoryRefusals matches a log line and its number of clients refused for memory.
+var memoryRefusals = regexp.MustCompile(` level=WARN .* event=420 .* memory=(\d+)`)
+
+// wantLogged checks the number of refused clients in each log line.
+func (r *refusals) wantLogged(want ...int) {
+	r.Helper()
+	synctest.Wait()
+	var got []int
+	for line := range bytes.Lines(r.log.Bytes()) {
+		m := memoryRefusals.FindSubmatch(line)
+		is.New(r.T).True(m != nil)
+		n, err := strconv.Atoi(string(m[1]))
+		is.New(r.T).NoErr(err)
+		got = append(got, n)
+	}
+	is.New(r.T).Equal(got, want)
+}
+
+// wantCounted checks the number of refused clients in the metric.
+func (r *refusals) wantCounted(want int) {
+	r.Helper()
+	is.New(r.T).Equal(r.counted, want)
+}
+
+// TestRefusalsAreRecorded guards against log lines without a refused client, and against
+// refusals that are missing from the log.
+func TestRefusalsAreRecorded(t *testing.T) {
+	for name, test := range map[string]func(r *refusals){
+		"nobody is refused": func(r *refusals) {
+			for range 3 {
+				r.serve()
+				time.Sleep(11 * time.Second)
+			}
+			r.wantLogged()
+			r.wantCounted(0)
+		},
+		"a refused client is logged at once": func(r *refusals) {
+			r.serve()
+			r.refuse()
+			r.wantLogged(1)
+			r.wantCounted(1)
+		},
+		"served clients add no line": func(r *refusals) {
+			r.refuse()
+			time.Sleep(11 * time.Second)
+			r.serve()
+			r.wantLogged(1)
+			r.wantCounted(1)
+		},
+		"refusals soon after a line are in the next one": func(r *refusals) {
+			r.refuse()
+			time.Sleep(time.Second)
+			r.refuse()
+			r.refuse()
+			r.wantLogged(1)
+			time.Sleep(10 * time.Second)
+			r.refuse()
+			r.wantLogged(1, 3)
+			r.wantCounted(4)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(newRefusals(t)) })
+		})
+	}
+}
