--- a/internal/core/gate/gate.go
+++ b/internal/core/gate/gate.go
@@ -60,7 +60,7 @@
 	// refusalTimeout bounds the time to take the response to a refused request. No other
 	// connection is closed for a new one until this one has ended.
 	refusalTimeout = 500 * time.Millisecond
-	// logInterval is the time between two log lines of a gate.
+	// logInterval is the least time between two log lines of a gate.
 	logInterval = 10 * time.Second
 )
 
@@ -86,6 +86,8 @@
 	// ended counts what was not logged yet, since loggedAt.
 	ended    map[Cause]int
 	loggedAt time.Time
+	// isLogDue is set while a timer is going to log ended.
+	isLogDue bool
 }
 
 func (g *Gate) init() {
@@ -104,8 +106,9 @@
 	return g.clients.Usage()
 }
 
-// record counts n clients that were refused or closed, and logs the sums now and then. n
-// may be 0, as most requests find enough memory. The mutex is held.
+// record counts n clients that were refused or closed, and logs the sums now or at the end
+// of the interval since the last line. n may be 0, as most requests find enough memory. The
+// mutex is held.
 func (g *Gate) record(cause Cause, n int) {
 	if n == 0 {
 		// A log line means that a client was refused.
@@ -121,17 +124,30 @@
 		return
 	}
 	g.ended[cause] += n
-	now := time.Now()
-	if now.Sub(g.loggedAt) < logInterval {
+	if g.isLogDue {
 		return
 	}
+	if wait := logInterval - time.Since(g.loggedAt); wait > 0 {
+		g.isLogDue = true
+		time.AfterFunc(wait, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.logEnded()
+		})
+		return
+	}
+	g.logEnded()
+}
+
+// logEnded logs what was not logged yet. The mutex is held.
+func (g *Gate) logEnded() {
 	conns, held := g.clients.Usage()
 	args := []any{"port", g.Port, "connections", conns, "bytes", held}
 	for cause, n := range g.ended {
 		args = append(args, string(cause), n)
 	}
 	events.ClientsRefused.Log(context.Background(), g.Log, args...)
-	g.loggedAt = now
+	g.loggedAt, g.isLogDue = time.Now(), false
 	clear(g.ended)
 }
 
