--- a/internal/core/route/drain.go
+++ b/internal/core/route/drain.go
@@ -42,13 +42,18 @@
 	case <-idle:
 		return nil, true
 	case <-ctx.Done():
-		return r.undrainedKeys(), false
+		return r.undrainedKeys()
 	}
 }
 
-func (r *Router) undrainedKeys() []hoist.RequestKey {
+// undrainedKeys returns the keys of the requests in flight, and whether there is none. The
+// last one may have ended at the same time as the context of Drain.
+func (r *Router) undrainedKeys() ([]hoist.RequestKey, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.inFlight == 0 {
+		return nil, true
+	}
 	var out []hoist.RequestKey
 	for key := range r.calls {
 		out = append(out, key)
@@ -59,7 +64,7 @@
 		}
 	}
 	slices.Sort(out)
-	return slices.Compact(out)
+	return slices.Compact(out), false
 }
 
 // LogUndrained logs the requests that were left at the end of Drain.
