--- a/internal/fake/work/direct.go
+++ b/internal/fake/work/direct.go
@@ -13,7 +13,11 @@
 type Fault struct {
 	// Down makes every call block until its context ends, without effect.
 	Down bool
-	// HangReports does the same to the calls that return a report.
+	// Unreachable makes every call fail at once, without effect.
+	Unreachable bool
+	// FailReports does the same to the calls that return a report.
+	FailReports bool
+	// HangReports does the same as Down to the calls that return a report.
 	HangReports bool
 	// LoseStarts, LoseStops and LoseRenews are how many of the next calls of each
 	// kind take effect although their answer is lost.
@@ -23,6 +27,8 @@
 	// LateStarts is how many of the next starts take effect only after LateBy,
 	// and without an answer.
 	LateStarts int
+	// LateRenews is the same for renewals.
+	LateRenews int
 	LateBy     time.Duration
 	// RefuseStarts is how many of the next starts fail with hoist.ErrNoCapacity.
 	RefuseStarts int
@@ -46,6 +52,13 @@
 // direct implements hoist.Worker for a Worker in this process.
 type direct struct{ w *Worker }
 
+// runLate calls fn after LateBy.
+func (d direct) runLate(fn func()) {
+	d.w.mu.Lock()
+	defer d.w.mu.Unlock()
+	time.AfterFunc(d.w.fault.LateBy, fn)
+}
+
 // applyFault applies the faults that come before the effect of a call, and returns
 // hoist.ErrOutcomeUnknown if the call gets no answer.
 func (d direct) applyFault(ctx context.Context, isReport bool) error {
@@ -58,6 +71,9 @@
 		case <-ctx.Done():
 		}
 	}
+	if f.Unreachable || (f.FailReports && isReport) {
+		return merry.Wrap(hoist.ErrUnavailable, merry.PrependMessagef("worker %s cannot be reached", d.w.ID))
+	}
 	if f.Down || (f.HangReports && isReport) {
 		<-ctx.Done()
 	}
@@ -109,11 +125,8 @@
 		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("start lost by fault injection"))
 	}
 	if d.consume(func(f *Fault) *int { return &f.LateStarts }) {
-		d.w.mu.Lock()
-		late := d.w.fault.LateBy
-		d.w.mu.Unlock()
 		// The caller has its answer already, so the error is dropped.
-		time.AfterFunc(late, func() { _ = d.w.start(g) })
+		d.runLate(func() { _ = d.w.start(g) })
 		return merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("start delayed by fault injection"))
 	}
 	return d.loseAnswer(d.w.start(g), func(f *Fault) *int { return &f.LoseStarts })
@@ -124,6 +137,11 @@
 	if err := d.applyFault(ctx, true); err != nil {
 		return hoist.WorkerReport{}, err
 	}
+	if d.consume(func(f *Fault) *int { return &f.LateRenews }) {
+		// As for a late start, the error is dropped.
+		d.runLate(func() { _, _ = d.w.renew(term, lease, acked) })
+		return hoist.WorkerReport{}, merry.Wrap(hoist.ErrOutcomeUnknown, merry.PrependMessage("renewal delayed by fault injection"))
+	}
 	report, err := d.w.renew(term, lease, acked)
 	return report, d.loseAnswer(err, func(f *Fault) *int { return &f.LoseRenews })
 }
--- a/internal/fake/work/work.go
+++ b/internal/fake/work/work.go
@@ -42,6 +42,8 @@
 	FailAll bool
 	// SlowFactor multiplies the run time of every task; 0 means 1.
 	SlowFactor int
+	// LeaseExcess is by how much each lease lasts longer, as on a slow clock.
+	LeaseExcess time.Duration
 	// AcceptsWhileLeaving makes the worker accept tasks while it is leaving, so
 	// that a test can record the tasks that are sent to it.
 	AcceptsWhileLeaving bool
@@ -97,6 +99,27 @@
 	}
 }
 
+// Restart simulates a new process of the worker: all running tasks stop, and the term,
+// the unacknowledged ends and the stopped attempts are lost. Calls that are still on
+// their way reach the new process. The history and the counts include earlier processes.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.running {
+		w.finish(id, hoist.TaskStopped, "worker restarted")
+	}
+	w.term = 0
+	w.ended = nil
+	clear(w.stopped)
+}
+
+// Term returns the highest term that was set since the last Restart, 0 if none was.
+func (w *Worker) Term() hoist.Term {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.term
+}
+
 // SetLeaving sets whether the worker reports that it is leaving and refuses new
 // tasks.
 func (w *Worker) SetLeaving(leaving bool) {
@@ -217,7 +240,7 @@
 	if g.RunTime > 0 {
 		t.completion = time.AfterFunc(g.RunTime*time.Duration(max(1, w.SlowFactor)), func() { w.finishByTimer(t, hoist.TaskSucceeded, "") })
 	}
-	t.leaseExpiry = time.AfterFunc(g.Lease, func() { w.finishByTimer(t, hoist.TaskStopped, "lease expired") })
+	t.leaseExpiry = time.AfterFunc(g.Lease+w.LeaseExcess, func() { w.finishByTimer(t, hoist.TaskStopped, "lease expired") })
 	return t
 }
 
@@ -259,7 +282,7 @@
 		return slices.Contains(acked, hoist.TaskAttempt{Task: s.Task, Attempt: s.Attempt})
 	})
 	for _, t := range w.running {
-		t.leaseExpiry.Reset(lease)
+		t.leaseExpiry.Reset(lease + w.LeaseExcess)
 	}
 	return w.report(), nil
 }
