--- a/internal/core/tasks/owned.go
+++ b/internal/core/tasks/owned.go
@@ -279,6 +279,7 @@
 	}
 	h.live[g.Task] = g.Attempt
 	h.starting[g.Task] = g
+	h.leaseSentAt = now
 	if p.IsTentative {
 		h.tentative[g.Task] = timedAttempt{g.Attempt, now.Add(jobs.UnconfirmedGangTimeout)}
 	}
--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -38,6 +38,9 @@
 	report  hoist.WorkerReport
 	// reportRequestedAt is when the report was requested.
 	reportRequestedAt time.Time
+	// leaseSentAt is when the last call was sent that may have brought or extended a lease,
+	// or when the worker was adopted.
+	leaseSentAt time.Time
 	// live are the attempts that were committed and are not known to have ended.
 	live map[hoist.TaskID]hoist.AttemptNo
 	// reserved are the attempts that capacity is reserved for.
@@ -169,24 +172,38 @@
 		}
 	}
 	events.WorkerAdopted.Log(ctx, m.Log, "worker", id, "term", h.term)
+	m.recordLease(h)
 	call := m.renew
-	renewed := m.Clock.Now()
 	for clock.SleepOr(ctx, renewInterval, h.renewDue) {
 		if !m.owns(workerShardOf(id), h.term) {
 			continue
 		}
 		if m.requestReport(ctx, id, h, call) {
 			call = m.renew
-			renewed = m.Clock.Now()
 			continue
 		}
-		if m.Clock.Now().Sub(renewed) > leaseExpiryDelay {
+		if m.haveLeasesExpired(h) {
 			m.markLost(ctx, id, h)
 		}
 		call = m.adopt
 	}
 }
 
+// recordLease records that leases on the worker may last for TaskLease from now on.
+func (m *Manager) recordLease(h *workerHandle) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h.leaseSentAt = m.Clock.Now()
+}
+
+// haveLeasesExpired reports whether every lease on the worker has certainly expired.
+// Calls without an answer count too, as the worker may have carried them out.
+func (m *Manager) haveLeasesExpired(h *workerHandle) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now().Sub(h.leaseSentAt) > leaseExpiryDelay
+}
+
 // requestReport makes a call that returns a report, applies the report and stops
 // the attempts that must not run. It reports whether the call succeeded.
 func (m *Manager) requestReport(ctx context.Context, id hoist.WorkerID, h *workerHandle, call func(context.Context, *workerHandle) (hoist.WorkerReport, error)) bool {
@@ -276,6 +293,7 @@
 	for a := range h.acked {
 		acked = append(acked, a)
 	}
+	h.leaseSentAt = m.Clock.Now()
 	m.mu.Unlock()
 	report, err := h.worker.Renew(ctx, h.term, TaskLease, acked)
 	if err != nil {
