--- a/internal/core/tasks/lease_test.go
+++ b/internal/core/tasks/lease_test.go
@@ -85,3 +85,20 @@
 		})
 	}
 }
+
+// TestLateRenewal guards against a task that runs twice because a renewal that had timed
+// out extends the leases on a worker that cannot be reached.
+func TestLateRenewal(t *testing.T) {
+	const lateBy = 8 * time.Second
+	runCell(t, 2, 2, func(c *cell) {
+		spec := batch("cut", 1, time.Minute)
+		c.submit(spec)
+		w := c.awaitRun(spec)
+		time.Sleep(5 * time.Second)
+		w.SetFault(work.Fault{LateRenews: 1, LateBy: lateBy})
+		time.Sleep(1100 * time.Millisecond)
+		w.SetFault(work.Fault{Down: true})
+		time.Sleep(time.Minute)
+		c.checkInvariants([]hoist.JobSpec{spec})
+	})
+}
--- a/internal/core/tasks/restart_test.go
+++ b/internal/core/tasks/restart_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/fake/work"
 )
 
 // TestTermOfRestartedWorker guards against a worker that restarts between two renewals
@@ -21,8 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			runCell(t, 2, 1, func(c *cell) {
 				w := c.workers[0]
-				shard := hoist.ShardOf(hoist.KindWorker, string(w.ID))
-				c.assignShard(shard, c.hosts[(int(shard)+1)%2])
+				c.replaceOwners()
 				time.Sleep(5 * time.Second)
 				if !isIdle {
 					c.submit(batch("job", 1, time.Minute))
@@ -38,3 +39,56 @@
 		})
 	}
 }
+
+// replaceOwners gives each worker the next host as its owner.
+func (c *cell) replaceOwners() {
+	for _, w := range c.workers {
+		shard := hoist.ShardOf(hoist.KindWorker, string(w.ID))
+		owner := slices.Index(c.hosts, c.workerOwner(w.ID))
+		c.assignShard(shard, c.hosts[(owner+1)%len(c.hosts)])
+	}
+}
+
+// TestLateStartAtNewWorkerProcess guards against a task that runs twice because its first
+// start arrives at a new process of the worker, which neither knows that the attempt was
+// stopped nor the term.
+func TestLateStartAtNewWorkerProcess(t *testing.T) {
+	const lateBy = 20 * time.Second
+	for _, tc := range []struct {
+		name string
+		// restartBefore is how long before the arrival of the start the worker restarts.
+		restartBefore time.Duration
+		// isReplaced gives the worker another owner meanwhile.
+		isReplaced bool
+	}{
+		{"attempt was stopped", 10 * time.Second, false},
+		{"owner was replaced", 100 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runCell(t, 2, 2, func(c *cell) {
+				spec := batch("late", 1, time.Minute)
+				for _, w := range c.workers {
+					w.SetFault(work.Fault{LateStarts: 1, LateBy: lateBy})
+				}
+				sent := time.Now()
+				c.submit(spec)
+				time.Sleep(200 * time.Millisecond)
+				for _, w := range c.workers {
+					w.SetFault(work.Fault{})
+				}
+				running := c.awaitRun(spec)
+				if tc.isReplaced {
+					c.replaceOwners()
+				}
+				time.Sleep(time.Until(sent.Add(lateBy - tc.restartBefore)))
+				for _, w := range c.workers {
+					if w != running {
+						w.Restart()
+					}
+				}
+				time.Sleep(2 * time.Minute)
+				c.checkInvariants([]hoist.JobSpec{spec})
+			})
+		})
+	}
+}
