--- a/internal/core/tasks/faults_test.go
+++ b/internal/core/tasks/faults_test.go
@@ -141,6 +141,13 @@
 	{name: "a worker disappears from the host list", inject: func(c *cell) {
 		c.platform.Remove(hoist.HostKindWorker, string(c.workers[2].ID))
 	}},
+	// A restarted worker has lost the ends that it had not reported.
+	{name: "workers restart", maySucceedTwice: true, inject: func(c *cell) {
+		for _, w := range c.workers[:3] {
+			w.Restart()
+			time.Sleep(4 * time.Second)
+		}
+	}},
 	{name: "starts are refused", inject: func(c *cell) {
 		for _, w := range c.workers {
 			w.SetFault(work.Fault{RefuseStarts: 2})
