--- a/internal/core/tasks/workers.go
+++ b/internal/core/tasks/workers.go
@@ -38,6 +38,11 @@
 	report  hoist.WorkerReport
 	// reportRequestedAt is when the report was requested.
 	reportRequestedAt time.Time
+	// leaseSentAt is when the last call was sent that may have brought or extended a lease,
+	// or when the worker was adopted.
+	leaseSentAt time.Time
+	// termSetAt is when the worker was last told the term.
+	termSetAt time.Time
 	// live are the attempts that were committed and are not known to have ended.
 	live map[hoist.TaskID]hoist.AttemptNo
 	// reserved are the attempts that capacity is reserved for.
@@ -159,9 +164,9 @@
 	m.calls.running.Go(func() { m.endLoop(ctx, id, h) })
 }
 
-// adoptAndRenew adopts one worker and then renews its leases. After a failed
-// renewal it requests reports without renewing until the worker answers, so that
-// the leases on an unreachable worker expire.
+// adoptAndRenew adopts one worker and then renews its leases, and sets the term again
+// every termInterval. After a failed renewal it requests reports without renewing until
+// the worker answers, so that the leases on an unreachable worker expire.
 func (m *Manager) adoptAndRenew(ctx context.Context, id hoist.WorkerID, h *workerHandle) {
 	for !m.requestReport(ctx, id, h, m.adopt) {
 		if !clock.Sleep(ctx, renewInterval) {
@@ -169,24 +174,48 @@
 		}
 	}
 	events.WorkerAdopted.Log(ctx, m.Log, "worker", id, "term", h.term)
+	m.recordLease(h)
 	call := m.renew
-	renewed := m.Clock.Now()
 	for clock.SleepOr(ctx, renewInterval, h.renewDue) {
 		if !m.owns(workerShardOf(id), h.term) {
 			continue
 		}
+		if m.isTermDue(h) {
+			call = m.adopt
+		}
 		if m.requestReport(ctx, id, h, call) {
 			call = m.renew
-			renewed = m.Clock.Now()
 			continue
 		}
-		if m.Clock.Now().Sub(renewed) > leaseExpiryDelay {
+		if m.haveLeasesExpired(h) {
 			m.markLost(ctx, id, h)
 		}
 		call = m.adopt
 	}
 }
 
+// isTermDue reports whether the worker is to be told the term again.
+func (m *Manager) isTermDue(h *workerHandle) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now().Sub(h.termSetAt) >= termInterval
+}
+
+// recordLease records that leases on the worker may last for TaskLease from now on.
+func (m *Manager) recordLease(h *workerHandle) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h.leaseSentAt = m.Clock.Now()
+}
+
+// haveLeasesExpired reports whether every lease on the worker has certainly expired.
+// Calls without an answer count too, as the worker may have carried them out.
+func (m *Manager) haveLeasesExpired(h *workerHandle) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now().Sub(h.leaseSentAt) > leaseExpiryDelay
+}
+
 // requestReport makes a call that returns a report, applies the report and stops
 // the attempts that must not run. It reports whether the call succeeded.
 func (m *Manager) requestReport(ctx context.Context, id hoist.WorkerID, h *workerHandle, call func(context.Context, *workerHandle) (hoist.WorkerReport, error)) bool {
@@ -266,7 +295,14 @@
 
 // adopt sets the term of this owner at the worker and returns the worker's report.
 func (m *Manager) adopt(ctx context.Context, h *workerHandle) (hoist.WorkerReport, error) {
-	return h.worker.Adopt(ctx, h.term)
+	report, err := h.worker.Adopt(ctx, h.term)
+	if err != nil {
+		return report, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h.termSetAt = m.Clock.Now()
+	return report, nil
 }
 
 // renew extends the leases on the worker and lets it drop acknowledged ends.
@@ -276,6 +312,7 @@
 	for a := range h.acked {
 		acked = append(acked, a)
 	}
+	h.leaseSentAt = m.Clock.Now()
 	m.mu.Unlock()
 	report, err := h.worker.Renew(ctx, h.term, TaskLease, acked)
 	if err != nil {
