--- a/internal/core/plans/relays_test.go
+++ b/internal/core/plans/relays_test.go
@@ -87,6 +87,7 @@
 func (w *relayedWorker) Start(context.Context, hoist.StartRequest) (hoist.WorkerClock, error) {
 	return hoist.UnknownClock, nil
 }
+
 func (w *relayedWorker) Stop(context.Context, hoist.TaskRun, hoist.FencingToken) error { return nil }
 
 func (w *relayedWorker) Throttle(context.Context, hoist.TaskRun, hoist.FencingToken, hoist.Percent) error {
--- a/internal/decide/sched/lease_test.go
+++ b/internal/decide/sched/lease_test.go
@@ -234,6 +234,8 @@
 	endSession()
 	c.is.True(!c.scheduler.HasTokens())
 	c.is.Equal(c.scheduler.Token("w1"), last)
+	c.report("w1", hoist.RunnerReport{Incarnation: 1})
+	c.is.True(c.scheduler.AwaitsReport("w1"))
 }
 
 // TestForgottenWorkerKeepsItsSessions guards against a worker that comes back to the registry and
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -114,7 +114,7 @@
 		return false
 	}
 	w.isConfirmed = true
-	if w.awaitsReport && !polledAt.Before(w.silentAt) && poll.Token == sc.tokenOf(w.session) {
+	if sc.isFirstAnswer(w, poll) {
 		sc.beginSession(w, now)
 	}
 	w.reading = clockReading{report.Clock, now}
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -68,6 +68,12 @@
 	w.isSessionUsed = false
 }
 
+// isFirstAnswer reports whether an answered poll is the first one of the present session of its
+// worker. A session that was used has ended, and there was no token for the next one.
+func (sc *Scheduler) isFirstAnswer(w *Worker, poll Poll) bool {
+	return w.awaitsReport && !w.isSessionUsed && poll.Token == sc.tokenOf(w.session) && !poll.SentAt.Before(w.silentAt)
+}
+
 // beginSession lets a worker get starts and leases again: it has answered a poll of the present
 // session, so that no earlier request takes effect any more.
 func (sc *Scheduler) beginSession(w *Worker, now time.Time) {
