--- a/internal/core/plans/former_test.go
+++ b/internal/core/plans/former_test.go
@@ -39,3 +39,53 @@
 		is.Equal(second.numStarts(), 1) // after every lease of the first worker has expired
 	})
 }
+
+// TestLateAcknowledgementInNewSession guards against a poll that acknowledges ends of the earlier
+// incarnation of its worker with the token of a session that the new one begins: it would
+// acknowledge ends of the new incarnation that the owner has not read.
+func TestLateAcknowledgementInNewSession(t *testing.T) {
+	// The phases cover the time between two polls.
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			runLeavingCell(t, func(c *leavingCell) {
+				is := is.New(c.t)
+				first := c.worker("first")
+				c.list("first", false)
+				c.accept("00000000000000d3")
+				first.set(func() {
+					is.Equal(len(first.running), 1)
+					for run := range first.running {
+						delete(first.running, run)
+						first.ends = append(first.ends, hoist.RunEnd{No: 1, Run: run, Kind: hoist.EndDone})
+					}
+				})
+				time.Sleep(5*time.Second + phase)
+				first.set(func() {
+					is.Equal(first.acked, hoist.EndNo(1))
+					first.losesStarts, first.hangsPolls = true, true
+				})
+				c.accept("00000000000000d4")
+				time.Sleep(time.Second)
+				first.set(func() {
+					first.losesStarts, first.hangsPolls = false, false
+					first.restart(true)
+				})
+				for range 200 {
+					time.Sleep(10 * time.Millisecond)
+					first.set(func() { first.wantNoLateAcknowledgement() })
+				}
+			})
+		})
+	}
+}
+
+// wantNoLateAcknowledgement fails the test if the worker, which runs a task, would carry out a
+// poll that was held and acknowledges ends of its earlier incarnation.
+func (w *leasedWorker) wantNoLateAcknowledgement() {
+	w.cell.t.Helper()
+	for _, r := range w.heldPolls {
+		if r.Acked > 0 && r.Token >= w.token && w.token > 0 && len(w.running) > 0 {
+			w.cell.t.Errorf("a poll with token %d acknowledges end %d of incarnation %d", r.Token, r.Acked, r.Incarnation)
+		}
+	}
+}
--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -53,6 +53,9 @@
 	// and are held to arrive later.
 	losesPolls, isCutOffByStart, holdsPolls bool
 	heldPolls                               []hoist.PollRequest
+	// losesStarts is set while starts get no answer, and hangsPolls while polls get none until
+	// their time is over; those are held.
+	losesStarts, hangsPolls bool
 	// restarts counts the restarts, and resets those that broke the connections. began is
 	// when the worker started last, at which its clock shows 0.
 	restarts, resets int
@@ -199,6 +202,9 @@
 		w.heldStarts = append(w.heldStarts, r)
 		return hoist.UnknownClock, hoist.ErrOutcomeUnknown
 	}
+	if w.losesStarts {
+		return hoist.UnknownClock, hoist.ErrOutcomeUnknown
+	}
 	if r.Token < w.token {
 		return w.clock(), hoist.ErrStaleTerm
 	}
@@ -270,6 +276,16 @@
 // Poll implements hoist.Runner. Only polls that can acknowledge ends use a connection
 // that stays open.
 func (w *leasedWorker) Poll(ctx context.Context, r hoist.PollRequest) (hoist.RunnerReport, error) {
+	hangs := false
+	w.set(func() {
+		if hangs = w.hangsPolls; hangs {
+			w.heldPolls = append(w.heldPolls, r)
+		}
+	})
+	if hangs {
+		w.waitForEnd(ctx, time.Hour)
+		return hoist.RunnerReport{}, hoist.ErrOutcomeUnknown
+	}
 	isConnBroken := w.waitForEnd(ctx, r.Wait)
 	w.cell.mu.Lock()
 	defer w.cell.mu.Unlock()
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -76,7 +76,7 @@
 }
 
 // newPollCall returns a poll that extends the lease as far as the ownership
-// allows. The first poll only reads the clock, and so does a poll after one without
+// allows. The first poll of a session only reads the clock, and so does a poll after one without
 // an answer or after the connection was closed: the lease of an unresponsive worker
 // must expire, and if the worker has restarted, its ends have new numbers.
 func (d *Driver) newPollCall(ctx context.Context, id hoist.WorkerID, l *link) pollCall {
@@ -85,15 +85,15 @@
 		now := d.Clock.Now()
 		call.poll = d.scheduler.NewPoll(id, now)
 		call.request = hoist.PollRequest{Token: call.poll.Token, EnablesAcks: true}
-		if !l.hasAnswered || l.isUnresponsive || l.isConnClosed {
+		if !l.hasAnswered || l.isUnresponsive || l.isConnClosed || d.scheduler.AwaitsReport(id) {
+			// It does not wait for an end either, as starts wait for its answer.
 			return
 		}
 		call.request.Acked, call.request.Incarnation = d.scheduler.AckableEnd(id)
 		call.lease = d.scheduler.GrantLease(id, d.leaseLength(), now)
 		call.request.Lease = call.lease.Until
-		if !d.scheduler.HasUnrecordedEnds(id) && !d.scheduler.AwaitsReport(id) {
-			// If ends are listed, the worker answers at once instead of waiting. The first poll of
-			// a session does not wait either, as starts wait for its answer.
+		if !d.scheduler.HasUnrecordedEnds(id) {
+			// If ends are listed, the worker answers at once instead of waiting.
 			call.request.Wait = pollWait
 			if d.losses.isLossy(now) {
 				call.request.Wait = shortPollWait
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -11,7 +11,7 @@
 // apart by their fencing tokens: a worker refuses a lower token than it has seen. The requests
 // to a worker therefore belong to sessions, each with a higher token than the one before. A
 // session ends when a request may be lost or the worker may have restarted. The next one
-// begins with polls that grant nothing; once one of them is answered, no request of an earlier
+// begins with polls that bring no lease and acknowledge nothing; once one of them is answered, no request of an earlier
 // session or owner takes effect in the incarnation that has answered.
 
 // session numbers the sessions of one worker within a term.
@@ -57,7 +57,7 @@
 func (sc *Scheduler) endSession(w *Worker, now time.Time) {
 	w.awaitsReport, w.silentAt = true, now
 	if !w.isSessionUsed {
-		// Only polls that grant nothing were sent.
+		// No start, lease or acknowledgement was sent.
 		return
 	}
 	if w.session+1 >= hoist.TokensPerTerm {
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -39,8 +39,8 @@
 	reading      clockReading
 	awaitsReport bool
 	silentAt     time.Time
-	// session is that of the requests to the worker. isSessionUsed is set once a start or a
-	// lease was sent in it.
+	// session is that of the requests to the worker. isSessionUsed is set once a start, a lease
+	// or an acknowledgement was sent in it.
 	session       session
 	isSessionUsed bool
 	// mayHoldStrayLease is set while the worker has restarted and may receive leases on an
@@ -182,13 +182,16 @@
 }
 
 // AckableEnd returns the last end that may be acknowledged to a worker, and the incarnation
-// that listed it.
+// that listed it. The poll that acknowledges it must not reach another incarnation, so it counts
+// for the session like a lease.
 func (sc *Scheduler) AckableEnd(id hoist.WorkerID) (hoist.EndNo, hoist.Incarnation) {
 	w, ok := sc.workers[id]
 	if !ok {
 		return 0, 0
 	}
-	return w.ends.advance(), w.incarnation
+	acked := w.ends.advance()
+	w.isSessionUsed = w.isSessionUsed || acked > 0
+	return acked, w.incarnation
 }
 
 // advance moves ackable past the ends that are recorded, and returns it.
