--- a/internal/core/plans/former_test.go
+++ b/internal/core/plans/former_test.go
@@ -89,3 +89,34 @@
 		}
 	}
 }
+
+// TestRestartedWorkerLosesItsEntry guards against a task that runs twice because the registry had
+// no entry of its worker for a moment, so that the owner forgot the lease that the worker may
+// hold on the clock of an earlier incarnation.
+func TestRestartedWorkerLosesItsEntry(t *testing.T) {
+	const taskID = hoist.JobID("00000000000000d2")
+	runLeavingCell(t, func(c *leavingCell) {
+		is := is.New(c.t)
+		first, second := c.worker("first"), c.worker("second")
+		c.list("first", false)
+		time.Sleep(30 * time.Second)
+		first.set(func() { first.holdsPolls = true })
+		time.Sleep(1500 * time.Millisecond)
+		first.set(func() {
+			first.holdsPolls = false
+			first.restart(true)
+			is.True(len(first.heldPolls) > 0)
+			first.deliverPolls()
+		})
+		time.Sleep(500 * time.Millisecond)
+		c.unlist("first")
+		time.Sleep(500 * time.Millisecond)
+		c.list("first", false)
+		c.accept(taskID)
+		is.Equal(first.numStarts(), 1)
+		first.set(func() { first.isCutOff = true })
+		c.list("second", false)
+		time.Sleep(14 * time.Second)
+		is.Equal(second.numStarts(), 1)
+	})
+}
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -56,16 +56,20 @@
 // answers a poll of the next one.
 func (sc *Scheduler) endSession(w *Worker, now time.Time) {
 	w.awaitsReport, w.silentAt = true, now
-	if !w.isSessionUsed {
-		// No start, lease or acknowledgement was sent.
-		return
-	}
-	if w.session+1 >= hoist.TokensPerTerm {
+	sc.raiseToken(w)
+}
+
+// raiseToken takes the next token for a worker, unless no start, lease or acknowledgement was
+// sent with the present one.
+func (sc *Scheduler) raiseToken(w *Worker) {
+	switch {
+	case !w.isSessionUsed:
+	case w.session+1 >= hoist.TokensPerTerm:
 		sc.isOutOfTokens = true
-		return
+	default:
+		w.session++
+		w.isSessionUsed = false
 	}
-	w.session++
-	w.isSessionUsed = false
 }
 
 // isFirstAnswer reports whether an answered poll is the first one of the present session of its
@@ -109,7 +113,8 @@
 // forget removes a worker of which nothing is known that matters. If it comes back, its
 // sessions go on.
 func (sc *Scheduler) forget(w *Worker) {
-	sc.firstSession = max(sc.firstSession, min(w.session+1, hoist.TokensPerTerm-1))
+	sc.raiseToken(w)
+	sc.firstSession = max(sc.firstSession, w.session)
 	delete(sc.workers, w.entry.Worker)
 }
 
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -101,7 +101,7 @@
 
 // SetWorkers replaces the list of workers with that of the platform's
 // registry. A worker that is no longer listed is kept while something may run
-// there.
+// there, or while it may hold a lease that a new entry would not know of.
 func (sc *Scheduler) SetWorkers(entries []hoist.WorkerEntry, now time.Time) {
 	if sc.registryReadAt.IsZero() {
 		sc.registryReadAt = now
@@ -120,7 +120,7 @@
 		if w.isListed && w.entry.IsLeaving {
 			sc.drain(w, now)
 		}
-		if !w.isListed && !w.isOccupied() && len(w.doubts.byRun) == 0 {
+		if !w.isListed && !w.isOccupied() && len(w.doubts.byRun) == 0 && !now.Before(w.leaseExpiresAt) {
 			sc.forget(w)
 		}
 	}
