--- a/internal/core/plans/links.go
+++ b/internal/core/plans/links.go
@@ -26,6 +26,8 @@
 	hasAnswered bool
 	// isUnresponsive is set if the last poll got no answer.
 	isUnresponsive bool
+	// openLease is the lease of the last poll that is in flight; it is empty if there is none.
+	openLease sched.Lease
 	// isConnClosed is set when the connection that carries acknowledgements has been
 	// closed.
 	isConnClosed bool
@@ -185,10 +187,14 @@
 	}
 	runner := dial(entry)
 	linkCtx, cancel := context.WithCancel(ctx)
+	var openLease sched.Lease
+	if old, ok := d.links[entry.Worker]; ok {
+		openLease = old.openLease
+	}
 	l := &link{runner: runner, addr: entry.Addr, via: via, relay: relay, cancel: cancel, recorded: make(chan struct{}, 1)}
 	d.links[entry.Worker] = l
 	// What answers at another address may be another incarnation.
-	d.scheduler.RecordSilence(entry.Worker, sched.Lease{}, d.Clock.Now())
+	d.scheduler.RecordSilence(entry.Worker, openLease, d.Clock.Now())
 	d.calls.Go(func() {
 		defer runner.Close()
 		d.Guard.Loop(linkCtx, workPoll, func() { d.pollLoop(linkCtx, entry.Worker, l) })
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -92,6 +92,9 @@
 		call.request.Acked, call.request.Incarnation = d.scheduler.AckableEnd(id)
 		call.lease = d.scheduler.GrantLease(id, d.leaseLength(), now)
 		call.request.Lease = call.lease.Until
+		if call.lease.Until > 0 {
+			l.openLease = call.lease
+		}
 		if !d.scheduler.HasUnrecordedEnds(id) {
 			// If ends are listed, the worker answers at once instead of waiting.
 			call.request.Wait = pollWait
@@ -129,7 +132,7 @@
 	if err != nil && req.Acked > 0 && errors.Is(err, hoist.ErrUnavailable) {
 		d.update(ctx, workPoll, func() {
 			l.isConnClosed = true
-			d.recordSilence(id, call, err)
+			d.recordSilence(id, l, call, err)
 		})
 		return false
 	}
@@ -160,6 +163,7 @@
 		events.WorkerResponsive.Log(ctx, d.Log, "worker", id, "life", report.Incarnation)
 	}
 	l.isUnresponsive, l.hasAnswered = false, true
+	l.closeLease(call.lease)
 	if call.request.EnablesAcks {
 		l.isConnClosed = false
 	}
@@ -194,16 +198,25 @@
 	d.update(ctx, workPoll, func() {
 		wasUnresponsive = l.isUnresponsive
 		l.isUnresponsive = true
-		d.recordSilence(id, call, err)
+		d.recordSilence(id, l, call, err)
 	})
 	if !wasUnresponsive {
 		events.WorkerUnresponsive.Log(ctx, d.Log, "worker", id, "error", err)
 	}
 }
 
+// closeLease records that the poll with a lease is not in flight any more. Leases of one link are
+// told apart by their times.
+func (l *link) closeLease(lease sched.Lease) {
+	if l.openLease == lease {
+		l.openLease = sched.Lease{}
+	}
+}
+
 // recordSilence records a poll without an answer. d.mu must be held.
-func (d *Driver) recordSilence(id hoist.WorkerID, call pollCall, err error) {
+func (d *Driver) recordSilence(id hoist.WorkerID, l *link, call pollCall, err error) {
 	lease := call.lease
+	l.closeLease(lease)
 	if !errors.Is(err, hoist.ErrOutcomeUnknown) {
 		lease = sched.Lease{}
 	}
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -102,15 +102,21 @@
 	if !ok {
 		return
 	}
-	if lease.Until > 0 {
-		w.lostRequestAt = now
-		if w.mayHoldStrayLease {
-			sc.countLongestLease(w, now)
-		}
-	}
+	sc.loseLease(w, lease, now)
 	sc.endSession(w, now)
 }
 
+// loseLease records that a request with a lease got no answer.
+func (sc *Scheduler) loseLease(w *Worker, lease Lease, now time.Time) {
+	if lease.Until == 0 {
+		return
+	}
+	w.lostRequestAt = now
+	if w.mayHoldStrayLease {
+		sc.countLongestLease(w, now)
+	}
+}
+
 // RecordLostStart records that a start got no answer. If the worker has restarted, the new
 // incarnation may run the attempt under the longest lease.
 func (sc *Scheduler) RecordLostStart(id hoist.WorkerID, lease Lease, now time.Time) {
@@ -118,7 +124,7 @@
 	if !ok {
 		return
 	}
-	w.lostRequestAt = now
+	sc.loseLease(w, lease, now)
 	if lease.session == w.session {
 		sc.endSession(w, now)
 	}
--- a/internal/decide/sched/lease_test.go
+++ b/internal/decide/sched/lease_test.go
@@ -243,6 +243,8 @@
 func TestForgottenWorkerKeepsItsSessions(t *testing.T) {
 	c := newCell(t, "w1")
 	c.scheduler.RecordSilence("w1", sched.Lease{}, c.now)
+	c.report("w1", hoist.RunnerReport{Incarnation: 1})
+	c.scheduler.GrantLease("w1", 6*time.Second, c.now)
 	before := c.scheduler.Token("w1")
 	c.now = c.now.Add(10 * time.Second)
 	c.scheduler.SetWorkers(nil, c.now)
@@ -276,6 +278,56 @@
 	c.wantStarts(c.pass(), 0)
 }
 
+// TestLostStartExtendsLeaseOfOthers guards against starting a task elsewhere while it runs under
+// the lease of another start to its restarted worker, which got no answer.
+func TestLostStartExtendsLeaseOfOthers(t *testing.T) {
+	c := newCell(t, "w1")
+	c.report("w1", hoist.RunnerReport{Incarnation: 1, Clock: hoist.WorkerClock(100 * time.Second)})
+	c.submit("p", queue, step(2))
+	starts := c.pass()
+	c.wantStarts(starts, 2)
+	first := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	second := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	c.scheduler.RecordAnswer("w1", first, hoist.WorkerClock(time.Second), c.now)
+	c.scheduler.RecordStart("w1", starts[0].Run, nil, c.now)
+	c.now = c.now.Add(450 * time.Millisecond)
+	c.scheduler.RecordLostStart("w1", second, c.now)
+	c.scheduler.RecordStart("w1", starts[1].Run, hoist.ErrOutcomeUnknown, c.now)
+	c.now = c.now.Add(400*time.Millisecond + 10100*time.Millisecond) // it is carried out 0.4 s later
+	c.addWorkers("w2")
+	c.wantStarts(c.pass(), 0)
+}
+
+// TestRestartShownByEarlierSession guards against starting a task elsewhere while it runs under
+// the lease of a poll that reached its restarted worker after a report of the session before had
+// shown the restart.
+func TestRestartShownByEarlierSession(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	c, s := newHolderWithStart(t)
+	inFlight := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	early := c.scheduler.NewPoll("w1", c.now)
+	lease := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	c.now = c.now.Add(250 * time.Millisecond)
+	c.scheduler.RecordLostStart("w1", lease, c.now)
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.scheduler.RecordAnswer("w1", lease, restarted.Clock, c.now)
+	c.scheduler.RecordReport("w1", restarted, early, c.now)
+	c.now = c.now.Add(1350 * time.Millisecond)
+	c.scheduler.RecordSilence("w1", inFlight, c.now) // carried out just now
+	taken := c.now
+	c.report("w1", restarted)
+	c.submit("q", queue, step(1))
+	starts := c.pass()
+	c.wantStarts(starts, 1)
+	c.scheduler.GrantLease("w1", 6*time.Second, c.now)
+	c.scheduler.RecordStart("w1", starts[0].Run, nil, c.now)
+	c.now = taken.Add(10 * time.Second)
+	c.addWorkers("w2")
+	for _, s := range c.pass() {
+		c.is.True(s.Run.Task.Job != "q")
+	}
+}
+
 // newHolderWithStart returns a cell with a worker that has a lease, and a start that is on its
 // way there.
 func newHolderWithStart(t *testing.T) (*cell, sched.Start) {
@@ -300,9 +352,10 @@
 // its way was carried out under it.
 func TestLostPollBeforeLostStart(t *testing.T) {
 	c, s := newHolderWithStart(t)
+	lease := c.scheduler.GrantLease("w1", 6*time.Second, c.now)
 	losePoll(c) // the new incarnation takes the lease for 10 s
 	lost := c.now
-	c.scheduler.RecordLostStart("w1", sched.Lease{}, c.now) // and carries out the start
+	c.scheduler.RecordLostStart("w1", lease, c.now) // and carries out the start
 	c.scheduler.RecordStart("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
 	c.now = lost.Add(10 * time.Second)
 	c.addWorkers("w2")
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -194,7 +194,7 @@
 	if w.isSessionUsed {
 		sc.suspectStrayLease(w, now)
 	} else {
-		w.restartShownAt = now
+		w.restartShownAt, w.mayHoldStrayLease = now, true
 		sc.countLongestLease(w, now)
 	}
 	w.ends = endLog{}
