--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -65,6 +65,9 @@
 	// clockDriftDivisor bounds the drift of a worker's clock, which may run slow by
 	// 1/clockDriftDivisor.
 	clockDriftDivisor = 50
+	// earlierCallTime is how long after a claim a request of the earlier owner may reach a
+	// worker: a poll takes up to 1.8 s, and a start that is sent late less.
+	earlierCallTime = 2 * time.Second
 	// expiryMargin is added to the lease times for calls in flight.
 	expiryMargin = 300 * time.Millisecond
 )
@@ -182,14 +185,13 @@
 // which was before the next owner's claim. An address that refuses connections proves
 // nothing: the owner may be cut off from this host, or accept no new connections.
 //
-// A worker that restarted may hold the longest lease, from a poll that was meant for its earlier
-// incarnation. It had answered the owner since then if anything was started there, which was
-// before the claim.
+// A worker that restarted may hold the longest lease, from a request of the earlier owner that was
+// meant for its earlier incarnation and was on its way at the claim.
 func (m *Manager) leasesExpireAt(reason claimReason, previous rows.Owner, now time.Time) time.Time {
 	if previous.Term == 0 {
 		return now
 	}
-	longest := expiry(now, cmp.Or(m.MaxLease, hoist.MaxLease))
+	longest := expiry(now.Add(earlierCallTime), cmp.Or(m.MaxLease, hoist.MaxLease))
 	switch {
 	case previous.Released || previous.Host == string(m.Host):
 		return later(longest, later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime)))
