--- a/internal/decide/sched/orphans_test.go
+++ b/internal/decide/sched/orphans_test.go
@@ -65,3 +65,24 @@
 	_, isKnown := c.scheduler.WorkerEntry("w2")
 	c.is.True(!isKnown)
 }
+
+// TestOrphanKeepsItsTask guards against a task that starts elsewhere although a worker lists an
+// earlier attempt at it as running, which was started late.
+func TestOrphanKeepsItsTask(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step hoist.Step
+	}{{"task", step(1)}, {"gang", step(2, gang)}} {
+		t.Run(c.name, func(t *testing.T) {
+			cell := newCell(t, "w1", "w2")
+			cell.submit("p", queue, c.step)
+			late := hoist.TaskRun{Task: hoist.TaskRef{StepRef: hoist.StepRef{Job: "p"}}, Attempt: 1}
+			cell.now = cell.now.Add(time.Millisecond)
+			cell.report("w1", hoist.RunnerReport{Incarnation: 1, Running: []hoist.RunStatus{{Run: late}}})
+			cell.wantStarts(cell.pass(), 0)
+			cell.is.Equal(cell.stops, []sched.Stop{{Worker: "w1", Run: late}})
+			cell.report("w1", hoist.RunnerReport{Incarnation: 1})
+			cell.wantStarts(cell.pass(), c.step.Count)
+		})
+	}
+}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -239,6 +239,27 @@
 	return found
 }
 
+// hasOrphan reports whether an earlier attempt at a task may run on a worker that has listed it:
+// a start that counted as without effect was carried out late. It is stopped first.
+func (sc *Scheduler) hasOrphan(t *Task, now time.Time) bool {
+	for _, w := range sc.orphaned {
+		if !now.Before(w.leaseExpiresAt) {
+			continue
+		}
+		for run := range w.orphans {
+			if run.Task == t.Ref() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasOrphanOf reports the same of the tasks of a step.
+func (sc *Scheduler) hasOrphanOf(s *StepTasks, now time.Time) bool {
+	return slices.ContainsFunc(s.Tasks, func(t *Task) bool { return sc.hasOrphan(t, now) })
+}
+
 // setOrphans sets the attempts that run on a worker without a task that expects them.
 func (sc *Scheduler) setOrphans(w *Worker, orphans map[hoist.TaskRun]time.Time) {
 	w.orphans = orphans
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -340,7 +340,7 @@
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
 	isExpired := t.ticket.value != "" && !now.Before(t.ticket.validUntil)
-	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired || !t.mayBeSent() {
+	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired || sc.hasOrphan(t, now) || !t.mayBeSent() {
 		step := t.StepTasks
 		sc.requeue(t, now)
 		sc.stopIncompleteGang(step, now)
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -31,7 +31,7 @@
 		if left == 0 {
 			return
 		}
-		if t.Phase != Waiting || now.Before(t.notBefore) {
+		if t.Phase != Waiting || now.Before(t.notBefore) || sc.hasOrphan(t, now) {
 			continue
 		}
 		for next < len(workers) && !sc.fits(s, workers[next]) {
@@ -179,7 +179,7 @@
 // prefers a single rack is spread over racks only if it fits into no single
 // one and waiting for one does not pay.
 func (sc *Scheduler) placeGang(s *StepTasks, workers []*Worker, now time.Time) {
-	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || len(s.Tasks) > sc.maxPlacements(s.Job) {
+	if s.waiting != len(s.Tasks) || now.Before(s.Tasks[0].notBefore) || sc.hasOrphanOf(s, now) || len(s.Tasks) > sc.maxPlacements(s.Job) {
 		return
 	}
 	attempt := sc.newAttempt(s.Job)
