--- a/errors.go
+++ b/errors.go
@@ -21,7 +21,7 @@
 	// transaction had no effect.
 	ErrConflict = merry.Sentinel("conflict with another transaction")
 
-	// ErrStaleTerm reports that a message carried a lower term than its
+	// ErrStaleTerm reports that a message carried a lower term, or token, than its
 	// receiver has seen. The message had no effect.
 	ErrStaleTerm = merry.Sentinel("stale term")
 
--- a/ids.go
+++ b/ids.go
@@ -68,7 +68,8 @@
 // follow theirs, and those which they claim, have higher tokens.
 const TokensPerTerm = 1 << 14
 
-// FirstToken returns the lowest token of a term.
+// FirstToken returns the lowest token of a term. Terms below TokensPerTerm are of earlier builds,
+// which have one token each.
 func FirstToken(t Term) FencingToken {
 	if t < TokensPerTerm {
 		return FencingToken(t)
--- a/internal/core/plans/former_test.go
+++ b/internal/core/plans/former_test.go
@@ -19,14 +19,14 @@
 		is := is.New(c.t)
 		first, second := c.worker("first"), c.worker("second")
 		c.list("first", false)
-		time.Sleep(30 * time.Second)
+		time.Sleep(30 * time.Second) // its clock is ahead of that of the next incarnation
 		first.set(func() { first.holdsPolls = true })
-		time.Sleep(3 * time.Second)
+		time.Sleep(3 * time.Second) // a poll with a lease is held up
 		first.set(func() {
 			first.holdsPolls = false
 			first.restart(true)
 		})
-		time.Sleep(5 * time.Second)
+		time.Sleep(5 * time.Second) // the owner counts the longest lease from the first report
 		c.accept(taskID)
 		is.Equal(first.numStarts(), 1)
 		first.set(func() {
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -142,11 +142,10 @@
 	return req.lease.Until > 0 && req.read != req.worker.incarnation
 }
 
-// isStrayAllowed reports whether a stray request may be carried out. What is left out are three
+// isStrayAllowed reports whether a stray request may be carried out. What is left out are two
 // cases of which nothing tells the present owner, each at an incarnation that has not answered
-// it in the present session: a start that it has given up, a poll that it gave up some time
-// before, and requests of an earlier owner if the incarnation began after the present one took
-// over.
+// it in the present session: a request that was given up some time before, and one of an earlier
+// owner if the incarnation began after the present one took over.
 func (fx *fixture) isStrayAllowed(req *fakeRequest) bool {
 	o, w := fx.owner(), req.worker
 	switch {
@@ -157,7 +156,7 @@
 	case !req.isGivenUp:
 		return true
 	default:
-		return req.kind == pollRequest && fx.now.Sub(req.givenUpAt) <= longestCall
+		return fx.now.Sub(req.givenUpAt) <= longestCall
 	}
 }
 
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -34,8 +34,8 @@
 	// lastPolledAt is when the last answered poll was sent.
 	lastPolledAt time.Time
 	// reading is the last reading of the worker's clock. awaitsReport is set while the
-	// worker may have restarted since: until a poll is answered that was sent after
-	// silentAt.
+	// worker may have restarted since: until a poll of the session is answered that was sent
+	// after silentAt, when the last session ended.
 	reading      clockReading
 	awaitsReport bool
 	silentAt     time.Time
