--- a/internal/decide/sched/locality_test.go
+++ b/internal/decide/sched/locality_test.go
@@ -268,7 +268,7 @@
 	counts := c.scheduler.TakeNearWaits()
 	c.is.Equal(counts, sched.NearWaits{Begun: 1, Remote: 1})
 	for i, st := range starts {
-		c.reportEnd(hoist.EndNo(i+1), st, hoist.EndFailed, starts[1-i])
+		c.reportEnd(hoist.EndNo(i+1), st, hoist.EndFailed, starts[i+1:]...)
 	}
 	c.advance(100 * time.Millisecond)
 	c.wantStarts(c.run(), 2)
