--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -8,11 +8,13 @@
 
 // A worker that has restarted under its id also carries out requests that were meant for its
 // earlier incarnation. A lease in them is a time on a clock that was further on, so that the new
-// incarnation takes it for the longest lease: a stray lease. Such requests are told apart by their fencing tokens: a worker refuses a lower token than it has seen. The requests
-// to a worker therefore belong to sessions, each with a higher token than the one before. A
-// session ends when a request may be lost or the worker may have restarted. The next one
-// begins with polls that bring no lease and acknowledge nothing; once one of them is answered, no request of an earlier
-// session or owner takes effect in the incarnation that has answered.
+// incarnation takes it for the longest lease: a stray lease.
+//
+// Such requests are told apart by their fencing tokens, as a worker refuses a lower token than it
+// has seen. The requests to a worker belong to sessions, each with a higher token than the one
+// before. A session ends when a request may be lost or the worker may have restarted. The next
+// one begins with polls that bring no lease and acknowledge nothing. Once one of them is answered,
+// no request of an earlier session or owner takes effect in the incarnation that has answered.
 
 // session numbers the sessions of one worker within a term.
 type session uint64
