Tell for what a long-running task without a run waits

While a long-running task had no run, nothing told for what it waited, since when and until when.

Change: Scheduler.LongRunningWaits returns the long-running tasks that are without a run, each with the reason, the worker, since when and until when. It changes no decision. The owner checks once a second, outside of the pass, whose length decides when the next one begins. Events 636 and 637 tell that a task has been without a run for 3 s and that it runs again, in at most 100 lines in 10 s; the rest is counted.

A long-running task never waits for a near placement (mayWaitNear), so there is no reason for that.

TestWaitsChangeNothing compares the starts and requests for advice of a checked cell and one that is not checked. Each of four faults put into the code (no record of a recovery, of a listed attempt, of an answered start; no limit of lines) made a test fail. BenchmarkLongRunningWaits, 350 workers and 5,000 long-running tasks, on a busy machine (load average 38): 5.6 to 6.2 ms a check while none waits, 25 to 29 ms while all of them wait.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -153,6 +153,8 @@
 	RunEndedLate         = register(632, slog.LevelWarn, "worker listed the end of an attempt that had counted as ended")
 	CheckpointsOmitted   = register(633, slog.LevelWarn, "state of a plan is recorded without some checkpoints, as it would not fit into a row")
 	WorkerRestarted      = register(634, slog.LevelInfo, "worker has restarted under its id")
+	TaskWithoutRun       = register(636, slog.LevelWarn, "long-running task is without a run")
+	TaskRunsAgain        = register(637, slog.LevelInfo, "long-running task runs again")
 )
 
 // Events of teams: 640 to 659.
--- a/internal/core/metric/plans.go
+++ b/internal/core/metric/plans.go
@@ -30,6 +30,7 @@
 	panics         *prometheus.CounterVec
 	backlog        *prometheus.GaugeVec
 	teams          *teamMetrics
+	taskWaits      *waitMetrics
 	refusedClients *prometheus.CounterVec
 	refusedCalls   *prometheus.CounterVec
 }
@@ -89,6 +90,7 @@
 		p.refusedCalls, p.refusedClients, droppedLines, collectors.NewGoCollector(),
 	)
 	p.teams = newTeamMetrics(p.registry)
+	p.taskWaits = newWaitMetrics(p.registry)
 	return p
 }
 
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -120,6 +120,8 @@
 	failures    map[hoist.JobID]int
 	// teamLog is what was last reported about the teams.
 	teamLog teamLog
+	// waitLog is what was last reported about long-running tasks without a run.
+	waitLog waitLog
 	// refusedSince holds when the store first refused the state of a plan, and recordedAt is
 	// when it last accepted one.
 	refusedSince map[hoist.JobID]time.Time
@@ -173,6 +175,7 @@
 	d.calls.Wait()
 	if d.Metrics != nil {
 		d.Metrics.SetTeams(nil)
+		d.Metrics.SetTaskWaits(nil)
 	}
 }
 
@@ -246,7 +249,10 @@
 			d.goCall(ctx, workStop, func() { d.stop(ctx, stop) })
 		}
 		d.removeExpired(ctx)
-		clock.Sleep(ctx, max(minPassInterval, passPauseFactor*d.Clock.Now().Sub(began)))
+		took := d.Clock.Now().Sub(began)
+		// The check takes long while thousands of tasks wait, and must not delay the next pass.
+		d.update(ctx, workWaits, func() { d.reportWaits(ctx, d.Clock.Now()) })
+		clock.Sleep(ctx, max(minPassInterval, passPauseFactor*took))
 	}
 }
 
--- a/internal/decide/sched/bench_test.go
+++ b/internal/decide/sched/bench_test.go
@@ -173,3 +173,47 @@
 		})
 	}
 }
+
+// BenchmarkLongRunningWaits measures a check of a cell with many long-running tasks, all or none
+// of which are without a run.
+func BenchmarkLongRunningWaits(b *testing.B) {
+	const workers, plans = 350, 5000
+	for _, k := range []struct {
+		name  string
+		queue hoist.Queue
+		need  hoist.Resources
+		after time.Duration
+		waits int
+	}{
+		{"none", queue, need, 0, 0},
+		{"no room", queue, hoist.Resources{CPU: 9000}, 2 * time.Second, plans},
+		{"no host for the adviser", advised, need, 2 * time.Second, plans},
+	} {
+		b.Run(k.name, func(b *testing.B) {
+			scheduler := sched.NewScheduler(1, start)
+			scheduler.Open.Tasks = 2 * plans
+			var entries []hoist.WorkerEntry
+			for i := range workers {
+				entries = append(entries, hoist.WorkerEntry{Worker: hoist.WorkerID(fmt.Sprint("w", i)), Service: "lids", Addr: "x", Capacity: size})
+			}
+			scheduler.SetWorkers(entries, start)
+			for _, e := range entries {
+				scheduler.RecordReport(e.Worker, hoist.RunnerReport{Incarnation: 1}, scheduler.NewPoll(e.Worker, start), start)
+			}
+			for i := range plans {
+				lasting := step(1, longRunning)
+				lasting.Need = k.need
+				scheduler.Tick(start)
+				scheduler.Add(hoist.Plan{ID: hoist.JobID(fmt.Sprintf("%016x", i)), Queue: k.queue, Accepted: start, Steps: []hoist.Step{lasting}}, 1, start)
+			}
+			scheduler.Tick(start)
+			scheduler.Pass(start, func(time.Duration, time.Time) (hoist.HostID, bool) { return "", false })
+			scheduler.LongRunningWaits(time.Second, start)
+			for b.Loop() {
+				if n := len(scheduler.LongRunningWaits(time.Second, start.Add(k.after))); n != k.waits {
+					b.Fatalf("%d waits", n)
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -36,6 +36,9 @@
 	switch {
 	case err == nil || isConfirmed:
 		t.isStartInDoubt = false
+		if err == nil {
+			t.recordRun(now)
+		}
 		t.setArriving(false)
 		if t.Phase == Starting {
 			t.Phase = Running
@@ -226,6 +229,7 @@
 			continue
 		}
 		found[t] = true
+		t.recordRun(polledAt)
 		t.isStartInDoubt = false
 		t.setArriving(false)
 		t.measurement = status.Measurement
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -14,6 +14,7 @@
 //	s.RecordStart(worker, run, err, now)
 //	s.RecordReport(worker, report, poll, now)
 //	s.Tick(now)
+//	waits := s.LongRunningWaits(threshold, now) // at most once a second
 //
 // # Guarantees
 //
@@ -107,6 +108,9 @@
 	// one turned out to have succeeded. This Task value then represents only the
 	// attempt; the task itself is done.
 	isSuperseded bool
+	// ranAt is when the task was last known to run, this owner recovered it, or
+	// LongRunningWaits first found that it may start.
+	ranAt time.Time
 }
 
 // stopState is the progress of stopping an attempt.
@@ -195,7 +199,9 @@
 	rate *rate.Entry
 	// leastNeed is the least that any task of a job with a team needs of each resource.
 	leastNeed hoist.Resources
-	steps     map[stepKey]*StepTasks
+	// isLongRunning tells that any step of the plan has long-running tasks.
+	isLongRunning bool
+	steps         map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
 	// steps are not done.
@@ -415,6 +421,9 @@
 		j.changed = make(map[hoist.JobID]*Job)
 		sc.changed[p.Part] = j.changed
 	}
+	for i := range p.Steps {
+		j.isLongRunning = j.isLongRunning || p.Steps[i].IsLongRunning
+	}
 	sc.addToTeam(j)
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -125,7 +125,9 @@
 	sc.jobs[p.ID] = j
 	for _, step := range s.Steps {
 		if int(step.Step) < len(p.Steps) {
-			sc.restoreStepTasks(sc.addStepTasks(j, step.Occurrence, step.Step), step, now)
+			tasks := sc.addStepTasks(j, step.Occurrence, step.Step)
+			sc.restoreStepTasks(tasks, step, now)
+			tasks.recoverWaits(now)
 		}
 	}
 	for k, n := range j.unfinishedSteps {
--- a/internal/tool/bench/plans.go
+++ b/internal/tool/bench/plans.go
@@ -248,6 +248,9 @@
 // SetTeams implements hoist.PlanMetrics.
 func (*planSim) SetTeams([]hoist.TeamUsage) {}
 
+// SetTaskWaits implements hoist.PlanMetrics.
+func (*planSim) SetTaskWaits([]hoist.TaskWaits) {}
+
 // ObserveWait implements hoist.PlanMetrics.
 func (s *planSim) ObserveWait(_ hoist.QueueName, d time.Duration) {
 	s.mu.Lock()
--- a/runner.go
+++ b/runner.go
@@ -241,4 +241,7 @@
 	SetBacklog(openTasks, delayedOccurrences, quarantined int)
 	// SetTeams records what the owner knows of the teams that have jobs.
 	SetTeams(teams []TeamUsage)
+	// SetTaskWaits records the long-running tasks without a run, by what they wait for. nil
+	// means that there are none, or that the host is no longer the owner.
+	SetTaskWaits(waits []TaskWaits)
 }
