Keep an account of the leases of workers across owners

Cause: each takeover threw away what the earlier owner knew about leases.

Change: the owner records in the store, on the store's clock, which workers it may grant leases to, in which incarnation, and for all others until when confirmed attempts and attempts in doubt may run. A worker gets leases only once the account that lists it as open is in the store, so that the account can only be too long. The next owner continues it; a release records its exact end. The longest lease counts only for attempts whose start is in doubt and for workers in an incarnation that the account does not list. The state of a plan tells which attempts are confirmed; that of a long-running task is recorded soon after its start. Where the account tells nothing (after an owner of an earlier build, in a store without a clock, or if it does not fit into a row), leases count as before.

The stand-in's store tells its time, as the platform's does.

--- /dev/null
+++ b/internal/core/claim/account.go
@@ -0,0 +1,204 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+// storeClockAge is how old a reading of the store's clock may be. Until then, the clock of a
+// host deviates from it by much less than expiryMargin.
+const storeClockAge = time.Minute
+
+// storeClock is a reading of the clock of the store, which a read returned that began at
+// askedAt and ended at readAt.
+type storeClock struct {
+	shown           hoist.StoreTime
+	askedAt, readAt time.Time
+}
+
+// latestAt returns the most that the clock of the store shows at a local time.
+func (c storeClock) latestAt(local time.Time) hoist.StoreTime {
+	// The reading was in whole milliseconds.
+	return c.shown + hoist.StoreTime(local.Sub(c.askedAt)+time.Millisecond)
+}
+
+// latestLocal returns the local time by which the clock of the store certainly shows t.
+func (c storeClock) latestLocal(t hoist.StoreTime) time.Time {
+	return c.readAt.Add(time.Duration(t - c.shown))
+}
+
+// accountRow is the row with the lease account as this host last read or wrote it.
+type accountRow struct {
+	store hoist.Store
+	// version is that of the row, 0 if there is none. isKnown is unset after a write that may
+	// have changed it.
+	version hoist.RowVersion
+	isKnown bool
+	clock   storeClock
+}
+
+// errNoStoreTime means that the store does not tell its time, without which no account can be
+// kept.
+var errNoStoreTime = merry.Wrap(hoist.ErrUnavailable, merry.AppendMessage("the store does not tell its time"))
+
+// read reads the row with the lease account. It returns the zero codec.LeaseRow if there is no
+// row, or none that can be decoded.
+func (r *accountRow) read(ctx context.Context, clock hoist.Clock) (codec.LeaseRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := clock.Now()
+	row, err := r.store.Get(ctx, keys.LeaseAccount)
+	if err != nil {
+		return codec.LeaseRow{}, err
+	}
+	if row.ReadAt == 0 {
+		return codec.LeaseRow{}, errNoStoreTime
+	}
+	r.version, r.isKnown = row.Version, true
+	r.clock = storeClock{shown: row.ReadAt, askedAt: asked, readAt: clock.Now()}
+	if row.Version == 0 {
+		return codec.LeaseRow{}, nil
+	}
+	found, err := codec.DecodeLeaseRow(row.Value)
+	if err != nil {
+		// An account that cannot be read tells nothing.
+		return codec.LeaseRow{}, nil
+	}
+	return found, nil
+}
+
+// refresh reads the row again if its version is not known or the reading of the store's clock
+// is too old.
+func (r *accountRow) refresh(ctx context.Context, clock hoist.Clock) error {
+	if r.isKnown && clock.Now().Sub(r.clock.readAt) <= storeClockAge {
+		return nil
+	}
+	_, err := r.read(ctx, clock)
+	return err
+}
+
+// isAccountOf reports whether an account is complete with regard to the grants of an owner:
+// that owner and all before it have granted leases only to workers that it lists as open.
+func isAccountOf(r codec.LeaseRow, previous rows.Owner) bool {
+	return previous.Term == 0 || previous.KeepsAccount && r.Term == hoist.Term(previous.Term)
+}
+
+// inheritedRow returns the account that a claim writes: that of the previous owner with the new
+// term. Its open entries stay open, as the next claim cannot know when this one took effect.
+func inheritedRow(r codec.LeaseRow, previous rows.Owner, term hoist.Term) codec.LeaseRow {
+	if !isAccountOf(r, previous) {
+		return codec.LeaseRow{Term: term, IsPartial: true}
+	}
+	r.Term = term
+	return r
+}
+
+// earlierAccount returns what a new owner knows about the leases of earlier ones. Leases that
+// may have been granted under open entries end at grantsEnd. Attempts without confirmation may
+// have got the longest lease, and end at longestEnd.
+func earlierAccount(r codec.LeaseRow, clock storeClock, now, grantsEnd, longestEnd time.Time) hoist.LeaseAccount {
+	out := hoist.LeaseAccount{IsPartial: r.IsPartial}
+	for _, e := range r.Workers {
+		confirmed, unconfirmed := clock.latestLocal(e.ConfirmedUntil), clock.latestLocal(e.UnconfirmedUntil)
+		if e.IsOpen {
+			confirmed, unconfirmed = later(confirmed, grantsEnd), later(unconfirmed, later(grantsEnd, longestEnd))
+		}
+		out.Workers = append(out.Workers, hoist.WorkerLease{
+			Worker: e.Worker, Incarnation: e.Incarnation, ConfirmedLeft: confirmed.Sub(now), UnconfirmedLeft: unconfirmed.Sub(now),
+		})
+	}
+	return out
+}
+
+// longestLeft returns the longest time that any lease of an account may be valid, or the given
+// time for an account that is partial.
+func longestLeft(a hoist.LeaseAccount, partial time.Duration) time.Duration {
+	if a.IsPartial {
+		return partial
+	}
+	var longest time.Duration
+	for _, w := range a.Workers {
+		longest = max(longest, w.ConfirmedLeft, w.UnconfirmedLeft)
+	}
+	return longest
+}
+
+// leaseRow converts an account to its row. The times left count from now.
+func leaseRow(a hoist.LeaseAccount, term hoist.Term, now hoist.StoreTime) codec.LeaseRow {
+	out := codec.LeaseRow{Term: term, IsPartial: a.IsPartial}
+	for _, w := range a.Workers {
+		out.Workers = append(out.Workers, codec.LeaseEntry{
+			Worker: w.Worker, Incarnation: w.Incarnation, IsOpen: w.IsOpen,
+			ConfirmedUntil: now + hoist.StoreTime(w.ConfirmedLeft), UnconfirmedUntil: now + hoist.StoreTime(w.UnconfirmedLeft),
+		})
+	}
+	return out
+}
+
+// EarlierAccount returns what is known about the leases of earlier owners, with the times left
+// from now.
+func (o *Ownership) EarlierAccount() hoist.LeaseAccount {
+	elapsed := o.clock.Now().Sub(o.claimedAt)
+	out := hoist.LeaseAccount{IsPartial: o.earlier.IsPartial}
+	for _, w := range o.earlier.Workers {
+		w.ConfirmedLeft -= elapsed
+		w.UnconfirmedLeft -= elapsed
+		out.Workers = append(out.Workers, w)
+	}
+	return out
+}
+
+// RecordLeases writes the lease account, with the times left from now. After an error, the
+// account in the store is this one or the one before it. Only one call at a time is allowed.
+func (o *Ownership) RecordLeases(ctx context.Context, a hoist.LeaseAccount) error {
+	r := o.account
+	if r == nil {
+		return nil
+	}
+	began := o.clock.Now()
+	if err := r.refresh(ctx, o.clock); err != nil {
+		return err
+	}
+	row := leaseRow(a, o.Term, r.clock.latestAt(began))
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	version, err := r.store.Commit(ctx, hoist.Transaction{
+		// Without the second precondition, a transaction that is carried out late could
+		// replace a later account.
+		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: o.Version}, {RowRef: keys.LeaseAccount, Version: r.version}},
+		Writes:        []hoist.Write{{RowRef: keys.LeaseAccount, Value: codec.EncodeLeaseRow(row)}},
+	})
+	if err != nil {
+		r.isKnown = false
+		return err
+	}
+	r.version = version
+	return nil
+}
+
+// SetFinalAccount sets the account that the release of the cell records. The owner grants no
+// leases any more and has no call in flight.
+func (o *Ownership) SetFinalAccount(a hoist.LeaseAccount) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.final, o.finalAt = &a, o.clock.Now()
+}
+
+// finalRow returns the row with the final account. It reports false if there is none, or the
+// store does not tell its time.
+func (o *Ownership) finalRow(ctx context.Context) (codec.LeaseRow, bool) {
+	o.mu.Lock()
+	final, finalAt := o.final, o.finalAt
+	o.mu.Unlock()
+	if final == nil || o.account == nil || o.account.refresh(ctx, o.clock) != nil {
+		return codec.LeaseRow{}, false
+	}
+	return leaseRow(*final, o.Term, o.account.clock.latestAt(finalAt)), true
+}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -22,7 +22,16 @@
 // worker that the later owner cannot reach may still accept requests of the stale
 // one. The leases that an owner grants therefore expire GrantTime after its last
 // renewal at the store, and the next owner considers an attempt on such a worker
-// ended only after that time, and after the longest lease that a worker accepts.
+// ended only after that time.
+//
+// # Lease account
+//
+// The owner records in the lease account which workers it may grant leases to, before it
+// grants the first one, and when the leases of all others expire, on the clock of the store.
+// The next owner continues the account, so that the time for which a worker has been lost
+// counts across owners. An owner that releases the cell records when each lease ends. Where
+// the account tells nothing, as after an owner of an earlier build, the next owner counts
+// the longest lease that a worker accepts from its claim.
 package claim
 
 import (
@@ -145,7 +154,15 @@
 	began := m.Clock.Now()
 	previous := m.observed.owner
 	term := hoist.Term(previous.Term) + hoist.TokensPerTerm
-	owner := rows.Owner{Host: string(m.Host), Epoch: int(m.Epoch), Addr: m.Addr, Term: int(term), Weight: int(m.Weight)}
+	account := &accountRow{store: m.Store}
+	stored, err := account.read(ctx, m.Clock)
+	if err != nil && !errors.Is(err, errNoStoreTime) {
+		events.ClaimFailed.Log(ctx, m.Log, "term", term, "why", reason, "error", err)
+		return nil, false
+	}
+	owner := m.ownerRow(term)
+	owner.KeepsAccount = err == nil
+	inherited := inheritedRow(stored, previous, term)
 	txn := hoist.Transaction{
 		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: m.observed.ownerVersion}},
 		Writes: []hoist.Write{
@@ -153,6 +170,10 @@
 			{RowRef: keys.Renewal, Value: codec.EncodeStoreRow(rows.Beat{Waiting: m.waiting()})},
 		},
 	}
+	if owner.KeepsAccount {
+		txn.Preconditions = append(txn.Preconditions, hoist.Precondition{RowRef: keys.LeaseAccount, Version: account.version})
+		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.LeaseAccount, Value: codec.EncodeLeaseRow(inherited)})
+	}
 	if reason != noOwner && !reason.replacesLiveOwner() {
 		// The claim must fail if the owner has renewed in the meantime.
 		txn.Preconditions = append(txn.Preconditions, hoist.Precondition{RowRef: keys.Renewal, Version: m.observed.renewalVersion})
@@ -172,34 +193,58 @@
 		return nil, false
 	}
 	now := m.Clock.Now()
-	leasesExpireAt := m.leasesExpireAt(reason, previous, now)
+	account.version = version
+	if !owner.KeepsAccount {
+		account = nil
+	}
+	grantsEnd, longestEnd := m.grantsEnd(reason, previous, now), m.longestEnd(previous, now)
+	leasesExpireAt := later(grantsEnd, longestEnd)
+	earlier := hoist.LeaseAccount{IsPartial: true}
+	if account != nil {
+		earlier = earlierAccount(inherited, account.clock, now, grantsEnd, longestEnd)
+	}
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
-		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", leasesExpireAt.Sub(now))
+		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", longestLeft(earlier, leasesExpireAt.Sub(now)),
+		"partial", earlier.IsPartial)
 	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
-	return &Ownership{Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, clock: m.Clock, renewed: began}, true
+	return &Ownership{
+		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, claimedAt: now, account: account,
+		clock: m.Clock, renewed: began,
+	}, true
 }
 
-// leasesExpireAt returns the time at which all leases that previous owners granted have
-// expired. An owner that has released the cell, or was an earlier process of this host,
-// grants no more; any other may grant leases until GrantTime after its last renewal,
-// which was before the next owner's claim. An address that refuses connections proves
-// nothing: the owner may be cut off from this host, or accept no new connections.
-//
-// A worker that restarted may hold the longest lease, from a request of the earlier owner that was
-// meant for its earlier incarnation and was on its way at the claim.
-func (m *Manager) leasesExpireAt(reason claimReason, previous rows.Owner, now time.Time) time.Time {
-	if previous.Term == 0 {
-		return now
-	}
-	longest := expiry(now.Add(earlierCallTime), cmp.Or(m.MaxLease, hoist.MaxLease))
+// ownerRow returns the row that names this host as the owner in a term.
+func (m *Manager) ownerRow(term hoist.Term) rows.Owner {
+	return rows.Owner{Host: string(m.Host), Epoch: int(m.Epoch), Addr: m.Addr, Term: int(term), Weight: int(m.Weight)}
+}
+
+// grantsEnd returns the time at which all leases that previous owners granted have expired,
+// unless a worker has taken one for the longest lease. An owner that has released the cell, or
+// was an earlier process of this host, grants no more; any other may grant leases until
+// GrantTime after its last renewal, which was before the next owner's claim. An address that
+// refuses connections proves nothing: the owner may be cut off from this host, or accept no new
+// connections.
+func (m *Manager) grantsEnd(reason claimReason, previous rows.Owner, now time.Time) time.Time {
 	switch {
+	case previous.Term == 0:
+		return now
 	case previous.Released || previous.Host == string(m.Host):
-		return later(longest, later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime)))
+		return later(expiry(now, LeaseTime), expiry(m.observed.ownedSince, GrantTime))
 	case reason.replacesLiveOwner():
-		return later(longest, expiry(now, GrantTime))
+		return expiry(now, GrantTime)
 	default:
-		return later(longest, expiry(m.observed.renewed, GrantTime))
+		return expiry(m.observed.renewed, GrantTime)
+	}
+}
+
+// longestEnd returns the time at which the longest lease has expired that a worker may have
+// taken: from a request of an earlier owner that was meant for its earlier incarnation and was
+// on its way at the claim.
+func (m *Manager) longestEnd(previous rows.Owner, now time.Time) time.Time {
+	if previous.Term == 0 {
+		return now
 	}
+	return expiry(now.Add(earlierCallTime), cmp.Or(m.MaxLease, hoist.MaxLease))
 }
 
 // expiry returns when a lease has expired for certain that was granted for the given
--- a/internal/core/claim/owner.go
+++ b/internal/core/claim/owner.go
@@ -16,9 +16,15 @@
 	// expect.
 	Version hoist.RowVersion
 	// EarlierLeasesExpire is when all leases of earlier owners have expired, on the clock
-	// of the manager.
+	// of the manager. It counts for workers of which the lease account tells nothing.
 	EarlierLeasesExpire time.Time
 
+	// earlier is the account of earlier owners at claimedAt.
+	earlier   hoist.LeaseAccount
+	claimedAt time.Time
+	// account is the row with the lease account; it is nil if none is recorded.
+	account *accountRow
+
 	// clock is the clock of EarlierLeasesExpire and of the renewals.
 	clock hoist.Clock
 
@@ -26,13 +32,17 @@
 	renewed        time.Time
 	renewalVersion hoist.RowVersion
 	cancel         context.CancelFunc
+	// final is the account that the release records, with the times left at finalAt.
+	final   *hoist.LeaseAccount
+	finalAt time.Time
 }
 
 // NewOwnership returns an ownership that was renewed at the given time of the system
-// clock. StepDown calls cancel.
+// clock, and records no lease account. StepDown calls cancel.
 func NewOwnership(term hoist.Term, version hoist.RowVersion, earlierLeasesExpire, renewed time.Time, cancel context.CancelFunc) *Ownership {
 	return &Ownership{
 		Term: term, Version: version, EarlierLeasesExpire: earlierLeasesExpire, clock: clock.System{}, renewed: renewed, cancel: cancel,
+		earlier: hoist.LeaseAccount{IsPartial: true},
 	}
 }
 
--- a/internal/core/claim/renew.go
+++ b/internal/core/claim/renew.go
@@ -82,17 +82,21 @@
 	return out
 }
 
-// release marks the cell as released. If that cannot be recorded, the other hosts
+// release marks the cell as released, and records the final lease account. If that cannot be recorded, the other hosts
 // take over once the owner counts as unresponsive.
 func (m *Manager) release(o *Ownership) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	owner := rows.Owner{Host: string(m.Host), Epoch: int(m.Epoch), Addr: m.Addr, Term: int(o.Term), Weight: int(m.Weight), Released: true}
-	_, err := m.Store.Commit(ctx, hoist.Transaction{
+	owner := m.ownerRow(o.Term)
+	owner.Released, owner.KeepsAccount = true, o.account != nil
+	txn := hoist.Transaction{
 		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: o.Version}},
 		Writes:        []hoist.Write{{RowRef: keys.Owner, Value: codec.EncodeStoreRow(owner)}},
-	})
-	if err != nil {
+	}
+	if account, ok := o.finalRow(ctx); ok {
+		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.LeaseAccount, Value: codec.EncodeLeaseRow(account)})
+	}
+	if _, err := m.Store.Commit(ctx, txn); err != nil {
 		events.LeaveFailed.Log(ctx, m.Log, "term", o.Term, "error", err)
 	}
 }
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -153,6 +153,7 @@
 	RunEndedLate         = register(632, slog.LevelWarn, "worker listed the end of an attempt that had counted as ended")
 	CheckpointsOmitted   = register(633, slog.LevelWarn, "state of a plan is recorded without some checkpoints, as it would not fit into a row")
 	WorkerRestarted      = register(634, slog.LevelInfo, "worker has restarted under its id")
+	AccountWriteFailed   = register(635, slog.LevelWarn, "lease account could not be written to the store")
 )
 
 // Events of teams: 640 to 659.
--- a/internal/core/keys/keys.go
+++ b/internal/core/keys/keys.go
@@ -19,6 +19,7 @@
 //	table  part   key          value
 //	cell   ""     owner        the host that owns the cell, and its term
 //	cell   ""     beat         the renewal row, which the owner writes regularly
+//	leases ""     account      the leases that workers may hold
 //	cell   <part> fence        the owner and its term
 //	hosts  ""     <host>       the address of a host for the other hosts
 //	plans  <part> <id>         an accepted plan, until it has ended and nothing runs
@@ -40,6 +41,7 @@
 // Names of the tables.
 const (
 	Cell   hoist.TableName = "cell"
+	Leases hoist.TableName = "leases"
 	Hosts  hoist.TableName = "hosts"
 	Plans  hoist.TableName = "plans"
 	States hoist.TableName = "states"
@@ -49,6 +51,9 @@
 var (
 	Owner   = hoist.RowRef{Table: Cell, Key: "owner"}
 	Renewal = hoist.RowRef{Table: Cell, Key: "beat"}
+	// LeaseAccount has a table of its own, as hosts that follow the owner read the whole
+	// table of the cell.
+	LeaseAccount = hoist.RowRef{Table: Leases, Key: "account"}
 )
 
 const (
--- /dev/null
+++ b/internal/core/plans/account.go
@@ -0,0 +1,82 @@
+package plans
+
+import (
+	"context"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/core/events"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
+)
+
+const (
+	// accountInterval is the interval at which workers without an answer are looked for, which
+	// the account then lists as closed.
+	accountInterval = 400 * time.Millisecond
+	// accountGather is how long further workers are waited for once one has answered, so that
+	// one transaction opens all of them.
+	accountGather = 4 * time.Millisecond
+	// openingWait is how long a poll is delayed until the account that opens its worker is
+	// recorded, so that it can bring a lease.
+	openingWait = 300 * time.Millisecond
+)
+
+// accountLoop records the lease account when it changes. While the store does not answer,
+// workers that are listed as open go on getting leases.
+func (d *Driver) accountLoop(ctx context.Context) {
+	for {
+		d.recordAccount(ctx)
+		if !clock.SleepOr(ctx, accountInterval, d.accountDue) || !clock.Sleep(ctx, accountGather) {
+			return
+		}
+	}
+}
+
+func (d *Driver) recordAccount(ctx context.Context) {
+	var record sched.AccountRecord
+	isDue := false
+	d.update(ctx, workAccount, func() { record, isDue = d.scheduler.TakeAccount(d.Clock.Now()) })
+	if !isDue {
+		return
+	}
+	if err := d.Claim.RecordLeases(ctx, record.Account); err != nil {
+		if ctx.Err() == nil {
+			events.AccountWriteFailed.Log(ctx, d.Log, "term", d.Claim.Term, "workers", len(record.Account.Workers), "error", err)
+			clock.Sleep(ctx, retryDelay)
+			clock.Signal(d.accountDue)
+		}
+		return
+	}
+	d.update(ctx, workAccount, func() {
+		d.scheduler.MarkAccountRecorded(record)
+		close(d.accountRecorded)
+		d.accountRecorded = make(chan struct{})
+	})
+	d.requestPass()
+}
+
+// awaitOpening waits until the account is recorded that lists a worker as open, for at most
+// openingWait.
+func (d *Driver) awaitOpening(ctx context.Context, id hoist.WorkerID) {
+	deadline := d.Clock.Now().Add(openingWait)
+	for ctx.Err() == nil {
+		isWaiting, left := false, deadline.Sub(d.Clock.Now())
+		var recorded <-chan struct{}
+		d.update(ctx, workPoll, func() {
+			isWaiting = left > 0 && d.scheduler.AwaitsOpening(id)
+			recorded = d.accountRecorded
+		})
+		if !isWaiting {
+			return
+		}
+		clock.SleepOr(ctx, left, recorded)
+	}
+}
+
+// setFinalAccount passes the account of this owner, which has ended, to the release of the cell.
+func (d *Driver) setFinalAccount(ctx context.Context) {
+	d.update(ctx, workAccount, func() {
+		d.Claim.SetFinalAccount(d.scheduler.FinalAccount(d.Clock.Now()))
+	})
+}
--- a/internal/core/plans/driver.go
+++ b/internal/core/plans/driver.go
@@ -10,8 +10,8 @@
 //
 // # Concurrency
 //
-// One goroutine runs the scheduling passes, one follows the registry and one the
-// table of plans. Each part of the store has a goroutine that records states, and
+// One goroutine runs the scheduling passes, one follows the registry, one the
+// table of plans, and one records the lease account. Each part of the store has a goroutine that records states, and
 // each worker has one that polls it, itself or through a relay; each relay has one that
 // pings it. A start, a stop or a request for advice has a
 // goroutine until it is answered. One mutex guards the scheduler; it is not held
@@ -136,7 +136,11 @@
 	// recordDue has a flag for each part, which is set when states of its plans may
 	// have to be recorded.
 	recordDue map[hoist.PartName]chan struct{}
-	ended     []endedPlan
+	// accountDue is a flag that is set when the lease account may have to be recorded, and
+	// accountRecorded is closed and replaced once it was.
+	accountDue      chan struct{}
+	accountRecorded chan struct{}
+	ended           []endedPlan
 	// endedIn holds the parts of the plans in ended. A change of the table that
 	// arrives late must not start such a plan again.
 	endedIn map[hoist.JobID]hoist.PartName
@@ -169,8 +173,10 @@
 	wg.Go(func() { d.Guard.Loop(ctx, workRelay, func() { d.reassignLoop(ctx) }) })
 	wg.Go(func() { d.Guard.Loop(ctx, workPlans, func() { d.plansLoop(ctx) }) })
 	wg.Go(func() { d.Guard.Loop(ctx, workPass, func() { d.passLoop(ctx) }) })
+	wg.Go(func() { d.Guard.Loop(ctx, workAccount, func() { d.accountLoop(ctx) }) })
 	wg.Wait()
 	d.calls.Wait()
+	d.setFinalAccount(ctx)
 	if d.Metrics != nil {
 		d.Metrics.SetTeams(nil)
 	}
@@ -181,6 +187,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.scheduler = sched.NewScheduler(d.Claim.Term, d.Clock.Now().Add(d.Claim.EarlierLeasesLeft()))
+	d.scheduler.SetAccount(d.Claim.EarlierAccount(), d.Clock.Now())
 	if d.RemoteFactor > 0 {
 		d.scheduler.RemoteFactor = d.RemoteFactor
 	}
@@ -214,6 +221,7 @@
 		d.recordDue[part] = make(chan struct{}, 1)
 	}
 	d.passDue = make(chan struct{}, 1)
+	d.accountDue, d.accountRecorded = make(chan struct{}, 1), make(chan struct{})
 	d.restored = make(chan struct{})
 }
 
--- a/internal/core/plans/polls.go
+++ b/internal/core/plans/polls.go
@@ -35,6 +35,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		d.awaitRecorded(ctx, id, l)
+		d.awaitOpening(ctx, id)
 		call := d.newPollCall(ctx, id, l)
 		if d.poll(ctx, id, l, call) {
 			failures = 0
@@ -95,7 +96,7 @@
 		if call.lease.Until > 0 {
 			l.openLease = call.lease
 		}
-		if !d.scheduler.HasUnrecordedEnds(id) {
+		if !d.scheduler.HasUnrecordedEnds(id) && !d.scheduler.AwaitsOpening(id) {
 			// If ends are listed, the worker answers at once instead of waiting.
 			call.request.Wait = pollWait
 			if d.losses.isLossy(now) {
@@ -149,7 +150,14 @@
 	case <-d.restored:
 	}
 	isAccepted := false
-	d.update(ctx, workPoll, func() { isAccepted = d.applyReport(ctx, id, l, call, report, now) })
+	awaitsOpening := false
+	d.update(ctx, workPoll, func() {
+		isAccepted = d.applyReport(ctx, id, l, call, report, now)
+		awaitsOpening = d.scheduler.AwaitsOpening(id)
+	})
+	if awaitsOpening {
+		clock.Signal(d.accountDue)
+	}
 	d.requestPass()
 	return isAccepted
 }
--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -24,6 +24,7 @@
 	workRemove   guard.Work = "remove"
 	workRelay    guard.Work = "relay"
 	workExplain  guard.Work = "explain"
+	workAccount  guard.Work = "account"
 )
 
 // update runs f while no one else uses the scheduler or the fields that d.mu guards. It
--- /dev/null
+++ b/internal/decide/sched/account.go
@@ -0,0 +1,149 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// closeDelay is how long a worker gives no answer before the account lists it as closed. A
+// single lost poll is repeated sooner.
+const closeDelay = 500 * time.Millisecond
+
+// longestPoll bounds how long a poll that was cancelled may be on its way.
+const longestPoll = 2 * time.Second
+
+// account is the state of the lease account; see hoist.LeaseAccount.
+type account struct {
+	// isPartial tells that workers without an entry in the earlier account may hold leases until
+	// earlierLeasesExpire.
+	isPartial bool
+	// isDirty is set while an account has to be recorded.
+	isDirty bool
+}
+
+// AccountRecord is an account to record.
+type AccountRecord struct {
+	Account hoist.LeaseAccount
+	// opened holds the workers that it opens, with their openChange.
+	opened map[hoist.WorkerID]uint64
+}
+
+// SetAccount sets what earlier owners have recorded about leases. From then on, a worker gets
+// leases only once it is listed as open in a recorded account. Call it before workers and plans
+// are added.
+func (sc *Scheduler) SetAccount(a hoist.LeaseAccount, now time.Time) {
+	sc.account = &account{isPartial: a.IsPartial, isDirty: true}
+	for _, e := range a.Workers {
+		w := sc.ensureWorker(e.Worker)
+		w.leaseExpiresAt, w.unconfirmedUntil = now.Add(e.ConfirmedLeft), now.Add(e.UnconfirmedLeft)
+		w.recordedIncarnation = e.Incarnation
+	}
+}
+
+// closeWorker keeps a worker from getting leases until a new account lists it as open: the
+// account in the store does not tell of its incarnation, or of a lease that it may hold.
+func (sc *Scheduler) closeWorker(w *Worker) {
+	if sc.account == nil {
+		return
+	}
+	w.isOpen = false
+	w.openChange++
+}
+
+// AwaitsOpening reports whether a worker could get leases but for the account.
+func (sc *Scheduler) AwaitsOpening(id hoist.WorkerID) bool {
+	w, ok := sc.workers[id]
+	return ok && w.awaitsOpening()
+}
+
+func (w *Worker) awaitsOpening() bool {
+	return !w.isOpen && w.isConfirmed && !w.awaitsReport && !w.reading.at.IsZero()
+}
+
+// TakeAccount returns the account to record. It reports false if the one that was recorded last
+// is still good. Workers without an answer get no leases from now on.
+func (sc *Scheduler) TakeAccount(now time.Time) (AccountRecord, bool) {
+	if sc.account == nil {
+		return AccountRecord{}, false
+	}
+	r := AccountRecord{opened: make(map[hoist.WorkerID]uint64)}
+	for id, w := range sc.workers {
+		if w.isOpen && w.awaitsReport && now.Sub(w.silentAt) >= closeDelay {
+			sc.closeWorker(w)
+			sc.account.isDirty = true
+		}
+		if w.awaitsOpening() {
+			r.opened[id] = w.openChange
+			sc.account.isDirty = true
+		}
+	}
+	if !sc.account.isDirty {
+		return AccountRecord{}, false
+	}
+	r.Account = sc.leaseAccount(r.opened, now)
+	return r, true
+}
+
+// MarkAccountRecorded records that an account is in the store.
+func (sc *Scheduler) MarkAccountRecorded(r AccountRecord) {
+	sc.account.isDirty = false
+	for id, change := range r.opened {
+		if w, ok := sc.workers[id]; ok && w.openChange == change {
+			w.isOpen = true
+		}
+	}
+}
+
+// FinalAccount returns the account once this owner has ended: no call is in flight, and no
+// worker gets leases any more.
+func (sc *Scheduler) FinalAccount(now time.Time) hoist.LeaseAccount {
+	for _, w := range sc.workers {
+		if w.isOpen {
+			// A poll that was cancelled may still reach another incarnation.
+			w.unconfirmedUntil = latest(w.unconfirmedUntil, now.Add(onSlowClock(sc.MaxLease+longestPoll)))
+			sc.closeWorker(w)
+		}
+	}
+	return sc.leaseAccount(nil, now)
+}
+
+// leaseAccount returns the account in which the given workers are open, beside those that
+// already are.
+func (sc *Scheduler) leaseAccount(opened map[hoist.WorkerID]uint64, now time.Time) hoist.LeaseAccount {
+	out := hoist.LeaseAccount{IsPartial: sc.account.isPartial && now.Before(sc.earlierLeasesExpire)}
+	for id, w := range sc.workers {
+		_, isOpened := opened[id]
+		out.Workers = append(out.Workers, hoist.WorkerLease{
+			Worker: id, Incarnation: w.lastIncarnation(), IsOpen: w.isOpen || isOpened,
+			ConfirmedLeft:   max(0, w.leaseExpiresAt.Sub(now)),
+			UnconfirmedLeft: max(0, latest(w.unconfirmedUntil, sc.unseenUntil(w)).Sub(now)),
+		})
+	}
+	slices.SortFunc(out.Workers, func(x, y hoist.WorkerLease) int { return cmp.Compare(x.Worker, y.Worker) })
+	return out
+}
+
+// lastIncarnation returns the incarnation that has answered this owner last, or that the earlier
+// account lists.
+func (w *Worker) lastIncarnation() hoist.Incarnation {
+	if w.incarnationPolledAt.IsZero() {
+		return w.recordedIncarnation
+	}
+	return w.incarnation
+}
+
+// setConfirmed records that the worker has confirmed the current attempt. The next owner of the
+// cell waits for such an attempt no longer than for the leases in the account, so the state of
+// a long-running task is recorded soon.
+func (t *Task) setConfirmed() {
+	if t.isConfirmed || !t.Worker.isOpen {
+		return
+	}
+	t.isConfirmed = true
+	if t.StepTasks.Step.IsLongRunning {
+		t.StepTasks.Job.markChanged()
+	}
+}
--- a/internal/decide/sched/lease.go
+++ b/internal/decide/sched/lease.go
@@ -58,11 +58,11 @@
 	return w.reading.clock + hoist.WorkerClock(elapsed) - hoist.WorkerClock(clockResolution)
 }
 
-// mayGrant reports whether a worker may get a lease: its clock is known, it has not restarted
-// since that was read as far as is known, and no start may still arrive that it must not carry
-// out.
+// mayGrant reports whether a worker may get a lease: the account lists it as open, its clock is
+// known, it has not restarted since that was read as far as is known, and no start may still
+// arrive that it must not carry out.
 func (sc *Scheduler) mayGrant(w *Worker) bool {
-	return !w.awaitsReport && !w.reading.at.IsZero() && !w.isDoubted()
+	return w.isOpen && !w.awaitsReport && !w.reading.at.IsZero() && !w.isDoubted()
 }
 
 // extendLease records that the attempts on a worker may run until a time has passed on
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -36,6 +36,7 @@
 	switch {
 	case err == nil || isConfirmed:
 		t.isStartInDoubt = false
+		t.setConfirmed()
 		t.setArriving(false)
 		if t.Phase == Starting {
 			t.Phase = Running
@@ -147,7 +148,8 @@
 	earlier := w.incarnation
 	w.incarnation, w.incarnationPolledAt = reported, polledAt
 	if isFirst {
-		if now.Before(sc.earlierLeasesExpire) {
+		isKnown := reported != 0 && reported == w.recordedIncarnation
+		if !isKnown && now.Before(w.unconfirmedUntil) {
 			// The worker may hold a lease of an earlier owner on the clock of another incarnation.
 			sc.countLongestLease(w, now)
 		}
@@ -227,6 +229,7 @@
 		}
 		found[t] = true
 		t.isStartInDoubt = false
+		t.setConfirmed()
 		t.setArriving(false)
 		t.measurement = status.Measurement
 		t.keepCheckpoint(status.Saved)
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	s := sched.NewScheduler(term, earlierLeasesExpire)
+//	s.SetAccount(account, now) // workers then get leases once an account of s.Account is recorded
 //	s.SetWorkers(entries, now)
 //	s.SetTeams(configured) // before the first pass, and when the configuration changed
 //	s.Add(plan, version, now)
@@ -99,8 +100,9 @@
 	// isArriving is set from the placement of an attempt until its start has certainly
 	// arrived, also if an earlier owner sent it. Use setArriving.
 	isArriving bool
-	// isRecovered is set for an attempt that an earlier owner started.
-	isRecovered bool
+	// isRecovered is set for an attempt that an earlier owner started, and isConfirmed once
+	// the worker has confirmed the attempt in an incarnation that the lease account lists.
+	isRecovered, isConfirmed bool
 	// failedWorkers are the workers that the task failed on.
 	failedWorkers []hoist.WorkerID
 	// isSuperseded is set for an attempt that must be stopped because an earlier
@@ -289,6 +291,8 @@
 	// expired. Recovered attempts on workers that stay unreachable are
 	// considered ended from then on.
 	earlierLeasesExpire time.Time
+	// account is the state of the lease account; it is nil if none is recorded.
+	account *account
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// MaxReportedEnds is the most ends that a worker lists in one report.
@@ -492,7 +496,7 @@
 // attempt at it needs.
 func (sc *Scheduler) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
 	t.Phase, t.Worker, t.Attempt, t.phaseSince = phase, w, attempt, now
-	t.isRecovered, t.isStartInDoubt = phase == Recovered, false
+	t.isRecovered, t.isConfirmed, t.isStartInDoubt = phase == Recovered, false, false
 	t.stop = stopState{}
 	t.StepTasks.waiting--
 	t.StepTasks.Job.placed++
@@ -551,7 +555,7 @@
 func (sc *Scheduler) supersede(t *Task) {
 	old := &Task{
 		StepTasks: t.StepTasks, Index: t.Index, Phase: Stopping, Attempt: t.Attempt, Worker: t.Worker, phaseSince: t.phaseSince, isSuperseded: true,
-		isStartInDoubt: t.isStartInDoubt, isArriving: t.isArriving,
+		isStartInDoubt: t.isStartInDoubt, isArriving: t.isArriving, isRecovered: t.isRecovered, isConfirmed: t.isConfirmed,
 	}
 	t.isArriving = false
 	delete(t.Worker.tasks, t)
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -103,13 +103,30 @@
 // request of another session or owner.
 func (sc *Scheduler) countLongestLease(w *Worker, since time.Time) {
 	w.extendLease(since, sc.MaxLease+longestCall)
+	sc.closeWorker(w)
 }
 
 // mayRunUnseen reports whether an attempt may run on another incarnation of its worker than
 // the one whose lease is known: its start, or a lease, got no answer, and may have reached a
 // worker that has restarted.
 func (sc *Scheduler) mayRunUnseen(t *Task, now time.Time) bool {
-	return t.isStartInDoubt && now.Before(t.Worker.lostRequestAt.Add(onSlowClock(sc.MaxLease+longestCall)))
+	switch {
+	case t.isStartInDoubt:
+		return now.Before(sc.unseenUntil(t.Worker))
+	case t.isRecovered && !t.isConfirmed:
+		return now.Before(t.Worker.unconfirmedUntil)
+	default:
+		return false
+	}
+}
+
+// unseenUntil returns when attempts of this owner have certainly ended whose start, or a lease
+// of whose worker, got no answer.
+func (sc *Scheduler) unseenUntil(w *Worker) time.Time {
+	if w.lostRequestAt.IsZero() {
+		return time.Time{}
+	}
+	return w.lostRequestAt.Add(onSlowClock(sc.MaxLease + longestCall))
 }
 
 // forget removes a worker of which nothing is known that matters. If it comes back, its
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -98,7 +98,9 @@
 			continue
 		}
 		if t.IsPlaced() {
-			out.Placed = append(out.Placed, hoist.PlacedRun{Index: t.Index, Attempt: t.Attempt, Worker: t.Worker.entry.Worker})
+			out.Placed = append(out.Placed, hoist.PlacedRun{
+				Index: t.Index, Attempt: t.Attempt, Worker: t.Worker.entry.Worker, IsConfirmed: t.isConfirmed,
+			})
 		}
 		for _, a := range t.Failed {
 			out.Failed = append(out.Failed, hoist.FailedRun{Index: t.Index, Attempt: a})
@@ -172,6 +174,7 @@
 	for _, p := range s.Placed {
 		if isIndex(p.Index) && step.Tasks[p.Index].Phase == Waiting {
 			sc.place(step.Tasks[p.Index], sc.ensureWorker(p.Worker), p.Attempt, Recovered, now)
+			step.Tasks[p.Index].isConfirmed = p.IsConfirmed
 			if step.Job.Phase.IsFinal() {
 				sc.endAttempt(step.Tasks[p.Index], now)
 			}
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -68,8 +68,16 @@
 	// leaseExpiresAt is when all attempts on the worker have certainly ended
 	// unless the lease is renewed.
 	leaseExpiresAt time.Time
-	ends           endLog
-	health         health
+	// unconfirmedUntil is when attempts of earlier owners have certainly ended that the worker
+	// had not confirmed, and recordedIncarnation is that of the earlier account.
+	unconfirmedUntil    time.Time
+	recordedIncarnation hoist.Incarnation
+	// isOpen is set while the recorded account lists the worker as open, and openChange counts
+	// how often that was reset.
+	isOpen     bool
+	openChange uint64
+	ends       endLog
+	health     health
 }
 
 // endLog tracks which ends of a worker may be acknowledged.
@@ -120,7 +128,7 @@
 		if w.isListed && w.entry.IsLeaving {
 			sc.drain(w, now)
 		}
-		if !w.isListed && !w.isOccupied() && len(w.doubts.byRun) == 0 && !now.Before(w.leaseExpiresAt) {
+		if !w.isListed && !w.isOccupied() && len(w.doubts.byRun) == 0 && !now.Before(latest(w.leaseExpiresAt, w.unconfirmedUntil)) {
 			sc.forget(w)
 		}
 	}
@@ -151,7 +159,10 @@
 		w = &Worker{
 			entry: hoist.WorkerEntry{Worker: id},
 			tasks: make(map[*Task]bool), orphans: make(map[hoist.TaskRun]time.Time),
-			leaseExpiresAt: sc.earlierLeasesExpire, session: sc.firstSession,
+			session: sc.firstSession, isOpen: sc.account == nil,
+		}
+		if sc.account == nil || sc.account.isPartial {
+			w.leaseExpiresAt, w.unconfirmedUntil = sc.earlierLeasesExpire, sc.earlierLeasesExpire
 		}
 		w.health.runTimeRatio = 1
 		sc.workers[id] = w
@@ -260,7 +271,7 @@
 
 // isUsable reports whether tasks may start on the worker, whatever they need.
 func (w *Worker) isUsable(now time.Time) bool {
-	return w.isListed && w.isConfirmed && !w.awaitsReport && !w.entry.IsLeaving && len(w.orphans) == 0 && !w.isDoubted() &&
+	return w.isListed && w.isConfirmed && !w.awaitsReport && w.isOpen && !w.entry.IsLeaving && len(w.orphans) == 0 && !w.isDoubted() &&
 		now.Sub(w.lastPolledAt) <= maxReportAge && !now.Before(w.health.backoffUntil)
 }
 
--- a/internal/fake/memory/memory.go
+++ b/internal/fake/memory/memory.go
@@ -74,8 +74,9 @@
 	defer s.mu.Unlock()
 	row, ok := s.rows[ref]
 	if !ok {
-		return hoist.StoredRow{RowRef: ref}, nil
+		row = hoist.StoredRow{RowRef: ref}
 	}
+	row.ReadAt = hoist.StoreTime(time.Now().UnixNano())
 	return row, nil
 }
 
--- /dev/null
+++ b/internal/proto/codec/leases.go
@@ -0,0 +1,85 @@
+package codec
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+// LeaseRow is the value of the row with the lease account, with the times of the store's clock.
+type LeaseRow struct {
+	// Term is that of the owner that has written the row.
+	Term hoist.Term
+	// IsPartial tells that workers without an entry may hold leases as well.
+	IsPartial bool
+	Workers   []LeaseEntry
+}
+
+// LeaseEntry is the entry of a worker; see hoist.WorkerLease.
+type LeaseEntry struct {
+	Worker                           hoist.WorkerID
+	Incarnation                      hoist.Incarnation
+	IsOpen                           bool
+	ConfirmedUntil, UnconfirmedUntil hoist.StoreTime
+}
+
+// EncodeLeaseRow encodes the lease account. An account that does not fit into a row is encoded
+// as a partial one without entries, from which the next owner learns nothing.
+func EncodeLeaseRow(r LeaseRow) []byte {
+	value := EncodeStoreRow(leaseAccount(r))
+	if len(value) <= MaxStateBytes {
+		return value
+	}
+	return EncodeStoreRow(leaseAccount(LeaseRow{Term: r.Term, IsPartial: true}))
+}
+
+func leaseAccount(r LeaseRow) rows.LeaseAccount {
+	out := rows.LeaseAccount{
+		Term: int(r.Term), Partial: r.IsPartial,
+		Workers: []string{}, Incarnations: []int{}, Open: []int{}, ConfirmedUntilMs: []int{}, UnconfirmedUntilMs: []int{},
+	}
+	for _, e := range r.Workers {
+		open := 0
+		if e.IsOpen {
+			open = 1
+		}
+		out.Workers = append(out.Workers, string(e.Worker))
+		out.Incarnations = append(out.Incarnations, int(e.Incarnation))
+		out.Open = append(out.Open, open)
+		out.ConfirmedUntilMs = append(out.ConfirmedUntilMs, ceilMillis(e.ConfirmedUntil))
+		out.UnconfirmedUntilMs = append(out.UnconfirmedUntilMs, ceilMillis(e.UnconfirmedUntil))
+	}
+	return out
+}
+
+// ceilMillis returns the first whole millisecond that is not before t.
+func ceilMillis(t hoist.StoreTime) int {
+	return int((time.Duration(t) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// DecodeLeaseRow decodes the lease account. It returns hoist.ErrInvalid if value is not a
+// valid encoding.
+func DecodeLeaseRow(value []byte) (LeaseRow, error) {
+	r, err := DecodeStoreRow[rows.LeaseAccount](value)
+	if err != nil {
+		return LeaseRow{}, err
+	}
+	n := len(r.Workers)
+	for _, list := range [][]int{r.Incarnations, r.Open, r.ConfirmedUntilMs, r.UnconfirmedUntilMs} {
+		if len(list) != n {
+			return LeaseRow{}, merry.Wrap(hoist.ErrInvalid, merry.AppendMessagef("lists of a lease account have %d and %d elements", n, len(list)))
+		}
+	}
+	out := LeaseRow{Term: hoist.Term(r.Term), IsPartial: r.Partial}
+	for i, id := range r.Workers {
+		out.Workers = append(out.Workers, LeaseEntry{
+			Worker: hoist.WorkerID(id), Incarnation: hoist.Incarnation(r.Incarnations[i]), IsOpen: r.Open[i] != 0,
+			ConfirmedUntil:   hoist.StoreTime(durationFromMillis(r.ConfirmedUntilMs[i])),
+			UnconfirmedUntil: hoist.StoreTime(durationFromMillis(r.UnconfirmedUntilMs[i])),
+		})
+	}
+	return out, nil
+}
--- a/internal/proto/codec/plan.go
+++ b/internal/proto/codec/plan.go
@@ -198,7 +198,7 @@
 	return rows.StepState{
 		Occurrence: int(s.Occurrence), Step: int(s.Step), Done: s.Done,
 		Placed: Map(s.Placed, func(p hoist.PlacedRun) rows.Placed {
-			return rows.Placed{Index: p.Index, Attempt: int(p.Attempt), Worker: string(p.Worker)}
+			return rows.Placed{Index: p.Index, Attempt: int(p.Attempt), Worker: string(p.Worker), Confirmed: p.IsConfirmed}
 		}),
 		Failed: Map(s.Failed, func(f hoist.FailedRun) rows.Failed {
 			return rows.Failed{Index: f.Index, Attempt: int(f.Attempt)}
@@ -213,7 +213,9 @@
 	return hoist.StepState{
 		Occurrence: hoist.Occurrence(r.Occurrence), Step: hoist.StepNo(r.Step), Done: r.Done,
 		Placed: Map(r.Placed, func(p rows.Placed) hoist.PlacedRun {
-			return hoist.PlacedRun{Index: p.Index, Attempt: hoist.AttemptNo(p.Attempt), Worker: hoist.WorkerID(p.Worker)}
+			return hoist.PlacedRun{
+				Index: p.Index, Attempt: hoist.AttemptNo(p.Attempt), Worker: hoist.WorkerID(p.Worker), IsConfirmed: p.Confirmed,
+			}
 		}),
 		Failed: Map(r.Failed, func(f rows.Failed) hoist.FailedRun {
 			return hoist.FailedRun{Index: f.Index, Attempt: hoist.AttemptNo(f.Attempt)}
--- a/internal/proto/rows/rows.gen.go
+++ b/internal/proto/rows/rows.gen.go
@@ -104,6 +104,31 @@
 	Weight int `json:"weight"`
 }
 
+// The leases that workers may hold. The lists have one element for each worker;
+// times are those of the store's clock.
+type LeaseAccount struct {
+	// When the leases of confirmed attempts expire.
+	ConfirmedUntilMs []int `json:"confirmed-until-ms"`
+
+	// Incarnations corresponds to the JSON schema field "incarnations".
+	Incarnations []int `json:"incarnations"`
+
+	// 1 if leases may be granted, else 0.
+	Open []int `json:"open"`
+
+	// Whether workers that are not listed may hold leases as well.
+	Partial bool `json:"partial"`
+
+	// The term of the owner that has written the row.
+	Term int `json:"term"`
+
+	// When those of attempts without confirmation expire.
+	UnconfirmedUntilMs []int `json:"unconfirmed-until-ms"`
+
+	// Workers corresponds to the JSON schema field "workers".
+	Workers []string `json:"workers"`
+}
+
 // The host that owns the cell.
 type Owner struct {
 	// Addr corresponds to the JSON schema field "addr".
@@ -115,6 +140,10 @@
 	// Host corresponds to the JSON schema field "host".
 	Host string `json:"host"`
 
+	// Whether the owner grants leases only to workers that its lease account lists as
+	// open.
+	KeepsAccount bool `json:"keeps-account,omitempty,omitzero"`
+
 	// Released corresponds to the JSON schema field "released".
 	Released bool `json:"released"`
 
@@ -165,6 +194,10 @@
 	// Attempt corresponds to the JSON schema field "attempt".
 	Attempt int `json:"attempt"`
 
+	// Whether the worker has confirmed the start in an incarnation that the lease
+	// account lists.
+	Confirmed bool `json:"confirmed,omitempty,omitzero"`
+
 	// Index corresponds to the JSON schema field "index".
 	Index int `json:"index"`
 
--- a/planstate.go
+++ b/planstate.go
@@ -38,6 +38,9 @@
 	Index   int
 	Attempt AttemptNo
 	Worker  WorkerID
+	// IsConfirmed tells that the worker has confirmed the start, in an incarnation that the
+	// lease account lists. The short form of a state leaves it out.
+	IsConfirmed bool
 }
 
 // FailedRun is an attempt that ended with a failure.
--- a/store.go
+++ b/store.go
@@ -27,6 +27,8 @@
 	Version RowVersion
 	// IsRemoved is set in changes for a row that no longer exists.
 	IsRemoved bool
+	// ReadAt is what the clock of the store showed when Get read the row.
+	ReadAt StoreTime
 }
 
 // Precondition requires a row to be at a version; 0 means that it does not exist.
@@ -58,7 +60,8 @@
 	// ErrOutcomeUnknown if it took effect or may still do so while its
 	// preconditions hold.
 	Commit(ctx context.Context, t Transaction) (RowVersion, error)
-	// Get returns a row. A row that does not exist has version 0.
+	// Get returns a row, with the time at which it was read if the store tells it. A row
+	// that does not exist has version 0.
 	Get(ctx context.Context, ref RowRef) (StoredRow, error)
 	// Scan returns the rows of a part of a table, and the newest version that
 	// the store had before the first of them was read.
