Test the lease account under faults of hosts and of the store

The property test of leases now grants them only while the account lists the worker as open, and compares what the next owner concludes from the account. Further tests cover releases, owners in a row, rows that tell nothing, transactions that are carried out late, and the size of the row.

--- /dev/null
+++ b/internal/core/claim/account_test.go
@@ -0,0 +1,251 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/core/claim"
+	"fuchsiahoist.example/hoist/internal/core/keys"
+	"fuchsiahoist.example/hoist/internal/fake/memory"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
+	"fuchsiahoist.example/hoist/internal/proto/rows"
+)
+
+// accountOwner is an owner of the cell that a test makes act.
+type accountOwner struct {
+	*claim.Ownership
+	t    *testing.T
+	stop func()
+}
+
+// own runs a host until it owns the cell. final is the account that its release records; nil
+// records none.
+func own(t *testing.T, store hoist.Store, id hoist.HostID, final *hoist.LeaseAccount) *accountOwner {
+	t.Helper()
+	h := newHosts(t)
+	m := h.newManager(id, 1, 400, store)
+	owned := make(chan *claim.Ownership, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.RunOwner = func(ctx context.Context, o *claim.Ownership) {
+		owned <- o
+		<-ctx.Done()
+		if final != nil {
+			o.SetFinalAccount(*final)
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		m.Run(ctx)
+	}()
+	return &accountOwner{Ownership: <-owned, t: t, stop: func() {
+		cancel()
+		<-ended
+	}}
+}
+
+// record records an account with one entry.
+func (o *accountOwner) record(w hoist.WorkerLease) {
+	o.t.Helper()
+	is.New(o.t).NoErr(o.RecordLeases(context.Background(), hoist.LeaseAccount{Workers: []hoist.WorkerLease{w}}))
+}
+
+// wantLeft fails the test unless the earlier account says that confirmed and other attempts on
+// a worker may run on for the given times, or at most claimTime longer.
+func (o *accountOwner) wantLeft(id hoist.WorkerID, confirmed, unconfirmed time.Duration) {
+	o.t.Helper()
+	account := o.EarlierAccount()
+	is.New(o.t).True(!account.IsPartial)
+	for _, w := range account.Workers {
+		if w.Worker == id {
+			if !isClose(w.ConfirmedLeft, confirmed) || !isClose(w.UnconfirmedLeft, unconfirmed) {
+				o.t.Fatalf("%s and %s are left on worker %s, expected %s and %s", w.ConfirmedLeft, w.UnconfirmedLeft, id, confirmed, unconfirmed)
+			}
+			return
+		}
+	}
+	o.t.Fatalf("the earlier account has no entry of worker %s", id)
+}
+
+// claimTime bounds the time until another host has claimed the cell, with the bound of the drift
+// and the margin that are added to leases.
+const claimTime = 2 * time.Second
+
+func isClose(d, least time.Duration) bool {
+	return d >= least && d <= least+claimTime
+}
+
+// killOwner makes an owner end without a release.
+func killOwner(o *accountOwner, link *memory.Link) {
+	link.SetError(hoist.ErrUnavailable)
+	o.stop()
+}
+
+// TestAccountAcrossOwners guards against an owner that counts leases anew which the account of
+// the earlier owners tells about.
+func TestAccountAcrossOwners(t *testing.T) {
+	const grantsLeft, longestLeft = claim.GrantTime, 12 * time.Second
+	closed := hoist.WorkerLease{Worker: "closed", Incarnation: 7, ConfirmedLeft: 5 * time.Second, UnconfirmedLeft: 8 * time.Second}
+	open := hoist.WorkerLease{Worker: "open", Incarnation: 8, IsOpen: true}
+	run := func(name string, test func(t *testing.T, store *memory.Store)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, &memory.Store{}) })
+		})
+	}
+	run("first owner of a cell", func(t *testing.T, store *memory.Store) {
+		o := own(t, store, "a", nil)
+		defer o.stop()
+		is.New(t).Equal(o.EarlierAccount(), hoist.LeaseAccount{})
+	})
+	run("owner releases the cell", func(t *testing.T, store *memory.Store) {
+		first := own(t, store, "a", &hoist.LeaseAccount{Workers: []hoist.WorkerLease{closed}})
+		first.record(open)
+		first.stop()
+		second := own(t, store, "b", nil)
+		defer second.stop()
+		second.wantLeft("closed", 4*time.Second, 7*time.Second)
+		is.New(t).Equal(len(second.EarlierAccount().Workers), 1) // the release replaced the open entry
+	})
+	run("owner is killed", func(t *testing.T, store *memory.Store) {
+		link := &memory.Link{Store: store}
+		first := own(t, link, "a", nil)
+		is.New(t).NoErr(first.RecordLeases(context.Background(), hoist.LeaseAccount{Workers: []hoist.WorkerLease{closed, open}}))
+		killOwner(first, link)
+		second := own(t, store, "b", nil)
+		defer second.stop()
+		second.wantLeft("closed", 2*time.Second, 5*time.Second) // a silent owner is replaced after 2.2 s
+		second.wantLeft("open", grantsLeft-3*time.Second, longestLeft)
+	})
+	run("owners are killed before they record an account", func(t *testing.T, store *memory.Store) {
+		first := own(t, store, "a", nil)
+		first.record(closed)
+		first.stop()
+		for _, id := range []hoist.HostID{"b", "c", "d"} {
+			o := own(t, store, id, nil)
+			o.stop()
+		}
+		last := own(t, store, "e", nil)
+		defer last.stop()
+		last.wantLeft("closed", 4*time.Second, 7*time.Second)
+	})
+	run("entry grows", func(t *testing.T, store *memory.Store) {
+		first := own(t, store, "a", nil)
+		first.record(closed)
+		first.record(hoist.WorkerLease{Worker: "closed", IsOpen: true, ConfirmedLeft: 20 * time.Second})
+		first.stop()
+		second := own(t, store, "b", nil)
+		defer second.stop()
+		second.wantLeft("closed", 19*time.Second, longestLeft)
+	})
+}
+
+// TestAccountThatTellsNothing guards against leases that are not counted because the account is
+// not that of the earlier owner, or cannot be read.
+func TestAccountThatTellsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// spoil changes the rows after an owner that has recorded a closed worker.
+		spoil func(t *testing.T, store *memory.Store)
+	}{
+		{"owner of an earlier build in between", func(t *testing.T, store *memory.Store) {
+			owner := rows.Owner{Host: "old", Addr: "old", Term: 5 * hoist.TokensPerTerm, Weight: 400, Released: true}
+			write(t, store, keys.Owner, codec.EncodeStoreRow(owner))
+		}},
+		{"row cannot be decoded", func(t *testing.T, store *memory.Store) { write(t, store, keys.LeaseAccount, []byte("[")) }},
+		{"lists of different lengths", func(t *testing.T, store *memory.Store) {
+			row := rows.LeaseAccount{Term: hoist.TokensPerTerm, Workers: []string{"w"}}
+			write(t, store, keys.LeaseAccount, codec.EncodeStoreRow(row))
+		}},
+		{"row is removed", func(t *testing.T, store *memory.Store) {
+			_, err := store.Commit(context.Background(), hoist.Transaction{Remove: []hoist.RowRef{keys.LeaseAccount}})
+			is.New(t).NoErr(err)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &memory.Store{}
+				first := own(t, store, "a", nil)
+				first.record(hoist.WorkerLease{Worker: "w", ConfirmedLeft: time.Second})
+				first.stop()
+				c.spoil(t, store)
+				second := own(t, store, "b", nil)
+				defer second.stop()
+				is := is.New(t)
+				is.Equal(second.EarlierAccount(), hoist.LeaseAccount{IsPartial: true})
+				is.True(second.EarlierLeasesLeft() > hoist.MaxLease)
+			})
+		})
+	}
+	t.Run("store does not tell its time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := timelessStore{&memory.Store{}}
+			first := own(t, store, "a", nil)
+			first.record(hoist.WorkerLease{Worker: "w", ConfirmedLeft: time.Second})
+			first.stop()
+			second := own(t, store, "b", nil)
+			defer second.stop()
+			is.New(t).Equal(second.EarlierAccount(), hoist.LeaseAccount{IsPartial: true})
+		})
+	})
+}
+
+// timelessStore is a store that does not tell its time.
+type timelessStore struct{ *memory.Store }
+
+// Get implements hoist.Store.
+func (s timelessStore) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
+	row, err := s.Store.Get(ctx, ref)
+	row.ReadAt = 0
+	return row, err
+}
+
+func write(t *testing.T, store *memory.Store, ref hoist.RowRef, value []byte) {
+	t.Helper()
+	_, err := store.Commit(context.Background(), hoist.Transaction{Writes: []hoist.Write{{RowRef: ref, Value: value}}})
+	is.New(t).NoErr(err)
+}
+
+// TestLateAccountHasNoEffect guards against an account that the store carries out late, in place
+// of a later one that opens a worker: the next owner would not wait for its leases.
+func TestLateAccountHasNoEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &delayingStore{Store: &memory.Store{}}
+		first := own(t, store, "a", nil)
+		first.record(hoist.WorkerLease{Worker: "w", IsOpen: true})
+		store.isDelaying.Store(true)
+		is.True(first.RecordLeases(context.Background(), hoist.LeaseAccount{Workers: []hoist.WorkerLease{{Worker: "w"}}}) != nil)
+		store.isDelaying.Store(false)
+		first.record(hoist.WorkerLease{Worker: "w", IsOpen: true})
+		is.Equal(len(store.delayed), 1)
+		_, err := store.Commit(context.Background(), store.delayed[0])
+		is.True(errors.Is(err, hoist.ErrConflict))
+		first.stop()
+	})
+}
+
+// delayingStore holds the transactions that write the lease account, and loses their answers,
+// while isDelaying is set.
+type delayingStore struct {
+	*memory.Store
+	isDelaying atomic.Bool
+	delayed    []hoist.Transaction
+}
+
+// Commit implements hoist.Store.
+func (s *delayingStore) Commit(ctx context.Context, t hoist.Transaction) (hoist.RowVersion, error) {
+	writesAccount := slices.ContainsFunc(t.Writes, func(w hoist.Write) bool { return w.RowRef == keys.LeaseAccount })
+	if s.isDelaying.Load() && writesAccount {
+		s.delayed = append(s.delayed, t)
+		return 0, hoist.ErrOutcomeUnknown
+	}
+	return s.Store.Commit(ctx, t)
+}
--- a/internal/core/claim/lease_test.go
+++ b/internal/core/claim/lease_test.go
@@ -37,8 +37,10 @@
 	slowStoreTime = 600 * time.Millisecond
 	// readingAge bounds how long before a lease is granted the clock of its worker was read.
 	readingAge = 2500 * time.Millisecond
-	// grantInterval is the interval at which an owner grants leases.
-	grantInterval = 20 * time.Millisecond
+	// grantInterval is the interval at which an owner grants leases, and changeInterval that
+	// at which it opens or closes the worker in the account.
+	grantInterval  = 20 * time.Millisecond
+	changeInterval = 1500 * time.Millisecond
 )
 
 // leaseCell runs hosts under faults, and records for each term when the last lease that its
@@ -135,20 +137,64 @@
 	return time.Now()
 }
 
-// runOwner grants leases as long as the ownership allows.
+// leaseWorker is the worker that all owners grant leases to.
+const leaseWorker = hoist.WorkerID("w")
+
+// runOwner grants leases to a worker as long as the ownership allows, and only while the account
+// lists it as open. It closes and opens the worker in turn.
 func (p *leaseProcess) runOwner(ctx context.Context, o *claim.Ownership) {
 	p.host.cell.recordOwner(o)
+	expires := earlierExpiry(o)
+	isOpen, changeAt := false, time.Now()
 	for ctx.Err() == nil {
+		if !time.Now().Before(changeAt) {
+			wantsOpen := !isOpen
+			isOpen = false
+			if p.record(ctx, o, wantsOpen, expires) {
+				isOpen = wantsOpen
+			}
+			changeAt = time.Now().Add(changeInterval)
+		}
 		left := min(claim.LeaseTime, o.GrantTimeLeft())
 		if p.isKilled() {
 			return
 		}
-		if left > 0 {
+		if left > 0 && isOpen {
 			// The clock of the worker runs 2% slow.
-			p.host.cell.recordLease(o.Term, time.Now().Add(left+(left+readingAge)/49))
+			until := time.Now().Add(left + (left+readingAge)/49)
+			p.host.cell.recordLease(o.Term, until)
+			if until.After(expires) {
+				expires = until
+			}
 		}
 		time.Sleep(grantInterval)
 	}
+	o.SetFinalAccount(leaseAccount(false, expires))
+}
+
+// record records the account, and reports whether the store has confirmed it.
+func (p *leaseProcess) record(ctx context.Context, o *claim.Ownership, isOpen bool, expires time.Time) bool {
+	return o.RecordLeases(ctx, leaseAccount(isOpen, expires)) == nil && !p.isKilled()
+}
+
+func leaseAccount(isOpen bool, expires time.Time) hoist.LeaseAccount {
+	left := max(0, time.Until(expires))
+	return hoist.LeaseAccount{Workers: []hoist.WorkerLease{
+		{Worker: leaseWorker, Incarnation: 1, IsOpen: isOpen, ConfirmedLeft: left, UnconfirmedLeft: left},
+	}}
+}
+
+// earlierExpiry returns when an owner considers the leases of earlier owners expired.
+func earlierExpiry(o *claim.Ownership) time.Time {
+	account := o.EarlierAccount()
+	if account.IsPartial && len(account.Workers) == 0 {
+		return o.EarlierLeasesExpire
+	}
+	var left time.Duration
+	for _, w := range account.Workers {
+		left = max(left, w.ConfirmedLeft)
+	}
+	return time.Now().Add(left)
 }
 
 func (p *leaseProcess) isKilled() bool {
@@ -278,7 +324,7 @@
 	if _, ok := c.expires[o.Term]; ok {
 		c.faults = append(c.faults, "two owners in one term")
 	}
-	c.expires[o.Term] = o.EarlierLeasesExpire
+	c.expires[o.Term] = earlierExpiry(o)
 }
 
 // recordLease records when a lease of an owner expires.
