End the leases of a killed owner when its host starts again

Cause: the next owner of the cell cannot know that a killed owner grants no more leases, and waits for 9.5 s after its last renewal. A process of the same host that has started since shows it: there is one process for each host id.

Change: the owner follows the table of hosts anyhow. An entry of the previous owner's host with a later epoch ends the leases under open entries with the lease of a worker, 6.4 s, after it was read. A host whose time of day was set back shows nothing, as its epoch is lower.

--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -100,18 +100,29 @@
 	return r
 }
 
-// earlierAccount returns what a new owner knows about the leases of earlier ones. Leases that
-// may have been granted under open entries end at grantsEnd. Attempts without confirmation may
-// have got the longest lease, and end at longestEnd.
-func earlierAccount(r codec.LeaseRow, clock storeClock, now, grantsEnd, longestEnd time.Time) hoist.LeaseAccount {
-	out := hoist.LeaseAccount{IsPartial: r.IsPartial}
-	for _, e := range r.Workers {
-		confirmed, unconfirmed := clock.latestLocal(e.ConfirmedUntil), clock.latestLocal(e.UnconfirmedUntil)
-		if e.IsOpen {
-			confirmed, unconfirmed = later(confirmed, grantsEnd), later(unconfirmed, later(grantsEnd, longestEnd))
+// earlierOwners is what an owner knows about those before it.
+type earlierOwners struct {
+	// previous is the owner before, which this host first saw own the cell at ownedSince.
+	previous   rows.Owner
+	ownedSince time.Time
+	// row is the account at the claim, with the clock of the store.
+	row   codec.LeaseRow
+	clock storeClock
+	// Leases that may have been granted under open entries end at grantsEnd. Attempts without
+	// confirmation may have got the longest lease, and end at longestEnd.
+	grantsEnd, longestEnd time.Time
+}
+
+// account returns the account at a time.
+func (e *earlierOwners) account(now time.Time) hoist.LeaseAccount {
+	out := hoist.LeaseAccount{IsPartial: e.row.IsPartial}
+	for _, entry := range e.row.Workers {
+		confirmed, unconfirmed := e.clock.latestLocal(entry.ConfirmedUntil), e.clock.latestLocal(entry.UnconfirmedUntil)
+		if entry.IsOpen {
+			confirmed, unconfirmed = later(confirmed, e.grantsEnd), later(unconfirmed, later(e.grantsEnd, e.longestEnd))
 		}
 		out.Workers = append(out.Workers, hoist.WorkerLease{
-			Worker: e.Worker, Incarnation: e.Incarnation, ConfirmedLeft: confirmed.Sub(now), UnconfirmedLeft: unconfirmed.Sub(now),
+			Worker: entry.Worker, Incarnation: entry.Incarnation, ConfirmedLeft: confirmed.Sub(now), UnconfirmedLeft: unconfirmed.Sub(now),
 		})
 	}
 	return out
@@ -145,14 +156,28 @@
 // EarlierAccount returns what is known about the leases of earlier owners, with the times left
 // from now.
 func (o *Ownership) EarlierAccount() hoist.LeaseAccount {
-	elapsed := o.clock.Now().Sub(o.claimedAt)
-	out := hoist.LeaseAccount{IsPartial: o.earlier.IsPartial}
-	for _, w := range o.earlier.Workers {
-		w.ConfirmedLeft -= elapsed
-		w.UnconfirmedLeft -= elapsed
-		out.Workers = append(out.Workers, w)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.earlier.account(o.clock.Now())
+}
+
+// RecordHostStart records that a process of a host has started. It reports whether leases of
+// earlier owners end sooner because of it: the process of the previous owner has ended, and it
+// grants no more.
+func (o *Ownership) RecordHostStart(host hoist.HostID, epoch hoist.Epoch) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := &o.earlier
+	if string(host) != e.previous.Host || int(epoch) <= e.previous.Epoch {
+		return false
 	}
-	return out
+	// The owner before the previous one may still act if that has recorded no account.
+	end := later(expiry(o.clock.Now(), LeaseTime), expiry(e.ownedSince, GrantTime))
+	if !end.Before(e.grantsEnd) {
+		return false
+	}
+	e.grantsEnd = end
+	return true
 }
 
 // RecordLeases writes the lease account, with the times left from now. After an error, the
--- a/internal/core/claim/account_test.go
+++ b/internal/core/claim/account_test.go
@@ -30,8 +30,13 @@
 // records none.
 func own(t *testing.T, store hoist.Store, id hoist.HostID, final *hoist.LeaseAccount) *accountOwner {
 	t.Helper()
-	h := newHosts(t)
-	m := h.newManager(id, 1, 400, store)
+	return follow(t, store, id, final)()
+}
+
+// follow runs a host, and returns a function that waits until it owns the cell.
+func follow(t *testing.T, store hoist.Store, id hoist.HostID, final *hoist.LeaseAccount) func() *accountOwner {
+	t.Helper()
+	m := newHosts(t).newManager(id, 1, 400, store)
 	owned := make(chan *claim.Ownership, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.RunOwner = func(ctx context.Context, o *claim.Ownership) {
@@ -46,10 +51,11 @@
 		defer close(ended)
 		m.Run(ctx)
 	}()
-	return &accountOwner{Ownership: <-owned, t: t, stop: func() {
+	stop := func() {
 		cancel()
 		<-ended
-	}}
+	}
+	return func() *accountOwner { return &accountOwner{Ownership: <-owned, t: t, stop: stop} }
 }
 
 // record records an account with one entry.
@@ -124,6 +130,25 @@
 		second.wantLeft("closed", 2*time.Second, 5*time.Second) // a silent owner is replaced after 2.2 s
 		second.wantLeft("open", grantsLeft-3*time.Second, longestLeft)
 	})
+	run("process of the killed owner's host starts again", func(t *testing.T, store *memory.Store) {
+		link := &memory.Link{Store: store}
+		first := own(t, link, "a", nil)
+		await := follow(t, store, "b", nil)
+		time.Sleep(10 * time.Second)
+		is.New(t).NoErr(first.RecordLeases(context.Background(), hoist.LeaseAccount{Workers: []hoist.WorkerLease{
+			open, {Worker: "floor", IsOpen: true, ConfirmedLeft: 12 * time.Second},
+		}}))
+		killOwner(first, link)
+		second := await()
+		defer second.stop()
+		is := is.New(t)
+		is.True(!second.RecordHostStart("c", 9)) // another host
+		is.True(!second.RecordHostStart("a", 1)) // the process that owned the cell
+		is.True(second.RecordHostStart("a", 2))
+		second.wantLeft("open", claim.LeaseTime, longestLeft)
+		second.wantLeft("floor", 9*time.Second, longestLeft)
+		is.True(!second.RecordHostStart("a", 2)) // nothing changes
+	})
 	run("owners are killed before they record an account", func(t *testing.T, store *memory.Store) {
 		first := own(t, store, "a", nil)
 		first.record(closed)
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -197,19 +197,20 @@
 	if !owner.KeepsAccount {
 		account = nil
 	}
-	grantsEnd, longestEnd := m.grantsEnd(reason, previous, now), m.longestEnd(previous, now)
-	leasesExpireAt := later(grantsEnd, longestEnd)
-	earlier := hoist.LeaseAccount{IsPartial: true}
+	earlier := earlierOwners{
+		previous: previous, ownedSince: m.observed.ownedSince, row: codec.LeaseRow{IsPartial: true},
+		grantsEnd: m.grantsEnd(reason, previous, now), longestEnd: m.longestEnd(previous, now),
+	}
 	if account != nil {
-		earlier = earlierAccount(inherited, account.clock, now, grantsEnd, longestEnd)
+		earlier.row, earlier.clock = inherited, account.clock
 	}
+	leasesExpireAt := later(earlier.grantsEnd, earlier.longestEnd)
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
-		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", longestLeft(earlier, leasesExpireAt.Sub(now)),
-		"partial", earlier.IsPartial)
+		"silent", began.Sub(m.observed.renewed), "version", version,
+		"leases-left", longestLeft(earlier.account(now), leasesExpireAt.Sub(now)), "partial", earlier.row.IsPartial)
 	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
 	return &Ownership{
-		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, claimedAt: now, account: account,
-		clock: m.Clock, renewed: began,
+		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, account: account, clock: m.Clock, renewed: began,
 	}, true
 }
 
--- a/internal/core/claim/owner.go
+++ b/internal/core/claim/owner.go
@@ -7,6 +7,7 @@
 
 	hoist "fuchsiahoist.example/hoist"
 	"fuchsiahoist.example/hoist/internal/core/clock"
+	"fuchsiahoist.example/hoist/internal/proto/codec"
 )
 
 // Ownership is the right to act for the cell in one term.
@@ -19,9 +20,8 @@
 	// of the manager. It counts for workers of which the lease account tells nothing.
 	EarlierLeasesExpire time.Time
 
-	// earlier is the account of earlier owners at claimedAt.
-	earlier   hoist.LeaseAccount
-	claimedAt time.Time
+	// earlier is what the claim found out about earlier owners.
+	earlier earlierOwners
 	// account is the row with the lease account; it is nil if none is recorded.
 	account *accountRow
 
@@ -42,7 +42,7 @@
 func NewOwnership(term hoist.Term, version hoist.RowVersion, earlierLeasesExpire, renewed time.Time, cancel context.CancelFunc) *Ownership {
 	return &Ownership{
 		Term: term, Version: version, EarlierLeasesExpire: earlierLeasesExpire, clock: clock.System{}, renewed: renewed, cancel: cancel,
-		earlier: hoist.LeaseAccount{IsPartial: true},
+		earlier: earlierOwners{row: codec.LeaseRow{IsPartial: true}},
 	}
 }
 
--- a/internal/core/plans/account.go
+++ b/internal/core/plans/account.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// RecordHostStart records that a process of a host has started. If it is that of the previous
+// owner, the leases that its earlier process granted end sooner.
+func (d *Driver) RecordHostStart(ctx context.Context, host hoist.HostID, epoch hoist.Epoch) {
+	if !d.Claim.RecordHostStart(host, epoch) {
+		return
+	}
+	if !d.isPrepared() {
+		// prepare reads the account.
+		return
+	}
+	account := d.Claim.EarlierAccount()
+	d.update(ctx, workAccount, func() { d.scheduler.LowerAccount(account, d.Clock.Now()) })
+}
+
+// isPrepared reports whether the scheduler exists.
+func (d *Driver) isPrepared() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.scheduler != nil
+}
+
 // setFinalAccount passes the account of this owner, which has ended, to the release of the cell.
 func (d *Driver) setFinalAccount(ctx context.Context) {
 	d.update(ctx, workAccount, func() {
--- a/internal/core/plans/takeover_test.go
+++ b/internal/core/plans/takeover_test.go
@@ -42,7 +42,8 @@
 
 	mu     sync.Mutex
 	isDead bool
-	owns   bool
+	// driver acts for the cell while the process owns it; it is nil otherwise.
+	driver *Driver
 }
 
 // runTakeoverCell runs a cell with three hosts and two workers, and a plan with one long-running
@@ -104,6 +105,10 @@
 		defer close(h.ended)
 		h.manager.Run(ctx)
 	}()
+	if owner := c.owner(); owner != nil {
+		// The hosts table tells the owner.
+		owner.actingDriver().RecordHostStart(ctx, id, epoch)
+	}
 }
 
 // process returns the present process of a host.
@@ -114,17 +119,23 @@
 }
 
 func (h *takeoverHost) runOwner(ctx context.Context, o *claim.Ownership) {
-	h.set(func() { h.owns = true })
-	defer h.set(func() { h.owns = false })
 	d := &Driver{
 		Claim: o, Store: h.link, Registry: h.cell, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
 		Log:   slog.New(slog.DiscardHandler),
 		Dial:  func(e hoist.WorkerEntry) hoist.Runner { return h.cell.worker(e.Worker) },
 		Queue: func(hoist.QueueName) (hoist.Queue, bool) { return hoist.Queue{}, false },
 	}
+	h.set(func() { h.driver = d })
+	defer h.set(func() { h.driver = nil })
 	d.Run(ctx)
 }
 
+func (h *takeoverHost) actingDriver() *Driver {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.driver
+}
+
 func (h *takeoverHost) set(change func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -172,9 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, h := range c.hosts {
-		owns := false
-		h.set(func() { owns = h.owns })
-		if owns {
+		if h.actingDriver() != nil {
 			return h
 		}
 	}
--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -43,6 +43,20 @@
 	}
 }
 
+// LowerAccount sets leases of earlier owners that end sooner than SetAccount has told. Those of
+// workers that have answered this owner stay as they are.
+func (sc *Scheduler) LowerAccount(a hoist.LeaseAccount, now time.Time) {
+	for _, e := range a.Workers {
+		w, ok := sc.workers[e.Worker]
+		if !ok || !w.incarnationPolledAt.IsZero() {
+			continue
+		}
+		if until := now.Add(e.ConfirmedLeft); until.Before(w.leaseExpiresAt) {
+			w.leaseExpiresAt = until
+		}
+	}
+}
+
 // closeWorker keeps a worker from getting leases until a new account lists it as open: the
 // account in the store does not tell of its incarnation, or of a lease that it may hold.
 func (sc *Scheduler) closeWorker(w *Worker) {
