--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -128,17 +128,16 @@
 	return out
 }
 
-// longestLeft returns the longest time that any lease of an account may be valid, or the given
-// time for an account that is partial.
-func longestLeft(a hoist.LeaseAccount, partial time.Duration) time.Duration {
+// longestLeft returns how long any confirmed attempt, and any other, may run on. It returns the
+// given time for a partial account.
+func longestLeft(a hoist.LeaseAccount, partial time.Duration) (confirmed, unconfirmed time.Duration) {
 	if a.IsPartial {
-		return partial
+		return partial, partial
 	}
-	var longest time.Duration
 	for _, w := range a.Workers {
-		longest = max(longest, w.ConfirmedLeft, w.UnconfirmedLeft)
+		confirmed, unconfirmed = max(confirmed, w.ConfirmedLeft), max(unconfirmed, w.UnconfirmedLeft)
 	}
-	return longest
+	return confirmed, unconfirmed
 }
 
 // leaseRow converts an account to its row. The times left count from now.
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -205,9 +205,10 @@
 		earlier.row, earlier.clock = inherited, account.clock
 	}
 	leasesExpireAt := later(earlier.grantsEnd, earlier.longestEnd)
+	confirmed, unconfirmed := longestLeft(earlier.account(now), leasesExpireAt.Sub(now))
 	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
-		"silent", began.Sub(m.observed.renewed), "version", version,
-		"leases-left", longestLeft(earlier.account(now), leasesExpireAt.Sub(now)), "partial", earlier.row.IsPartial)
+		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", confirmed, "unconfirmed-left", unconfirmed,
+		"partial", earlier.row.IsPartial)
 	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
 	return &Ownership{
 		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, account: account, clock: m.Clock, renewed: began,
