Bound the log lines and extend the time of account records

While the store is away, each failed record of the lease account wrote a line, up to six a second. A record may take as long as a claim, 2 s: on a store that slow, workers would otherwise never be opened after a takeover.

--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -191,7 +191,7 @@
 		return err
 	}
 	row := leaseRow(a, o.Term, r.clock.latestAt(began))
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	version, err := r.store.Commit(ctx, hoist.Transaction{
 		// Without the second precondition, a transaction that is carried out late could
--- a/internal/core/plans/account.go
+++ b/internal/core/plans/account.go
@@ -25,28 +25,34 @@
 // accountLoop records the lease account when it changes. While the store does not answer,
 // workers that are listed as open go on getting leases.
 func (d *Driver) accountLoop(ctx context.Context) {
+	failures := 0
 	for {
-		d.recordAccount(ctx)
+		if err := d.recordAccount(ctx); err != nil && ctx.Err() == nil {
+			if failures%failuresPerLogLine == 0 {
+				events.AccountWriteFailed.Log(ctx, d.Log, "term", d.Claim.Term, "failures", failures, "error", err)
+			}
+			failures++
+			clock.Sleep(ctx, retryDelay)
+			clock.Signal(d.accountDue)
+		} else {
+			failures = 0
+		}
 		if !clock.SleepOr(ctx, accountInterval, d.accountDue) || !clock.Sleep(ctx, accountGather) {
 			return
 		}
 	}
 }
 
-func (d *Driver) recordAccount(ctx context.Context) {
+// recordAccount records the lease account if it has changed.
+func (d *Driver) recordAccount(ctx context.Context) error {
 	var record sched.AccountRecord
 	isDue := false
 	d.update(ctx, workAccount, func() { record, isDue = d.scheduler.TakeAccount(d.Clock.Now()) })
 	if !isDue {
-		return
+		return nil
 	}
 	if err := d.Claim.RecordLeases(ctx, record.Account); err != nil {
-		if ctx.Err() == nil {
-			events.AccountWriteFailed.Log(ctx, d.Log, "term", d.Claim.Term, "workers", len(record.Account.Workers), "error", err)
-			clock.Sleep(ctx, retryDelay)
-			clock.Signal(d.accountDue)
-		}
-		return
+		return err
 	}
 	d.update(ctx, workAccount, func() {
 		d.scheduler.MarkAccountRecorded(record)
@@ -54,6 +60,7 @@
 		d.accountRecorded = make(chan struct{})
 	})
 	d.requestPass()
+	return nil
 }
 
 // awaitOpening waits until the account is recorded that lists a worker as open, for at most
--- a/internal/core/plans/teams_test.go
+++ b/internal/core/plans/teams_test.go
@@ -28,7 +28,9 @@
 	d.isReady = true
 	d.scheduler.SetWorkers([]hoist.WorkerEntry{{Worker: "w", Service: "s", Addr: "x", Capacity: hoist.Resources{CPU: 8000}}}, now)
 	d.scheduler.RecordReport("w", hoist.RunnerReport{Incarnation: 1}, d.scheduler.NewPoll("w", now), now)
-	d.recordAccount(context.Background())
+	if err := d.recordAccount(context.Background()); err != nil {
+		panic(err)
+	}
 	plan := hoist.Plan{
 		ID: "p", Team: "a", Queue: hoist.Queue{Service: "s"}, Accepted: now,
 		Steps: []hoist.Step{{Count: 5, Need: hoist.Resources{CPU: 1000}, MaxUnavailable: -1}},
