Merge the lease account, which mends waits that add up over takeovers

Cause: the next owner of the cell knew nothing of the leases that its predecessors had granted, and counted the longest lease anew from its own claim, for each worker that it could not reach.

Change: the lease account (docs/design/leases.md). The reason of a wait tells attempts that no worker has confirmed from others; TestWaitIsLogged records the account before its second worker gets the task, as the driver does, with the same checks.

--- a/internal/core/plans/update.go
+++ b/internal/core/plans/update.go
@@ -25,6 +25,7 @@
 	workRelay    guard.Work = "relay"
 	workExplain  guard.Work = "explain"
 	workWaits    guard.Work = "waits"
+	workAccount  guard.Work = "account"
 )
 
 // update runs f while no one else uses the scheduler or the fields that d.mu guards. It
--- a/internal/decide/sched/waits.go
+++ b/internal/decide/sched/waits.go
@@ -198,9 +198,10 @@
 	case t.isStartInDoubt:
 		out.Reason = WaitStartInDoubt
 		if !out.Until.IsZero() {
-			// See mayRunUnseen.
-			out.Until = latest(out.Until, w.lostRequestAt.Add(onSlowClock(c.sc.MaxLease+longestCall)))
+			out.Until = latest(out.Until, c.sc.unseenUntil(w))
 		}
+	case t.isRecovered && !t.isConfirmed && !out.Until.IsZero() && w.unconfirmedUntil.After(out.Until):
+		out.Reason, out.Until = WaitStartInDoubt, w.unconfirmedUntil
 	case t.Phase == Stopping:
 		out.Reason = WaitStop
 	}
