Test that long-running tasks run again after any takeovers

Cause: the fixture of the property test knew no lease account, and no test asked how long a long-running task stays without a run.

Change: the fixture keeps the account in its store as the claim of the cell does, with absolute times; owners record it, and their writes may be lost, late or unanswered. New faults: an owner that is killed, also at once after its claim, one that releases the cell with or without its final account, one of an earlier build, series of takeovers within seconds, and a worker that is lost for good. Up to two replaced owners go on beside the present one. What isStrayAllowed allows is unchanged, as are all checks of starts. The longest lease of an earlier owner counts from 2 s after the claim, as the claim does it.

Each draw of TestInvariantsUnderFaults ends with a time without faults in which a worker may be lost and the cell be released; long-running tasks then have to run again within 9 s of the loss of their worker or 7 s of the last fault. calm_test.go names the cases in which no owner can keep to this, and the bounds that hold there. TestRunsAgain* are deterministic cases. The replays record the account as well.

--- a/internal/decide/sched/fakeowner_test.go
+++ b/internal/decide/sched/fakeowner_test.go
@@ -29,8 +29,14 @@
 	// replacedAt is when the next owner took over.
 	replacedAt time.Time
 	links      map[*fakeWorker]*fakeLink
-	// hasEnded is set once the owner has learned of a later one.
+	// hasEnded is set once the owner has learned of a later one, was killed or has released
+	// the cell.
 	hasEnded bool
+	// isEarlierBuild is set for an owner that keeps no lease account.
+	isEarlierBuild bool
+	claimedAt      time.Time
+	// account is the lease account that is on its way to the store.
+	account *accountInFlight
 }
 
 // fakeLink is what an owner knows of its connection to a worker.
@@ -43,8 +49,16 @@
 	// isReady is set while the last poll was answered.
 	isReady bool
 	fault   linkFault
+	// recorded is the incarnation that the earlier account lists.
+	recorded hoist.Incarnation
+	// lostFor counts the times that the owner has worked, with the store, since the worker was
+	// lost for good.
+	lostFor int
 }
 
+// closeIntervals is after how many intervals of work the account lists a lost worker as closed.
+const closeIntervals = 5
+
 // linkFault says what happens to the requests to a worker while nothing else is drawn. The
 // zero value carries them out and answers them.
 type linkFault int
@@ -72,10 +86,17 @@
 	}
 	o.pass(fx)
 	if isStoreUp {
-		fx.owner().renewed = fx.now
+		fx.renew()
 		o.record(fx, -1, true)
 	}
+	o.takeAccount(fx)
+	if isStoreUp {
+		o.commitAccount(fx, true, true)
+	}
 	for _, f := range fx.workers {
+		if isStoreUp && f.isLost() {
+			o.links[f].lostFor++
+		}
 		fx.advance(time.Millisecond)
 		o.pollOnce(fx, f)
 	}
@@ -121,20 +142,26 @@
 	}
 }
 
-func newFakeOwner(fx *fixture, term hoist.Term, earlierLeasesExpire time.Time) *fakeOwner {
+// newFakeOwner returns an owner that continues the given account; nil is for an owner of an
+// earlier build.
+func newFakeOwner(fx *fixture, term hoist.Term, earlierLeasesExpire time.Time, account *hoist.LeaseAccount) *fakeOwner {
 	o := &fakeOwner{
-		term: term, scheduler: sched.NewScheduler(term, earlierLeasesExpire), renewed: fx.now, links: make(map[*fakeWorker]*fakeLink),
+		term: term, scheduler: sched.NewScheduler(term, earlierLeasesExpire), renewed: fx.now, claimedAt: fx.now,
+		links: make(map[*fakeWorker]*fakeLink), isEarlierBuild: account == nil,
+	}
+	if account != nil {
+		o.scheduler.SetAccount(*account, fx.now)
 	}
 	o.scheduler.MaxReportedEnds = endsPerReport
 	for _, f := range fx.workers {
-		o.links[f] = &fakeLink{}
+		o.links[f] = &fakeLink{recorded: fx.account.entry(f.entry.Worker).incarnation}
 	}
 	for _, id := range slices.Sorted(maps.Keys(fx.store)) {
 		s := fx.store[id]
 		if s.hasEnded {
 			continue
 		}
-		o.scheduler.Restore(s.plan, s.state, 1, fx.now)
+		o.scheduler.Restore(s.plan, o.readState(s.state), 1, fx.now)
 		if s.isCancelled {
 			o.scheduler.Cancel(id, fx.now)
 		}
@@ -167,7 +194,7 @@
 			continue
 		}
 		s := fx.store[u.Job]
-		s.state, s.hasEnded = u.State, u.HasEnded
+		s.state, s.hasEnded = o.readState(u.State), u.HasEnded
 		fx.store[u.Job] = s
 		if !isAnswered {
 			continue
@@ -262,6 +289,9 @@
 	}
 	f, l := r.request.worker, o.links[r.request.worker]
 	l.isReady = true
+	if l.read != r.report.Incarnation && l.recorded != r.report.Incarnation {
+		f.newSeenAt = fx.now
+	}
 	if r.request.opensConn {
 		l.conn = r.report.Incarnation
 	}
--- a/internal/decide/sched/fakeworker_test.go
+++ b/internal/decide/sched/fakeworker_test.go
@@ -43,6 +43,15 @@
 	lapsedEnd hoist.EndNo
 	// isUnlisted is set while the registry has no entry of the worker.
 	isUnlisted bool
+	// lostAt is when the worker was lost for good; it is zero for all others.
+	lostAt time.Time
+	// newSeenAt is when it last answered an owner in an incarnation that the owner had not
+	// known of.
+	newSeenAt time.Time
+}
+
+func (f *fakeWorker) isLost() bool {
+	return !f.lostAt.IsZero()
 }
 
 // clock returns what the clock of the worker shows.
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -15,12 +15,19 @@
 // fixture is a cell with fake workers that keep their contract, a store, and
 // requests that arrive late or never. It checks each start.
 type fixture struct {
-	t   *rapid.T
-	now time.Time
-	// owners holds the present owner, after the earlier one if there was one.
-	owners   []*fakeOwner
-	workers  []*fakeWorker
-	store    map[hoist.JobID]storedPlan
+	t failer
+	// draws is nil in tests that draw nothing.
+	draws *rapid.T
+	now   time.Time
+	// owners holds the present owner, after up to two earlier ones that have not ended.
+	owners  []*fakeOwner
+	workers []*fakeWorker
+	store   map[hoist.JobID]storedPlan
+	// account is the lease account in the store, and ownerRow what the store has of the owner.
+	account  storedAccount
+	ownerRow ownerRow
+	// holds tells how long owners have to wait for what earlier ones may have granted.
+	holds    map[*fakeWorker]hold
 	requests []*fakeRequest
 	// reports are answers to polls that are on their way to an owner, and answers those to
 	// starts and stops.
@@ -38,6 +45,12 @@
 	quotas   quotas
 }
 
+// failer ends a test that has failed.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
 // acknowledged is a success that was acknowledged.
 type acknowledged struct {
 	at time.Time
@@ -98,9 +111,9 @@
 	givenUpAt time.Time
 }
 
-func newFixture(t *rapid.T) *fixture {
+func newFixture(t failer, draws *rapid.T) *fixture {
 	fx := &fixture{
-		t: t, now: start, store: make(map[hoist.JobID]storedPlan),
+		t: t, draws: draws, now: start, store: make(map[hoist.JobID]storedPlan), holds: make(map[*fakeWorker]hold),
 		done: make(map[hoist.TaskRef]acknowledged), failed: make(map[hoist.TaskRef]int), repeated: make(map[success]string),
 	}
 	for i := range 3 {
@@ -116,7 +129,7 @@
 	}
 	fx.setQuota("t1", 2000)
 	fx.setQuota("t2", 500) // less than one task needs
-	fx.owners = []*fakeOwner{newFakeOwner(fx, hoist.TokensPerTerm, fx.now)}
+	fx.claim(nil, false)
 	return fx
 }
 
@@ -125,18 +138,6 @@
 	return fx.owners[len(fx.owners)-1]
 }
 
-// takeOver begins a new term with the state in the store. The earlier owner goes on.
-func (fx *fixture) takeOver() {
-	earlier := fx.owner()
-	earlier.replacedAt = fx.now
-	granted := earlier.renewed.Add(grantTime + grantTime/50 + expiryMargin)
-	longest := fx.now.Add(hoist.MaxLease + hoist.MaxLease/50 + expiryMargin)
-	if longest.After(granted) {
-		granted = longest
-	}
-	fx.owners = []*fakeOwner{earlier, newFakeOwner(fx, earlier.term+hoist.TokensPerTerm, granted)}
-}
-
 // isStray reports whether a request carries a lease that was granted on the clock of an
 // earlier incarnation of its worker.
 func (fx *fixture) isStray(req *fakeRequest) bool {
@@ -165,12 +166,12 @@
 func (fx *fixture) submit() {
 	fx.plans++
 	id := hoist.JobID(fmt.Sprintf("p%d", fx.plans))
-	firstStep := step(rapid.IntRange(1, 3).Draw(fx.t, "count"))
-	firstStep.IsGang = rapid.Bool().Draw(fx.t, "gang")
-	firstStep.IsLongRunning = !firstStep.IsGang && rapid.IntRange(0, 4).Draw(fx.t, "lasting") == 0
-	firstStep.SavesProgress = rapid.Bool().Draw(fx.t, "saves")
+	firstStep := step(rapid.IntRange(1, 3).Draw(fx.draws, "count"))
+	firstStep.IsGang = rapid.Bool().Draw(fx.draws, "gang")
+	firstStep.IsLongRunning = !firstStep.IsGang && rapid.IntRange(0, 4).Draw(fx.draws, "lasting") == 0
+	firstStep.SavesProgress = rapid.Bool().Draw(fx.draws, "saves")
 	p := hoist.Plan{ID: id, Queue: queue, Steps: []hoist.Step{firstStep, step(1, after)}, Accepted: fx.now}
-	p.Team = rapid.SampledFrom([]hoist.TeamID{"", "t1", "t2"}).Draw(fx.t, "team")
+	p.Team = rapid.SampledFrom([]hoist.TeamID{"", "t1", "t2"}).Draw(fx.draws, "team")
 	if p.Team == "t1" && !firstStep.IsGang && firstStep.SavesProgress {
 		p.Steps[0].Need.CPU = 2500 // more than the rest of some quotas of which less than half is used
 	}
@@ -180,7 +181,10 @@
 
 // cancel cancels one of the plans.
 func (fx *fixture) cancel() {
-	id := hoist.JobID(fmt.Sprintf("p%d", rapid.IntRange(1, fx.plans).Draw(fx.t, "plan")))
+	fx.cancelPlan(hoist.JobID(fmt.Sprintf("p%d", rapid.IntRange(1, fx.plans).Draw(fx.draws, "plan"))))
+}
+
+func (fx *fixture) cancelPlan(id hoist.JobID) {
 	s := fx.store[id]
 	s.isCancelled = true
 	fx.store[id] = s
@@ -201,13 +205,17 @@
 	if len(fx.requests) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(fx.requests)-1).Draw(fx.t, "order")
+	i := rapid.IntRange(0, len(fx.requests)-1).Draw(fx.draws, "order")
 	req := fx.requests[i]
 	fx.requests = slices.Delete(fx.requests, i, i+1)
 	fx.deliver(req, hasAnswer)
 }
 
 func (fx *fixture) deliver(req *fakeRequest, hasAnswer bool) {
+	if req.worker.isLost() {
+		req.owner.giveUp(fx, req)
+		return
+	}
 	if fx.isStray(req) && !fx.isStrayAllowed(req) {
 		return
 	}
@@ -218,7 +226,7 @@
 	isStray := fx.isStray(req)
 	err := req.worker.handle(fx, req)
 	switch {
-	case hasAnswer && (isStray || rapid.IntRange(0, 9).Draw(fx.t, "late") > 0):
+	case hasAnswer && (isStray || fx.draws == nil || rapid.IntRange(0, 9).Draw(fx.draws, "late") > 0):
 		req.owner.answer(fx, fakeAnswer{req, err, req.worker.report(fx.now).Clock, req.worker.incarnation})
 	case hasAnswer:
 		fx.answers = append(fx.answers, fakeAnswer{req, err, req.worker.report(fx.now).Clock, req.worker.incarnation})
@@ -262,13 +270,13 @@
 // poll sends a poll of one of the owners to a worker. Its outcome is drawn: the report
 // arrives at once, or later, or is lost, or the poll itself arrives later.
 func (fx *fixture) poll(f *fakeWorker, acknowledges bool) {
-	o := fx.owners[rapid.IntRange(0, len(fx.owners)-1).Draw(fx.t, "owner")]
+	o := fx.owners[rapid.IntRange(0, len(fx.owners)-1).Draw(fx.draws, "owner")]
 	if o.hasEnded {
 		return
 	}
 	req := o.newPoll(fx, f, acknowledges)
 	fx.advance(time.Millisecond)
-	outcome := rapid.IntRange(0, 6).Draw(fx.t, "outcome")
+	outcome := rapid.IntRange(0, 6).Draw(fx.draws, "outcome")
 	if outcome == 0 {
 		fx.send(req)
 		o.giveUp(fx, req)
@@ -294,7 +302,7 @@
 	if len(fx.answers) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(fx.answers)-1).Draw(fx.t, "answer")
+	i := rapid.IntRange(0, len(fx.answers)-1).Draw(fx.draws, "answer")
 	a := fx.answers[i]
 	fx.answers = slices.Delete(fx.answers, i, i+1)
 	a.request.owner.answer(fx, a)
@@ -302,11 +310,14 @@
 
 // restart restarts a worker. The requests in flight reach the new incarnation or are lost.
 func (fx *fixture) restart(f *fakeWorker) {
+	if f.isLost() {
+		return
+	}
 	f.restart(fx.now)
 	inFlight := fx.requests
 	fx.requests = nil
 	for _, req := range inFlight {
-		if req.worker != f || rapid.Bool().Draw(fx.t, "survives") {
+		if req.worker != f || rapid.Bool().Draw(fx.draws, "survives") {
 			fx.send(req)
 			continue
 		}
@@ -373,6 +384,9 @@
 // setListed sets whether the registry lists a worker, which goes on running, and
 // whether it leaves.
 func (fx *fixture) setListed(f *fakeWorker, isListed, isLeaving bool) {
+	if f.isLost() {
+		isListed = isListed && !f.isUnlisted // it does not come back
+	}
 	f.isUnlisted, f.entry.IsLeaving = !isListed, isLeaving
 	for _, o := range fx.owners {
 		o.scheduler.SetWorkers(fx.entries(), fx.now)
@@ -452,13 +466,13 @@
 
 // act draws an action and does it.
 func (fx *fixture) act() {
-	f := fx.workers[rapid.IntRange(0, len(fx.workers)-1).Draw(fx.t, "worker")]
-	o := fx.owners[rapid.IntRange(0, len(fx.owners)-1).Draw(fx.t, "acting owner")]
-	switch rapid.IntRange(0, 30).Draw(fx.t, "action") {
+	f := fx.workers[rapid.IntRange(0, len(fx.workers)-1).Draw(fx.draws, "worker")]
+	o := fx.owners[rapid.IntRange(0, len(fx.owners)-1).Draw(fx.draws, "acting owner")]
+	switch rapid.IntRange(0, 37).Draw(fx.draws, "action") {
 	case 0:
 		fx.submit()
 	case 1:
-		fx.pass(o, rapid.IntRange(0, 9).Draw(fx.t, "skipped"), true)
+		fx.pass(o, rapid.IntRange(0, 9).Draw(fx.draws, "skipped"), true)
 	case 2:
 		fx.pass(o, 0, false)
 	case 3:
@@ -476,29 +490,43 @@
 	case 11:
 		fx.endRun(f, hoist.EndFailed)
 	case 12:
-		fx.advance(time.Duration(rapid.IntRange(1, 3000).Draw(fx.t, "ms")) * time.Millisecond)
+		fx.advance(time.Duration(rapid.IntRange(1, 3000).Draw(fx.draws, "ms")) * time.Millisecond)
 	case 13:
-		fx.takeOver()
+		fx.takeOver(rapid.IntRange(0, 9).Draw(fx.draws, "build") == 0)
 	case 14:
 		fx.restart(f)
 	case 15:
 		if len(fx.reports) > 0 {
-			fx.deliverReport(rapid.IntRange(0, len(fx.reports)-1).Draw(fx.t, "report"))
+			fx.deliverReport(rapid.IntRange(0, len(fx.reports)-1).Draw(fx.draws, "report"))
 		}
 	case 16:
-		fx.setListed(f, rapid.Bool().Draw(fx.t, "listed"), rapid.IntRange(0, 3).Draw(fx.t, "leaving") == 0)
+		fx.setListed(f, rapid.Bool().Draw(fx.draws, "listed"), rapid.IntRange(0, 3).Draw(fx.draws, "leaving") == 0)
 	case 17:
-		if rapid.IntRange(0, 3).Draw(fx.t, "cancels") == 0 {
+		if rapid.IntRange(0, 3).Draw(fx.draws, "cancels") == 0 {
 			fx.cancel()
 		}
 	case 18, 19:
 		fx.deliverAnswer()
 	case 20, 21, 22:
-		o.links[f].fault = linkFault(rapid.IntRange(0, int(numLinkFaults)-1).Draw(fx.t, "fault"))
+		o.links[f].fault = linkFault(rapid.IntRange(0, int(numLinkFaults)-1).Draw(fx.draws, "fault"))
 	case 23:
-		fx.setQuota("t1", hoist.MilliCPU(rapid.IntRange(1, 4).Draw(fx.t, "quota"))*1000)
+		fx.setQuota("t1", hoist.MilliCPU(rapid.IntRange(1, 4).Draw(fx.draws, "quota"))*1000)
+	case 31:
+		fx.owner().kill(fx)
+	case 32:
+		fx.handOver(rapid.IntRange(0, 3).Draw(fx.draws, "final account") > 0)
+	case 33, 34:
+		fx.drawTakeovers()
+	case 35:
+		o.takeAccount(fx)
+	case 36:
+		o.commitAccount(fx, rapid.Bool().Draw(fx.draws, "applied"), rapid.Bool().Draw(fx.draws, "answered"))
+	case 37:
+		if rapid.IntRange(0, 3).Draw(fx.draws, "loses") == 0 {
+			fx.lose(f)
+		}
 	default:
-		fx.work(rapid.IntRange(1, 20).Draw(fx.t, "intervals"), rapid.IntRange(0, 3).Draw(fx.t, "store") > 0)
+		fx.work(rapid.IntRange(1, 20).Draw(fx.draws, "intervals"), rapid.IntRange(0, 3).Draw(fx.draws, "store") > 0)
 	}
 	fx.advance(time.Millisecond)
 }
@@ -521,18 +549,20 @@
 	}
 	o.pass(fx)
 	if isRecorded {
-		fx.owner().renewed = fx.now
-		o.record(fx, skipped, rapid.IntRange(0, 9).Draw(fx.t, "store answers") > 0)
+		fx.renew()
+		o.record(fx, skipped, rapid.IntRange(0, 9).Draw(fx.draws, "store answers") > 0)
 	}
 }
 
 // TestInvariantsUnderFaults guards, under faults in any order, against a task
 // that runs twice at the same time or again after its success, against more
 // failures than allowed, against workers over their capacity, against teams over their quota,
-// and against charges that are left out, or left over.
+// and against charges that are left out, or left over. It also guards against a long-running
+// task that stays without a run once there are no faults any more; see calm.
 func TestInvariantsUnderFaults(t *testing.T) {
+	longest := make(waits)
 	rapid.Check(t, func(t *rapid.T) {
-		fx := newFixture(t)
+		fx := newFixture(t, t)
 		fx.submit()
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			fx.act()
@@ -542,5 +572,7 @@
 				}
 			}
 		}
+		fx.drawCalm(longest)
 	})
+	longest.log(t)
 }
--- a/internal/decide/sched/replay_test.go
+++ b/internal/decide/sched/replay_test.go
@@ -36,6 +36,8 @@
 	// isUnanswered lets starts be carried out without an answer.
 	isUnanswered bool
 	term         hoist.Term
+	// account is the lease account in the store.
+	account storedAccount
 }
 
 type replayRun struct {
@@ -54,6 +56,7 @@
 	for i := range workers {
 		ids = append(ids, hoist.WorkerID(fmt.Sprintf("w%02d", i)))
 	}
+	r.scheduler.SetAccount(hoist.LeaseAccount{}, r.now)
 	r.addWorkers(ids...)
 	r.setTeams(configs)
 	return r
@@ -94,6 +97,7 @@
 				r.pollWorker(e.Worker)
 			}
 		}
+		r.recordAccount()
 		r.scheduler.Tick(r.now)
 		d := r.scheduler.Pass(r.now, func(time.Duration, time.Time) (hoist.HostID, bool) { return "", false })
 		if r.term == 1 && len(d.Stops) > 0 {
@@ -129,6 +133,14 @@
 	r.scheduler.GrantLease(id, 6*time.Second, r.now)
 }
 
+// recordAccount records the lease account if it has changed.
+func (r *replay) recordAccount() {
+	if a, ok := r.scheduler.TakeAccount(r.now); ok {
+		r.account = newStoredAccount(a.Account, r.now)
+		r.scheduler.MarkAccountRecorded(a)
+	}
+}
+
 // stop carries out stops at once.
 func (r *replay) stop(stops []sched.Stop) {
 	for _, s := range stops {
@@ -256,10 +268,12 @@
 	return n
 }
 
-// takeOver replaces the scheduler by one that has read the recorded states.
+// takeOver replaces the scheduler by one that has read the recorded states and the account.
 func (r *replay) takeOver() {
 	r.term++
-	r.scheduler = sched.NewScheduler(r.term, r.now.Add(10*time.Second))
+	grantsEnd, longestEnd := expiry(r.now, grantTime), expiry(r.now.Add(earlierCallTime), hoist.MaxLease)
+	r.scheduler = sched.NewScheduler(r.term, longestEnd)
+	r.scheduler.SetAccount(r.account.inherit(r.now, grantsEnd, longestEnd), r.now)
 	r.scheduler.SetWorkers(r.entries, r.now)
 	for _, id := range slices.Sorted(maps.Keys(r.states)) {
 		r.scheduler.Restore(r.plans[id], r.states[id], 1, r.now)
