Close workers in the lease account whose polls fail at once

Cause: the time for which a worker gives no answer began anew with each failed poll. Polls of a worker that refuses connections fail every 0.4 s at most, so that it was never silent for 0.5 s and the account listed it as open for good. The next owner then counted 9.5 s from the last renewal of the earlier one, however long the worker had been lost, and in doubt 12.5 s.

Change: the account goes by the first poll without an answer since the last one with an answer.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -71,7 +71,7 @@
 	}
 	r := AccountRecord{opened: make(map[hoist.WorkerID]uint64)}
 	for id, w := range sc.workers {
-		if w.isOpen && w.awaitsReport && now.Sub(w.silentAt) >= closeDelay {
+		if w.isOpen && w.awaitsReport && now.Sub(w.silentSince) >= closeDelay {
 			sc.closeWorker(w)
 			sc.account.isDirty = true
 		}
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -57,6 +57,9 @@
 // endSession ends the session of a worker. The worker gets neither starts nor leases until it
 // answers a poll of the next one.
 func (sc *Scheduler) endSession(w *Worker, now time.Time) {
+	if !w.awaitsReport {
+		w.silentSince = now
+	}
 	w.awaitsReport, w.silentAt = true, now
 	sc.raiseToken(w)
 }
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -35,10 +35,10 @@
 	lastPolledAt time.Time
 	// reading is the last reading of the worker's clock. awaitsReport is set while the
 	// worker may have restarted since: until a poll of the session is answered that was sent
-	// after silentAt, when the last session ended.
-	reading      clockReading
-	awaitsReport bool
-	silentAt     time.Time
+	// after silentAt, when the last session ended. silentSince is when awaitsReport was set.
+	reading               clockReading
+	awaitsReport          bool
+	silentAt, silentSince time.Time
 	// session is that of the requests to the worker. isSessionUsed is set once a start, a lease
 	// or an acknowledgement was sent in it.
 	session       session
