Count polls in flight when a worker is closed in the lease account

Cause: the account of a closed worker counted the longest lease from the last request without an answer that was known then. A poll that was sent before may be on its way for 2 s: its loss was found later and did not get into the account. If the worker had restarted, took the lease of this poll for the longest one, ran a start without an answer under it, and the owner was killed, the next owner started the task elsewhere too early.

Change: as a worker is closed, attempts in doubt count the longest lease from when it fell silent plus the 2 s of a poll, as the release of the cell does, and not from the last lost request plus 0.5 s. That is the price: attempts in doubt wait longer at the next owners.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -12,7 +12,7 @@
 // single lost poll is repeated sooner.
 const closeDelay = 500 * time.Millisecond
 
-// longestPoll bounds how long a poll that was cancelled may be on its way.
+// longestPoll bounds how long a poll may be on its way.
 const longestPoll = 2 * time.Second
 
 // account is the state of the lease account; see hoist.LeaseAccount.
@@ -44,11 +44,16 @@
 }
 
 // closeWorker keeps a worker from getting leases until a new account lists it as open: the
-// account in the store does not tell of its incarnation, or of a lease that it may hold.
-func (sc *Scheduler) closeWorker(w *Worker) {
+// account in the store does not tell of its incarnation, or of a lease that it may hold. No lease
+// was granted since the given time, but polls that were sent before may still reach another
+// incarnation.
+func (sc *Scheduler) closeWorker(w *Worker, since time.Time) {
 	if sc.account == nil {
 		return
 	}
+	if w.isOpen {
+		w.unconfirmedUntil = latest(w.unconfirmedUntil, since.Add(onSlowClock(sc.MaxLease+longestPoll)))
+	}
 	w.isOpen = false
 	w.openChange++
 }
@@ -72,7 +77,7 @@
 	r := AccountRecord{opened: make(map[hoist.WorkerID]uint64)}
 	for id, w := range sc.workers {
 		if w.isOpen && w.awaitsReport && now.Sub(w.silentSince) >= closeDelay {
-			sc.closeWorker(w)
+			sc.closeWorker(w, w.silentSince)
 			sc.account.isDirty = true
 		}
 		if w.awaitsOpening() {
@@ -102,9 +107,7 @@
 func (sc *Scheduler) FinalAccount(now time.Time) hoist.LeaseAccount {
 	for _, w := range sc.workers {
 		if w.isOpen {
-			// A poll that was cancelled may still reach another incarnation.
-			w.unconfirmedUntil = latest(w.unconfirmedUntil, now.Add(onSlowClock(sc.MaxLease+longestPoll)))
-			sc.closeWorker(w)
+			sc.closeWorker(w, now)
 		}
 	}
 	return sc.leaseAccount(nil, now)
--- /dev/null
+++ b/internal/decide/sched/account_test.go
@@ -0,0 +1,83 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
+)
+
+// accountCell is a cell whose owner keeps a lease account.
+type accountCell struct {
+	*cell
+	term hoist.Term
+	// stored is the last account that was recorded.
+	stored storedAccount
+}
+
+// newAccountCell returns a cell with the worker w1, which is listed as open and whose clock shows
+// 100 s.
+func newAccountCell(t *testing.T) *accountCell {
+	t.Helper()
+	c := &accountCell{cell: newCell(t), term: 1}
+	c.scheduler.SetAccount(hoist.LeaseAccount{}, c.now)
+	c.addWorkers("w1")
+	c.report("w1", hoist.RunnerReport{Incarnation: 1, Clock: hoist.WorkerClock(100 * time.Second)})
+	c.recordAccount()
+	return c
+}
+
+// recordAccount records the account if it has changed.
+func (c *accountCell) recordAccount() {
+	if r, ok := c.scheduler.TakeAccount(c.now); ok {
+		c.stored = newStoredAccount(r.Account, c.now)
+		c.scheduler.MarkAccountRecorded(r)
+	}
+}
+
+// replaceKilled replaces the owner by one that reads the account from the store.
+func (c *accountCell) replaceKilled() {
+	c.term++
+	grantsEnd, longestEnd := expiry(c.now, grantTime), expiry(c.now.Add(earlierCallTime), hoist.MaxLease)
+	c.scheduler = sched.NewScheduler(c.term, longestEnd)
+	c.scheduler.SetAccount(c.stored.inherit(c.now, grantsEnd, longestEnd), c.now)
+	c.scheduler.SetWorkers(c.entries, c.now)
+}
+
+// wantStartsAt adds a worker with room at a time, and fails unless the given number of starts
+// follow.
+func (c *accountCell) wantStartsAt(at time.Time, id hoist.WorkerID, want int) {
+	c.t.Helper()
+	c.now = at
+	c.addWorkers(id)
+	c.recordAccount()
+	c.wantStarts(c.pass(), want)
+}
+
+// TestClosedAccountCoversPollInFlight guards against starting a task elsewhere while it runs on a
+// restarted worker under the lease of a poll that was in flight as the account listed the worker
+// as closed. The next owner knows only the account.
+func TestClosedAccountCoversPollInFlight(t *testing.T) {
+	c := newAccountCell(t)
+	p := c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	ofPoll := c.scheduler.GrantLease("w1", leaseTime, c.now)
+	ofStart := c.scheduler.GrantLease("w1", leaseTime, c.now)
+	c.is.True(ofPoll.Until > 0)
+	c.now = c.now.Add(250 * time.Millisecond) // the start is carried out after a restart
+	c.scheduler.RecordLostStart("w1", ofStart, c.now)
+	c.scheduler.RecordStart("w1", s.Run, hoist.ErrOutcomeUnknown, c.now)
+	c.now = c.now.Add(500 * time.Millisecond)
+	c.recordAccount()
+	c.is.True(!c.stored.entry("w1").isOpen)
+	c.now = c.now.Add(850 * time.Millisecond) // so is the poll
+	c.scheduler.RecordSilence("w1", ofPoll, c.now)
+	taken := c.now
+	c.replaceKilled()
+	c.scheduler.Restore(p, hoist.PlanState{Queue: queue.Name, Phase: hoist.PlanQueued, Next: 1, Steps: []hoist.StepState{{
+		Placed: []hoist.PlacedRun{{Attempt: s.Run.Attempt, Worker: "w1"}},
+	}}}, 1, c.now)
+	c.wantStartsAt(taken.Add(10200*time.Millisecond), "w2", 0)
+	c.wantStartsAt(taken.Add(12200*time.Millisecond), "w3", 1)
+}
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -106,7 +106,7 @@
 // request of another session or owner.
 func (sc *Scheduler) countLongestLease(w *Worker, since time.Time) {
 	w.extendLease(since, sc.MaxLease+longestCall)
-	sc.closeWorker(w)
+	sc.closeWorker(w, since)
 }
 
 // mayRunUnseen reports whether an attempt may run on another incarnation of its worker than
