Do not tell an incarnation in the lease account that has answered no poll of its session

Cause: a report to a poll of the session before may show a new incarnation. The account listed it, although requests that were meant for the earlier incarnation could still reach it until it answered a poll of the next session. The next owner took it for known and did not count the longest lease from its first answer: a task that it started there could run on beside another attempt once the worker was cut off.

Change: the account tells no incarnation of such a worker.

Result: TestAccountOfUnseenSession fails before (a start 10.2 s after the worker took the lease) and passes.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -130,12 +130,17 @@
 }
 
 // lastIncarnation returns the incarnation that has answered this owner last, or that the earlier
-// account lists.
+// account lists. It returns 0 while the worker may still receive leases on an earlier clock: the
+// next owner then counts the longest lease from its first answer.
 func (w *Worker) lastIncarnation() hoist.Incarnation {
-	if w.incarnationPolledAt.IsZero() {
+	switch {
+	case w.mayHoldStrayLease:
+		return 0
+	case w.incarnationPolledAt.IsZero():
 		return w.recordedIncarnation
+	default:
+		return w.incarnation
 	}
-	return w.incarnation
 }
 
 // setConfirmed records that the worker has confirmed the current attempt. The next owner of the
--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -81,3 +81,29 @@
 	c.wantStartsAt(taken.Add(10200*time.Millisecond), "w2", 0)
 	c.wantStartsAt(taken.Add(12200*time.Millisecond), "w3", 1)
 }
+
+// TestAccountOfUnseenSession guards against starting a task elsewhere while it runs on a restarted
+// worker under the lease of a poll of the earlier owner, which arrived after the account told the
+// new incarnation and before that had answered a poll of the next session.
+func TestAccountOfUnseenSession(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	c := newAccountCell(t)
+	c.is.True(c.scheduler.GrantLease("w1", leaseTime, c.now).Until > 0) // of a poll in flight
+	c.report("w1", restarted)
+	c.addWorkers("w2")
+	c.recordAccount()
+	c.is.True(!c.stored.entry("w1").isOpen)
+	c.entries = c.entries[:1]
+	c.now = c.now.Add(1700 * time.Millisecond) // the poll is carried out
+	taken := c.now
+	c.replaceKilled()
+	c.report("w1", restarted)
+	c.recordAccount()
+	c.submit("p", queue, step(1))
+	starts := c.pass()
+	c.wantStarts(starts, 1)
+	c.is.True(c.scheduler.GrantLease("w1", leaseTime, c.now).Until > 0)
+	c.scheduler.RecordStart("w1", starts[0].Run, nil, c.now)
+	c.wantStartsAt(taken.Add(10200*time.Millisecond), "w3", 0)
+	c.wantStartsAt(taken.Add(10900*time.Millisecond), "w4", 1)
+}
