--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -12,7 +12,7 @@
 // single lost poll is repeated sooner.
 const closeDelay = 500 * time.Millisecond
 
-// longestPoll bounds how long a poll that was cancelled may be on its way.
+// longestPoll bounds how long a poll may be on its way.
 const longestPoll = 2 * time.Second
 
 // account is the state of the lease account; see hoist.LeaseAccount.
@@ -58,11 +58,16 @@
 }
 
 // closeWorker keeps a worker from getting leases until a new account lists it as open: the
-// account in the store does not tell of its incarnation, or of a lease that it may hold.
-func (sc *Scheduler) closeWorker(w *Worker) {
+// account in the store does not tell of its incarnation, or of a lease that it may hold. No lease
+// was granted since the given time, but polls that were sent before may still reach another
+// incarnation.
+func (sc *Scheduler) closeWorker(w *Worker, since time.Time) {
 	if sc.account == nil {
 		return
 	}
+	if w.isOpen {
+		w.unconfirmedUntil = latest(w.unconfirmedUntil, since.Add(onSlowClock(sc.MaxLease+longestPoll)))
+	}
 	w.isOpen = false
 	w.openChange++
 }
@@ -85,8 +90,8 @@
 	}
 	r := AccountRecord{opened: make(map[hoist.WorkerID]uint64)}
 	for id, w := range sc.workers {
-		if w.isOpen && w.awaitsReport && now.Sub(w.silentAt) >= closeDelay {
-			sc.closeWorker(w)
+		if w.isOpen && w.awaitsReport && now.Sub(w.silentSince) >= closeDelay {
+			sc.closeWorker(w, w.silentSince)
 			sc.account.isDirty = true
 		}
 		if w.awaitsOpening() {
@@ -116,9 +121,7 @@
 func (sc *Scheduler) FinalAccount(now time.Time) hoist.LeaseAccount {
 	for _, w := range sc.workers {
 		if w.isOpen {
-			// A poll that was cancelled may still reach another incarnation.
-			w.unconfirmedUntil = latest(w.unconfirmedUntil, now.Add(onSlowClock(sc.MaxLease+longestPoll)))
-			sc.closeWorker(w)
+			sc.closeWorker(w, now)
 		}
 	}
 	return sc.leaseAccount(nil, now)
@@ -141,12 +144,17 @@
 }
 
 // lastIncarnation returns the incarnation that has answered this owner last, or that the earlier
-// account lists.
+// account lists. It returns 0 while the worker may still receive leases on an earlier clock: the
+// next owner then counts the longest lease from its first answer.
 func (w *Worker) lastIncarnation() hoist.Incarnation {
-	if w.incarnationPolledAt.IsZero() {
+	switch {
+	case w.mayHoldStrayLease:
+		return 0
+	case w.incarnationPolledAt.IsZero():
 		return w.recordedIncarnation
+	default:
+		return w.incarnation
 	}
-	return w.incarnation
 }
 
 // setConfirmed records that the worker has confirmed the current attempt. The next owner of the
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -57,6 +57,9 @@
 // endSession ends the session of a worker. The worker gets neither starts nor leases until it
 // answers a poll of the next one.
 func (sc *Scheduler) endSession(w *Worker, now time.Time) {
+	if !w.awaitsReport {
+		w.silentSince = now
+	}
 	w.awaitsReport, w.silentAt = true, now
 	sc.raiseToken(w)
 }
@@ -103,7 +106,7 @@
 // request of another session or owner.
 func (sc *Scheduler) countLongestLease(w *Worker, since time.Time) {
 	w.extendLease(since, sc.MaxLease+longestCall)
-	sc.closeWorker(w)
+	sc.closeWorker(w, since)
 }
 
 // mayRunUnseen reports whether an attempt may run on another incarnation of its worker than
