Start long-running tasks on workers that are backed off

What callers saw: a long-running task stayed without a run for up to 12 s although workers had room for it, while tasks of other plans failed on each of these workers.

Cause: a worker on which tasks of different plans fail in a row gets no tasks for 1.5 s, and twice as long with each relapse, up to 12 s. No rule bounds the wait of a task that finds room on such workers only.

Change: a long-running task that has waited for 1 s and fits on no other worker may also start on one that is backed off. Other tasks may not, so that a faulty worker does not attract them. A failure of such an attempt does not prolong the backoff, so that a long-running task that fails all the time keeps no worker from the others. A refusal does not shorten a backoff.

Result: in TestLongRunningTaskWaits, which measures the waits of long-running tasks without a network, the longest wait beside plans that fail on each worker is 0.95 s; it was 11.4 s, with 3 s allowed. TestBackedOffWorkerTakesLongRunningTasksOnly fails before the change (0 starts, expected 2). The other subtests pass before and after.

--- a/internal/decide/sched/explain.go
+++ b/internal/decide/sched/explain.go
@@ -57,7 +57,7 @@
 	dry.jobs = maps.Clone(sc.jobs)
 	dry.changed = make(map[hoist.PartName]map[hoist.JobID]*Job)
 	dry.orders = make(map[hoist.ServiceName]*workerOrder)
-	dry.usable = nil
+	dry.usable, dry.backedOff = nil, nil
 	dry.stopping = make(map[*Task]bool)
 	dry.localities = newLocalities()
 	dry.localities.taken = maps.Clone(sc.localities.taken)
@@ -226,7 +226,7 @@
 		return place.TooLittleMemory
 	case need.Accel > size.Accel:
 		return place.TooFewAccelerators
-	case e.now.Before(w.health.backoffUntil):
+	case w.isBackedOff(e.now):
 		return place.Failing
 	case len(w.orphans) > 0 || w.isDoubted():
 		return causeUnproven
--- a/internal/decide/sched/order.go
+++ b/internal/decide/sched/order.go
@@ -23,7 +23,8 @@
 	// remote is the order of workers that are not on the preferred rack of a step. It
 	// is made when it is first needed.
 	remote []rankedWorker
-	// madeAt is when the order was made, from that many usable workers.
+	// madeAt is when the order was made, from that many usable workers. Those that are
+	// backed off are among them, but are left out while a step must not use them.
 	madeAt    time.Time
 	numUsable int
 	// full lists needs that fit on no worker in this pass, as far as this was found
@@ -73,16 +74,18 @@
 	if o.passNo == sc.passNo {
 		return true
 	}
-	change := float64(len(sc.usable) - o.numUsable)
+	change := float64(len(sc.usable) + len(sc.backedOff) - o.numUsable)
 	maxAge := time.Duration(len(sc.usable)) * orderAgePerWorker
 	return sc.passAt.Sub(o.madeAt) < maxAge && math.Abs(change) <= maxUsableChange*float64(o.numUsable)
 }
 
 func (sc *Scheduler) newOrder(service hoist.ServiceName) *workerOrder {
-	o := &workerOrder{byRack: make(map[hoist.RackID][]rankedWorker), madeAt: sc.passAt, numUsable: len(sc.usable)}
-	for _, w := range sc.usable {
-		if w.entry.Service == service {
-			o.near = append(o.near, rankedWorker{w, sc.rank(w, false)})
+	o := &workerOrder{byRack: make(map[hoist.RackID][]rankedWorker), madeAt: sc.passAt, numUsable: len(sc.usable) + len(sc.backedOff)}
+	for _, workers := range [...][]*Worker{sc.usable, sc.backedOff} {
+		for _, w := range workers {
+			if w.entry.Service == service {
+				o.near = append(o.near, rankedWorker{w, sc.rank(w, false)})
+			}
 		}
 	}
 	slices.SortFunc(o.near, compareRanked)
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -327,7 +327,10 @@
 // recordFailure counts a failed attempt. The job fails once the queue allows
 // no more.
 func (sc *Scheduler) recordFailure(w *Worker, t *Task, attempt hoist.AttemptNo, now time.Time) {
-	w.health.recordFailure(t.StepTasks.Job.Plan.ID, now)
+	if !t.isDespiteBackoff {
+		// Otherwise a long-running task that fails all the time would prolong the backoff.
+		w.health.recordFailure(t.StepTasks.Job.Plan.ID, now)
+	}
 	if t.isFailureKnown(attempt) {
 		return
 	}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -63,11 +63,15 @@
 				continue
 			}
 			sc.placeTasks(s, now)
+			if sc.usesBackedOff = s.isImpatient(now); sc.usesBackedOff {
+				sc.placeTasks(s, now)
+			}
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
 				if adviceRequest, ok := sc.adviceRequest(s, false, reserve, now); ok {
 					d.AdviceRequests = append(d.AdviceRequests, adviceRequest)
 				}
 			}
+			sc.usesBackedOff = false
 		}
 		d.AdviceRequests = append(d.AdviceRequests, sc.prefetchAdvice(j, reserve, now)...)
 	}
@@ -96,14 +100,20 @@
 	return sc.isPlacementEnabled
 }
 
-// findUsableWorkers lists the workers that may take tasks in this pass and
-// computes the most of each resource that any of them has free.
+// findUsableWorkers lists the workers that may take tasks in this pass, and those that may
+// not because they are backed off. It computes the most of each resource that any of the
+// former has free.
 func (sc *Scheduler) findUsableWorkers(now time.Time) {
-	sc.usable, sc.maxFree = sc.usable[:0], hoist.Resources{}
+	sc.usable, sc.backedOff, sc.maxFree = sc.usable[:0], sc.backedOff[:0], hoist.Resources{}
 	sc.passNo++
 	sc.passAt = now
 	for _, w := range sc.workers {
-		if !w.isUsable(now) {
+		if !w.isReady(now) {
+			continue
+		}
+		if w.isBackedOff(now) {
+			sc.backedOff = append(sc.backedOff, w)
+			w.backedOffInPass = sc.passNo
 			continue
 		}
 		sc.usable = append(sc.usable, w)
@@ -115,9 +125,25 @@
 	}
 }
 
-// isUsableNow reports whether a worker may take tasks in this pass.
+// isUsableNow reports whether a worker may take tasks of the present step in this pass.
 func (sc *Scheduler) isUsableNow(w *Worker) bool {
-	return w.usableInPass == sc.passNo
+	return w.usableInPass == sc.passNo || sc.usesBackedOff && w.backedOffInPass == sc.passNo
+}
+
+// backoffPatience is how long a long-running task waits for a worker that is not backed off. The
+// longest backoff is longer than it may stay without a run.
+const backoffPatience = time.Second
+
+// isImpatient reports whether a long-running task has waited for backoffPatience, so that it may
+// also start on a worker that is backed off.
+func (t *Task) isImpatient(now time.Time) bool {
+	s := t.StepTasks
+	return s.Step.IsLongRunning && t.Phase == Waiting && now.Sub(latest(t.phaseSince, s.Job.Plan.Accepted)) >= backoffPatience
+}
+
+// isImpatient reports whether any task of a step is impatient.
+func (s *StepTasks) isImpatient(now time.Time) bool {
+	return s.Step.IsLongRunning && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.isImpatient(now) })
 }
 
 // limitReserve wraps reserve for one pass: once no host was free for a
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -31,7 +31,7 @@
 		if left == 0 {
 			return
 		}
-		if t.Phase != Waiting || now.Before(t.notBefore) || sc.hasOrphan(t, now) {
+		if t.Phase != Waiting || now.Before(t.notBefore) || sc.hasOrphan(t, now) || sc.usesBackedOff && !t.isImpatient(now) {
 			continue
 		}
 		for next < len(workers) && !sc.fits(s, workers[next]) {
@@ -93,6 +93,7 @@
 // assign places a task on a worker. The start is sent once it is recorded.
 func (sc *Scheduler) assign(t *Task, w *Worker, attempt hoist.AttemptNo, now time.Time) {
 	sc.place(t, w, attempt, Recording, now)
+	t.isDespiteBackoff = w.isBackedOff(now)
 	t.ticket = t.StepTasks.advice.tickets[w.entry.Worker]
 	j := t.StepTasks.Job
 	j.markUrgent()
@@ -152,6 +153,9 @@
 
 // mayFit reports whether some worker of the service may have enough free capacity.
 func (sc *Scheduler) mayFit(s *StepTasks, need hoist.Resources) bool {
+	if sc.usesBackedOff {
+		return true
+	}
 	return need.Fits(sc.maxFree) && !sc.order(s.Job.Plan.Queue.Service).hasNoRoom(need)
 }
 
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -101,6 +101,9 @@
 	isArriving bool
 	// isRecovered is set for an attempt that an earlier owner started.
 	isRecovered bool
+	// isDespiteBackoff is set for an attempt that was placed on a worker while that was backed
+	// off.
+	isDespiteBackoff bool
 	// failedWorkers are the workers that the task failed on.
 	failedWorkers []hoist.WorkerID
 	// isSuperseded is set for an attempt that must be stopped because an earlier
@@ -337,9 +340,13 @@
 	// numbers and which runs at passAt. usable lists the workers that may take tasks,
 	// maxFree is the most of each resource that any of them has free, and
 	// shortestRefused is the shortest request for advice that no host was free to send.
-	passNo          uint64
-	passAt          time.Time
-	usable          []*Worker
+	passNo uint64
+	passAt time.Time
+	usable []*Worker
+	// backedOff lists the workers that may not take tasks in this pass because they are backed
+	// off, except those of a step for which usesBackedOff is set.
+	backedOff       []*Worker
+	usesBackedOff   bool
 	maxFree         hoist.Resources
 	shortestRefused time.Duration
 }
@@ -492,7 +499,7 @@
 // attempt at it needs.
 func (sc *Scheduler) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
 	t.Phase, t.Worker, t.Attempt, t.phaseSince = phase, w, attempt, now
-	t.isRecovered, t.isStartInDoubt = phase == Recovered, false
+	t.isRecovered, t.isStartInDoubt, t.isDespiteBackoff = phase == Recovered, false, false
 	t.stop = stopState{}
 	t.StepTasks.waiting--
 	t.StepTasks.Job.placed++
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -58,6 +58,8 @@
 	tasks      map[*Task]bool
 	// usableInPass is the last pass in which the worker could take tasks.
 	usableInPass uint64
+	// backedOffInPass is the last pass in which only a backoff kept it from that.
+	backedOffInPass uint64
 	// orphans are attempts that run on the worker without a task that expects
 	// them, each with the time at which a stop was last sent.
 	orphans map[hoist.TaskRun]time.Time
@@ -260,8 +262,18 @@
 
 // isUsable reports whether tasks may start on the worker, whatever they need.
 func (w *Worker) isUsable(now time.Time) bool {
+	return w.isReady(now) && !w.isBackedOff(now)
+}
+
+// isBackedOff reports whether the worker gets no tasks because of failures or a refusal.
+func (w *Worker) isBackedOff(now time.Time) bool {
+	return now.Before(w.health.backoffUntil)
+}
+
+// isReady reports the same as isUsable, whether the worker is backed off or not.
+func (w *Worker) isReady(now time.Time) bool {
 	return w.isListed && w.isConfirmed && !w.awaitsReport && !w.entry.IsLeaving && len(w.orphans) == 0 && !w.isDoubted() &&
-		now.Sub(w.lastPolledAt) <= maxReportAge && !now.Before(w.health.backoffUntil)
+		now.Sub(w.lastPolledAt) <= maxReportAge
 }
 
 // hasRoomForEnd reports whether the worker can list the end of one more attempt beside
@@ -309,7 +321,7 @@
 // recordRefusal records that the worker refused a start; it gets none for a
 // short time.
 func (h *health) recordRefusal(now time.Time) {
-	h.backoffUntil = now.Add(initialBackoff / 3)
+	h.backoffUntil = latest(h.backoffUntil, now.Add(initialBackoff/3))
 }
 
 func (h *health) recordSuccess() {
