Keep no quota from long-running tasks for a step that waits

What callers saw: a long-running task of a team stayed without a run for good, although its quota and the workers had room for it, while a gang of the team waited.

Cause: the rest of a quota is reserved for a step that does not fit into it, so that smaller jobs do not take what becomes free. What long-running tasks use does not become free. If they use so much that the step never fits, the reservation never ends, and a long-running task of the team that loses its worker waits with it.

Change: long-running tasks start within the quota whether it is reserved or not.

--- a/internal/decide/sched/longwait_test.go
+++ b/internal/decide/sched/longwait_test.go
@@ -416,6 +416,22 @@
 			}
 			c.advance(15*time.Second, fail)
 		}},
+		{"a gang of its team waits for the quota", three, func(c *waitCell) {
+			c.scheduler.SetTeams([]hoist.TeamConfig{{Team: "t", Quota: hoist.Resources{CPU: 8000}}})
+			for i := range 6 {
+				id := hoist.JobID(fmt.Sprint("p", i))
+				// Five of them fill a worker.
+				c.submitAs("t", id, step(1, longRunning, func(s *hoist.Step) { s.Need.Memory = 1600 }))
+				c.watch(id, 1)
+			}
+			c.advance(2 * time.Second)
+			c.is.True(c.workerOf("p5") != c.workerOf("p4"))
+			first := queue
+			first.Priority = 1
+			c.scheduler.Add(hoist.Plan{ID: "g", Team: "t", Queue: first, Steps: []hoist.Step{step(4, gang)}, Accepted: c.now}, 1, c.now)
+			c.advance(time.Second)
+			c.crash(c.workerOf("p5"))
+		}},
 		{"it is late and many other plans wait", three, func(c *waitCell) {
 			c.lasting("p")
 			c.advance(30 * time.Second) // its objective has long passed
--- a/internal/decide/sched/reserve.go
+++ b/internal/decide/sched/reserve.go
@@ -83,10 +83,11 @@
 }
 
 // isReserved reports whether a resource that a step needs is reserved for an earlier one of
-// its team.
+// its team. Long-running tasks are not held back: what other long-running tasks of the team use
+// does not become free, so that the earlier step may wait forever.
 func (sc *Scheduler) isReserved(s *StepTasks) bool {
 	t := s.Job.team
-	if !sc.hasReservation(t) {
+	if s.Step.IsLongRunning || !sc.hasReservation(t) {
 		return false
 	}
 	for i, need := range amounts(s.Step.Need) {
