Keep a tenth of the open tasks for plans with long-running tasks

What callers saw: an accepted plan with a long-running task did not begin although workers had room for it, while the owner held as many tasks as it may of plans that found no worker.

Cause: the limit on the tasks of all plans does not tell plans apart. Plans whose tasks find no worker, for instance for want of a label, fill it for good. Tasks that have begun are not affected, also after a takeover.

Change: plans without long-running tasks begin only within nine tenths of the limit. The limit itself is as before.

Result: in TestLongRunningTaskWaits the task starts in the first pass.

--- a/internal/decide/sched/longwait_test.go
+++ b/internal/decide/sched/longwait_test.go
@@ -450,6 +450,14 @@
 			// The other worker of the rack seems to become free soon after the lease has expired.
 			c.submit("b", queue, step(1, needs(8000), func(s *hoist.Step) { s.PreferredRack, s.Estimate = "r0", 7500*time.Millisecond }))
 		}},
+		{"the tasks of other plans reach the limit on open tasks", three, func(c *waitCell) {
+			c.scheduler.Open.Tasks = 20
+			for i := range 20 {
+				c.submit(hoist.JobID(fmt.Sprintf("b%03d", i)), queue, step(1, func(s *hoist.Step) { s.Requires = "absent" }))
+			}
+			c.advance(time.Second)
+			c.lasting("p")
+		}},
 		{"the only worker does not answer the stop of a start in doubt", one, func(c *waitCell) {
 			c.lasting("p")
 			c.advance(2 * time.Second)
--- a/internal/decide/sched/occurrences.go
+++ b/internal/decide/sched/occurrences.go
@@ -16,7 +16,8 @@
 	// begun and not ended, and their tasks. One occurrence may always begin.
 	PlanOccurrences int
 	PlanTasks       int
-	// Tasks bounds the tasks of all plans.
+	// Tasks bounds the tasks of all plans. The last tenth is kept for plans with long-running
+	// tasks.
 	Tasks int
 }
 
@@ -98,13 +99,22 @@
 	if sc.open.beginnable <= 0 {
 		return false
 	}
-	if sc.open.tasks > 0 && sc.open.tasks+tasks > sc.Open.Tasks {
+	if sc.open.tasks > 0 && sc.open.tasks+tasks > sc.taskLimit(j) {
 		sc.open.isFull = true
 		return false
 	}
 	return open == 0 || (open < sc.Open.PlanOccurrences && (open+1)*tasks <= sc.Open.PlanTasks)
 }
 
+// taskLimit returns how many tasks of all plans there may be with those of a job. Plans whose
+// tasks find no worker do not end, and must not keep long-running tasks from being created.
+func (sc *Scheduler) taskLimit(j *Job) int {
+	if slices.ContainsFunc(j.Plan.Steps, func(s hoist.Step) bool { return s.IsLongRunning }) {
+		return sc.Open.Tasks
+	}
+	return sc.Open.Tasks - sc.Open.Tasks/10
+}
+
 // overdueOccurrences returns how many occurrences are due and have not begun.
 func (j *Job) overdueOccurrences(now time.Time) int {
 	if !j.isOccurrenceDue(now) {
