Look at backed-off workers only if one has room

Cause: the search for a worker of a long-running task that has waited for 1 s did not use what is known of the free capacity, and looked at all workers for each such task of a full cell. Change: it goes on only if a worker that is backed off has room. The tests of the package pass as before.

--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -63,7 +63,7 @@
 				continue
 			}
 			sc.placeTasks(s, now)
-			if sc.usesBackedOff = s.isImpatient(now); sc.usesBackedOff {
+			if sc.usesBackedOff = len(sc.backedOff) > 0 && s.isImpatient(now); sc.usesBackedOff {
 				sc.placeTasks(s, now)
 			}
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -153,7 +153,7 @@
 
 // mayFit reports whether some worker of the service may have enough free capacity.
 func (sc *Scheduler) mayFit(s *StepTasks, need hoist.Resources) bool {
-	if sc.usesBackedOff {
+	if sc.usesBackedOff && slices.ContainsFunc(sc.backedOff, func(w *Worker) bool { return need.Fits(w.free()) }) {
 		return true
 	}
 	return need.Fits(sc.maxFree) && !sc.order(s.Job.Plan.Queue.Service).hasNoRoom(need)
