Put long-running tasks that wait in order as if their job were in time

What callers saw: a long-running task stayed without a run for good although workers had room for it, while many plans of its priority asked the same adviser.

Cause: a job that is long past its objective is put in order behind all others of its priority, as finishing it is of no more use. A long-running job does not finish, and is past its objective soon after it was accepted. An adviser answers one request after the other, and plans that are in time can keep it busy all the time.

Change: while a long-running task waits that has not failed within the last second, its job counts as in time. Among those it comes first, by the time of its objective. The priority goes before that, as it did.

--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -184,6 +184,7 @@
 func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) (within, beyond []*Job) {
 	sc.settleRates(now)
 	for _, j := range sc.jobs {
+		j.isPressing = j.hasPressing(now)
 		switch {
 		case j.Phase.IsFinal() || !condition(j):
 		case j.rate != nil && j.rate.IsBeyond:
@@ -205,11 +206,26 @@
 	return within, beyond
 }
 
-// lateness returns 0 before the objective of the job, 1 while it is late, and
-// 2 when it is so late that finishing it is of no more use.
+// hasPressing reports whether a long-running task of the job waits that has not failed just now.
+// It has to run within seconds, and is of use however long after its objective. One that fails
+// all the time does not go before other jobs.
+func (j *Job) hasPressing(now time.Time) bool {
+	for _, s := range j.steps {
+		if !s.Step.IsLongRunning || s.waiting == 0 {
+			continue
+		}
+		if slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Phase == Waiting && now.Sub(t.notBefore) >= backoffPatience }) {
+			return true
+		}
+	}
+	return false
+}
+
+// lateness returns 0 before the objective of the job and while a long-running task of it
+// presses, 1 while it is late, and 2 when it is so late that finishing it is of no more use.
 func (j *Job) lateness(now time.Time) int {
 	switch {
-	case now.Before(j.due):
+	case j.isPressing || now.Before(j.due):
 		return 0
 	case now.Before(j.deprioritiseAt):
 		return 1
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -214,6 +214,8 @@
 	objective      time.Duration
 	due            time.Time
 	deprioritiseAt time.Time
+	// isPressing holds the result of hasPressing while jobs are put in order.
+	isPressing bool
 	// rests holds the result of restTimes once it is needed.
 	rests []time.Duration
 	// change counts the changes of the state. Changes up to recordedChange are
