Record the states of a part in turn

What callers saw: in a part of the store with many plans, a start could wait for good to be recorded, and its task stayed without a run.

Cause: a transaction takes the 20 changed states with the lowest ids. If the states of 20 plans with lower ids change again before the next transaction, as on a slow store, no other plan of the part is recorded.

Change: a transaction takes the states that wait longest. A state that changed while it was recorded comes after the others. Within a transaction they are in the order of their ids, as they were.

Result: in TestRecordingTakesTurns, with 60 plans whose states change all the time, the start is recorded in one of the next 4 transactions; before, it was not.

--- a/internal/decide/sched/longwait_test.go
+++ b/internal/decide/sched/longwait_test.go
@@ -598,6 +598,49 @@
 	c.is.Equal(countByTeam(starts), map[string]int{"p": 1, "f": 6})
 }
 
+// TestRecordingTakesTurns guards against a start that waits for good to be recorded because the
+// states of plans with lower ids change all the time.
+func TestRecordingTakesTurns(t *testing.T) {
+	const (
+		plans = 60
+		limit = 20
+	)
+	c := newCell(t, "w1")
+	c.changeEntry("w1", func(e *hoist.WorkerEntry) { e.Capacity = hoist.Resources{CPU: 1 << 30, Memory: 1 << 30} })
+	busy := queue
+	busy.MaxAttempts = 1 << 20
+	for i := range plans {
+		c.submit(hoist.JobID(fmt.Sprintf("b%03d", i)), busy, step(1))
+	}
+	// recordSome records as many states as one transaction takes. Each start is refused, so that
+	// the state changes again.
+	recordSome := func() (starts []sched.Start) {
+		c.now = c.now.Add(time.Second)
+		c.report("w1", hoist.RunnerReport{Incarnation: 1})
+		c.scheduler.Tick(c.now)
+		c.scheduler.Pass(c.now, c.reserve)
+		for _, u := range c.scheduler.Unrecorded("", true, limit, c.now) {
+			for _, s := range c.scheduler.MarkRecorded(u.Job, u.Change, u.Version+1, c.now) {
+				c.scheduler.RecordStart(s.Worker, s.Run, hoist.ErrTicket, c.now)
+				starts = append(starts, s)
+			}
+		}
+		return starts
+	}
+	for range 10 {
+		recordSome()
+	}
+	c.submit("p", queue, step(1, longRunning))
+	for range plans/limit + 1 {
+		for _, s := range recordSome() {
+			if s.Run.Task.Job == "p" {
+				return
+			}
+		}
+	}
+	t.Fatalf("the start of plan p is not recorded after %d transactions", plans/limit+1)
+}
+
 var (
 	one   = []hoist.WorkerID{"w1"}
 	three = []hoist.WorkerID{"w1", "w2", "w3"}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -362,6 +362,8 @@
 	j.recordedChange = max(j.recordedChange, change)
 	if j.recordedChange == j.change {
 		delete(j.changed, id)
+	} else if j.changed[id] != nil {
+		j.takeTurn()
 	}
 	var out []Start
 	for _, s := range j.sortedSteps() {
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -236,8 +236,11 @@
 	isSized                          bool
 	// isWithdrawn is set once the job is quarantined: nothing of it is recorded any more.
 	isWithdrawn bool
-	// changed is the scheduler's map of jobs with unrecorded state in the same part.
-	changed map[hoist.JobID]*Job
+	// changed is the scheduler's map of jobs with unrecorded state in the same part. turn orders
+	// them, and lastTurn is the scheduler's last one.
+	changed  map[hoist.JobID]*Job
+	turn     uint64
+	lastTurn *uint64
 }
 
 type stepKey struct {
@@ -251,6 +254,15 @@
 		return
 	}
 	j.change++
+	if _, ok := j.changed[j.Plan.ID]; !ok {
+		j.takeTurn()
+	}
+}
+
+// takeTurn puts the job behind the others of its part whose state must be recorded.
+func (j *Job) takeTurn() {
+	*j.lastTurn++
+	j.turn = *j.lastTurn
 	j.changed[j.Plan.ID] = j
 }
 
@@ -275,9 +287,11 @@
 
 	term hoist.Term
 	jobs map[hoist.JobID]*Job
-	// changed holds the jobs with unrecorded state, by part.
-	changed map[hoist.PartName]map[hoist.JobID]*Job
-	workers map[hoist.WorkerID]*Worker
+	// changed holds the jobs with unrecorded state, by part. lastTurn is the last turn of a job
+	// to be recorded.
+	changed  map[hoist.PartName]map[hoist.JobID]*Job
+	lastTurn uint64
+	workers  map[hoist.WorkerID]*Worker
 	// Open bounds the tasks that the scheduler holds.
 	Open OpenLimits
 	open openTasks
@@ -418,7 +432,7 @@
 	j := &Job{
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		steps:           make(map[stepKey]*StepTasks),
-		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part],
+		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part], lastTurn: &sc.lastTurn,
 	}
 	if j.changed == nil {
 		j.changed = make(map[hoist.JobID]*Job)
--- a/internal/decide/sched/state.go
+++ b/internal/decide/sched/state.go
@@ -24,8 +24,8 @@
 }
 
 // Unrecorded returns the states to write, of at most limit jobs in the given
-// part. It returns none if no start and no end of a step waits for any of
-// them, unless isAll is set.
+// part: those whose turn it is, in the order of their ids. It returns none if no start
+// and no end of a step waits for any of them, unless isAll is set.
 func (sc *Scheduler) Unrecorded(part hoist.PartName, isAll bool, limit int, now time.Time) []UnrecordedState {
 	var changed []*Job
 	isDue := isAll
@@ -38,8 +38,11 @@
 	if !isDue {
 		return nil
 	}
+	if len(changed) > limit {
+		slices.SortFunc(changed, func(x, y *Job) int { return cmp.Compare(x.turn, y.turn) })
+		changed = changed[:limit]
+	}
 	slices.SortFunc(changed, func(x, y *Job) int { return cmp.Compare(x.Plan.ID, y.Plan.ID) })
-	changed = changed[:min(len(changed), limit)]
 	out := make([]UnrecordedState, 0, len(changed))
 	for _, j := range changed {
 		sc.Handling = j.Plan.ID
