--- a/internal/core/plans/leaving_test.go
+++ b/internal/core/plans/leaving_test.go
@@ -81,8 +81,23 @@
 	return refusing.Commit(ctx, t)
 }
 
+// storeOptions are faults and settings of the store of a cell.
+type storeOptions struct {
+	// hangs holds the parts whose transactions get no answer. Those that are sent take effect if
+	// isLate is set.
+	hangs  map[hoist.PartName]bool
+	isLate bool
+	// combines allows transactions over several parts.
+	combines bool
+}
+
 // runLeavingCell runs an owner and calls during after a second.
 func runLeavingCell(t *testing.T, during func(c *leavingCell)) {
+	runLeavingCellWith(t, storeOptions{}, during)
+}
+
+// runLeavingCellWith is runLeavingCell with options of the store.
+func runLeavingCellWith(t *testing.T, options storeOptions, during func(c *leavingCell)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &leavingCell{
 			t: t, store: &memory.Store{}, began: time.Now(),
@@ -91,7 +106,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ownership := claim.NewOwnership(1, writeFences(t, c.store), time.Now(), time.Now().Add(time.Hour), cancel)
 		d := &Driver{
-			Claim: ownership, Store: cellStore{c.store, c}, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
+			Claim: ownership, Store: hangingStore{cellStore{c.store, c}, options}, CanCombine: options.combines, Registry: c, Advisers: &AdviserPool{}, Clock: clock.System{}, StateRetention: time.Minute,
 			Dial:  func(e hoist.WorkerEntry) hoist.Runner { return c.worker(e.Worker) },
 			Queue: func(hoist.QueueName) (hoist.Queue, bool) { return hoist.Queue{}, false },
 		}
@@ -166,6 +181,13 @@
 	}})
 }
 
+// set changes the cell.
+func (c *leavingCell) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
 // set changes a worker.
 func (w *leasedWorker) set(change func()) {
 	w.cell.mu.Lock()
