Add a failing test of a task on a restarted worker that is lost

Guards against a long-running task that waits for the longest lease of a worker that restarts, takes the task, and is lost at once. The owner counts that lease, 10.7 s, from the first answer of the new session, also for attempts that the worker has confirmed in it. A worker that is lost within 1.7 s of that keeps the task for more than 9 s.

--- a/internal/decide/sched/longwait_test.go
+++ b/internal/decide/sched/longwait_test.go
@@ -641,6 +641,21 @@
 	t.Fatalf("the start of plan p is not recorded after %d transactions", plans/limit+1)
 }
 
+// TestTaskOnRestartedWorkerThatIsLost guards against a long-running task that waits for the
+// longest lease of a worker that restarts, takes the task, and is lost.
+func TestTaskOnRestartedWorkerThatIsLost(t *testing.T) {
+	c := newWaitCell(t, one...)
+	c.advance(time.Second)
+	c.hosts["w1"].restart(c.now)
+	c.disturbedAt = c.now
+	c.lasting("p")
+	c.advance(5 * tickInterval)
+	c.crash(c.workerOf("p"))
+	c.addHosts("w2")
+	c.advance(20 * time.Second)
+	c.wantRunsWithin()
+}
+
 var (
 	one   = []hoist.WorkerID{"w1"}
 	three = []hoist.WorkerID{"w1", "w2", "w3"}
