Look only at jobs that are put in order for long-running tasks that wait

Cause: each pass looked for such tasks in all jobs, also in those without a waiting task. The tests of the order, rates and shares pass as before.

--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -184,12 +184,13 @@
 func (sc *Scheduler) inOrder(now time.Time, condition func(*Job) bool) (within, beyond []*Job) {
 	sc.settleRates(now)
 	for _, j := range sc.jobs {
+		if j.Phase.IsFinal() || !condition(j) {
+			continue
+		}
 		j.isPressing = j.hasPressing(now)
-		switch {
-		case j.Phase.IsFinal() || !condition(j):
-		case j.rate != nil && j.rate.IsBeyond:
+		if j.rate != nil && j.rate.IsBeyond {
 			beyond = append(beyond, j)
-		default:
+		} else {
 			within = append(within, j)
 		}
 	}
