Find plans with long-running tasks once

Cause: each pass went through the steps of each waiting job for long-running ones.

Change: a job knows from the beginning whether it has any.

--- a/internal/decide/sched/occurrences.go
+++ b/internal/decide/sched/occurrences.go
@@ -109,7 +109,7 @@
 // taskLimit returns how many tasks of all plans there may be with those of a job. Plans whose
 // tasks find no worker do not end, and must not keep long-running tasks from being created.
 func (sc *Scheduler) taskLimit(j *Job) int {
-	if slices.ContainsFunc(j.Plan.Steps, func(s hoist.Step) bool { return s.IsLongRunning }) {
+	if j.hasLongRunning {
 		return sc.Open.Tasks
 	}
 	return sc.Open.Tasks - sc.Open.Tasks/10
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -211,6 +211,9 @@
 // It has to run within seconds, and is of use however long after its objective. One that fails
 // all the time does not go before other jobs.
 func (j *Job) hasPressing(now time.Time) bool {
+	if !j.hasLongRunning {
+		return false
+	}
 	for _, s := range j.steps {
 		if !s.Step.IsLongRunning || s.waiting == 0 {
 			continue
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -40,6 +40,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -214,6 +215,8 @@
 	objective      time.Duration
 	due            time.Time
 	deprioritiseAt time.Time
+	// hasLongRunning is set if any step is long-running.
+	hasLongRunning bool
 	// isPressing holds the result of hasPressing while jobs are put in order.
 	isPressing bool
 	// rests holds the result of restTimes once it is needed.
@@ -433,6 +436,7 @@
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		steps:           make(map[stepKey]*StepTasks),
 		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part], lastTurn: &sc.lastTurn,
+		hasLongRunning: slices.ContainsFunc(p.Steps, func(s hoist.Step) bool { return s.IsLongRunning }),
 	}
 	if j.changed == nil {
 		j.changed = make(map[hoist.JobID]*Job)
