--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -42,6 +42,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -104,6 +105,9 @@
 	// isRecovered is set for an attempt that an earlier owner started, and isConfirmed once
 	// the worker has confirmed the attempt in an incarnation that the lease account lists.
 	isRecovered, isConfirmed bool
+	// isDespiteBackoff is set for an attempt that was placed on a worker while that was backed
+	// off.
+	isDespiteBackoff bool
 	// failedWorkers are the workers that the task failed on.
 	failedWorkers []hoist.WorkerID
 	// isSuperseded is set for an attempt that must be stopped because an earlier
@@ -201,9 +205,7 @@
 	rate *rate.Entry
 	// leastNeed is the least that any task of a job with a team needs of each resource.
 	leastNeed hoist.Resources
-	// isLongRunning tells that any step of the plan has long-running tasks.
-	isLongRunning bool
-	steps         map[stepKey]*StepTasks
+	steps     map[stepKey]*StepTasks
 	// nextOccurrence is the first occurrence that has not begun. unfinishedSteps
 	// holds, for each occurrence that has begun and not ended, how many of its
 	// steps are not done.
@@ -219,6 +221,10 @@
 	objective      time.Duration
 	due            time.Time
 	deprioritiseAt time.Time
+	// hasLongRunning is set if any step is long-running.
+	hasLongRunning bool
+	// isPressing holds the result of hasPressing while jobs are put in order.
+	isPressing bool
 	// rests holds the result of restTimes once it is needed.
 	rests []time.Duration
 	// change counts the changes of the state. Changes up to recordedChange are
@@ -239,8 +245,11 @@
 	isSized                          bool
 	// isWithdrawn is set once the job is quarantined: nothing of it is recorded any more.
 	isWithdrawn bool
-	// changed is the scheduler's map of jobs with unrecorded state in the same part.
-	changed map[hoist.JobID]*Job
+	// changed is the scheduler's map of jobs with unrecorded state in the same part. turn orders
+	// them, and lastTurn is the scheduler's last one.
+	changed  map[hoist.JobID]*Job
+	turn     uint64
+	lastTurn *uint64
 }
 
 type stepKey struct {
@@ -254,6 +263,15 @@
 		return
 	}
 	j.change++
+	if _, ok := j.changed[j.Plan.ID]; !ok {
+		j.takeTurn()
+	}
+}
+
+// takeTurn puts the job behind the others of its part whose state must be recorded.
+func (j *Job) takeTurn() {
+	*j.lastTurn++
+	j.turn = *j.lastTurn
 	j.changed[j.Plan.ID] = j
 }
 
@@ -278,9 +296,11 @@
 
 	term hoist.Term
 	jobs map[hoist.JobID]*Job
-	// changed holds the jobs with unrecorded state, by part.
-	changed map[hoist.PartName]map[hoist.JobID]*Job
-	workers map[hoist.WorkerID]*Worker
+	// changed holds the jobs with unrecorded state, by part. lastTurn is the last turn of a job
+	// to be recorded.
+	changed  map[hoist.PartName]map[hoist.JobID]*Job
+	lastTurn uint64
+	workers  map[hoist.WorkerID]*Worker
 	// Open bounds the tasks that the scheduler holds.
 	Open OpenLimits
 	open openTasks
@@ -347,9 +367,13 @@
 	// numbers and which runs at passAt. usable lists the workers that may take tasks,
 	// maxFree is the most of each resource that any of them has free, and
 	// shortestRefused is the shortest request for advice that no host was free to send.
-	passNo          uint64
-	passAt          time.Time
-	usable          []*Worker
+	passNo uint64
+	passAt time.Time
+	usable []*Worker
+	// backedOff lists the workers that may not take tasks in this pass because they are backed
+	// off, except those of a step for which usesBackedOff is set.
+	backedOff       []*Worker
+	usesBackedOff   bool
 	maxFree         hoist.Resources
 	shortestRefused time.Duration
 }
@@ -419,15 +443,13 @@
 	j := &Job{
 		Plan: p, Phase: hoist.PlanQueued, Version: version,
 		steps:           make(map[stepKey]*StepTasks),
-		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part],
+		unfinishedSteps: make(map[hoist.Occurrence]int), changed: sc.changed[p.Part], lastTurn: &sc.lastTurn,
+		hasLongRunning: slices.ContainsFunc(p.Steps, func(s hoist.Step) bool { return s.IsLongRunning }),
 	}
 	if j.changed == nil {
 		j.changed = make(map[hoist.JobID]*Job)
 		sc.changed[p.Part] = j.changed
 	}
-	for i := range p.Steps {
-		j.isLongRunning = j.isLongRunning || p.Steps[i].IsLongRunning
-	}
 	sc.addToTeam(j)
 	chain := longestChainTime(p.Steps)
 	j.objective = hoist.AddDuration(p.Queue.Latency, hoist.DurationOf(p.Queue.Stretch, chain))
@@ -505,7 +527,8 @@
 // attempt at it needs.
 func (sc *Scheduler) place(t *Task, w *Worker, attempt hoist.AttemptNo, phase Phase, now time.Time) {
 	t.Phase, t.Worker, t.Attempt, t.phaseSince = phase, w, attempt, now
-	t.isRecovered, t.isConfirmed, t.isStartInDoubt = phase == Recovered, false, false
+	t.isRecovered = phase == Recovered
+	t.isConfirmed, t.isStartInDoubt, t.isDespiteBackoff = false, false, false
 	t.stop = stopState{}
 	t.StepTasks.waiting--
 	t.StepTasks.Job.placed++
--- a/internal/decide/sched/waits.go
+++ b/internal/decide/sched/waits.go
@@ -86,7 +86,7 @@
 func (sc *Scheduler) LongRunningWaits(threshold time.Duration, now time.Time) []Wait {
 	c := waitCheck{sc: sc, now: now, room: make(map[roomKey]hoist.WaitReason)}
 	for _, j := range sc.jobs {
-		if j.Phase.IsFinal() || !j.isLongRunning {
+		if j.Phase.IsFinal() || !j.hasLongRunning {
 			continue
 		}
 		sc.Handling = j.Plan.ID
