Start no long-running task on a worker that may hold a long lease

What callers saw: a long-running task stayed without a run for 10.6 s, found by a test.

Cause: a worker that has restarted may hold the longest lease, 10.7 s from its first answer. Everything on it runs under that lease, so a task that started there waits for it once the worker is lost.

Change: a long-running task starts there only once the lease has at most 8 s left, 2.7 s after the answer, or elsewhere.

The other tests of waits and takeovers in sched pass.

--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -165,9 +165,23 @@
 	if !demand(s.Step).Fits(w.free()) || !sc.hasRoomForEnd(w) {
 		return false
 	}
+	if s.Step.IsLongRunning && sc.mayHoldLongLease(w) {
+		return false
+	}
 	return s.Step.MaxPerWorker == 0 || s.countOn(w) < s.Step.MaxPerWorker
 }
 
+// maxLeaseOfLongRunning is the most that the lease of a worker that has restarted may have left
+// when it gets a long-running task. If the worker is lost then, the task runs again within 9 s,
+// as it has to; until then, it waits for less than 3 s for the worker.
+const maxLeaseOfLongRunning = 8 * time.Second
+
+// mayHoldLongLease reports whether a worker that has restarted may hold a lease which is too long
+// for a long-running task.
+func (sc *Scheduler) mayHoldLongLease(w *Worker) bool {
+	return !w.restartShownAt.IsZero() && w.leaseExpiresAt.Sub(sc.passAt) > maxLeaseOfLongRunning
+}
+
 // countOn returns the number of tasks of the step on a worker.
 func (s *StepTasks) countOn(w *Worker) int {
 	n := 0
