Name busy workers in requests for advice about long-running tasks

A request for advice named only workers with room at that moment. In a full cell these become free one at a time: each request named one worker, other work without an adviser took that worker before the answer arrived, and the next request named another one. A long-running task of a higher priority got no worker while this went on.

A request for long-running tasks now names further workers without room, as long as this at most doubles the fixed time of the answer, unless the workers with room are expected to take all tasks. Whether a worker may run the step does not change, so two answers are enough for up to about 140 workers with a fixed time of 500 ms and 7 ms for each worker. Requests for other steps are as before.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -25,6 +26,10 @@
 	// extraWorkersShare is the share of the fixed answer time that may be spent
 	// on workers beyond those needed.
 	extraWorkersShare = 0.2
+	// longRunningExtraShare is the same for workers without room that a request for
+	// long-running tasks names. Such tasks have to run again within 3 s, so two answers
+	// must do, and a step asks seldom.
+	longRunningExtraShare = 1.0
 )
 
 // adviceState is what the adviser has answered about the tasks of one step.
@@ -124,7 +129,8 @@
 	if adviser.Base+adviser.PerWorker >= sc.shortestRefused {
 		return AdviceRequest{}, false
 	}
-	chosen := sc.adviceCandidates(s, isPrefetch, now)
+	choice := sc.adviceCandidates(s, isPrefetch, now)
+	chosen := choice.workers
 	if len(chosen) == 0 {
 		return AdviceRequest{}, false
 	}
@@ -135,6 +141,7 @@
 	named := chosen
 	if !isPrefetch {
 		named = append(named, sc.expectedNearWorkers(s, chosen, now)...)
+		named = append(named, sc.busyWorkers(s, choice, now)...)
 	}
 	host, ok := reserve(answerTime(len(named)), now)
 	if !ok && len(named) > len(chosen) {
@@ -152,10 +159,16 @@
 // cheapWorkerCount returns how many workers a request may name without adding
 // much to the fixed time of its answer.
 func cheapWorkerCount(adviser hoist.AdviserConfig) int {
+	return workersWithin(adviser, extraWorkersShare)
+}
+
+// workersWithin returns how many workers a request may name within a share of the fixed
+// time of its answer.
+func workersWithin(adviser hoist.AdviserConfig, share float64) int {
 	if adviser.PerWorker <= 0 {
 		return maxAdvisedWorkers
 	}
-	return int(extraWorkersShare * float64(adviser.Base) / float64(adviser.PerWorker))
+	return int(min(maxAdvisedWorkers, share*float64(adviser.Base)/float64(adviser.PerWorker)))
 }
 
 // places returns how many more tasks of the step a worker could take: now, or
@@ -170,7 +183,7 @@
 
 // adviceCandidates returns the workers that a request names, best first: those known
 // to be good whose ticket has expired, then those that no request has named yet.
-func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) []hoist.WorkerID {
+func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) adviceChoice {
 	chosen := adviceChoice{
 		wanted:     placesPerTask * float64(s.waiting),
 		minWorkers: min(maxAdvisedWorkers, cheapWorkerCount(s.Job.Plan.Queue.Advice)),
@@ -178,11 +191,11 @@
 	for _, w := range sc.expiredWorkers(s, now) {
 		places := min(s.waiting, s.places(w, isPrefetch))
 		if places > 0 && !chosen.add(w, float64(places)) {
-			return chosen.workers
+			return chosen
 		}
 	}
 	if chosen.places >= float64(s.waiting) {
-		return chosen.workers
+		return chosen
 	}
 	share := sc.speeds.goodShare(s.Job.Plan.Queue.Name)
 	for w := range sc.ranked(s) {
@@ -194,7 +207,37 @@
 			break
 		}
 	}
-	return chosen.workers
+	return chosen
+}
+
+// busyWorkers returns workers that a request for long-running tasks names in addition to
+// the chosen ones, best first, unless those are expected to take all tasks. They have no
+// room now and no valid ticket. Without their tickets, other steps could take the room on
+// each of them before the answer about it arrives.
+func (sc *Scheduler) busyWorkers(s *StepTasks, chosen adviceChoice, now time.Time) []hoist.WorkerID {
+	limit := workersWithin(s.Job.Plan.Queue.Advice, longRunningExtraShare) - len(chosen.workers)
+	if !s.Step.IsLongRunning || chosen.places >= chosen.wanted || limit <= 0 {
+		return nil
+	}
+	var busy []hoist.WorkerID
+	add := func(w *Worker) {
+		isFull := s.Step.MaxPerWorker > 0 && s.countOn(w) >= s.Step.MaxPerWorker
+		if len(busy) < limit && !isFull && w.maxTasks(demand(s.Step), true) > 0 && !slices.Contains(chosen.workers, w.entry.Worker) {
+			busy = append(busy, w.entry.Worker)
+		}
+	}
+	for _, w := range sc.expiredWorkers(s, now) {
+		add(w)
+	}
+	for w := range sc.ranked(s) {
+		if len(busy) == limit {
+			break
+		}
+		if _, isKnown := s.advice.isGood[w.entry.Worker]; !isKnown {
+			add(w)
+		}
+	}
+	return busy
 }
 
 // adviceChoice collects the workers that a request names.
--- /dev/null
+++ b/internal/decide/sched/advice_wait_test.go
@@ -0,0 +1,151 @@
+package sched_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	hoist "fuchsiahoist.example/hoist"
+)
+
+// maxRestart is how long a long-running task may stay without a run while there is room.
+const maxRestart = 3 * time.Second
+
+// lasting is a queue of long-running tasks that comes before the others.
+var lasting = hoist.Queue{Name: "lasting", Service: "lids", Priority: 1, MaxAttempts: 2, Stretch: 2, Latency: time.Second}
+
+func newSlowAdviser() *simAdviser {
+	return newSimAdviser(500*time.Millisecond, 7*time.Millisecond, 0.35)
+}
+
+// fill fills some of the workers with tasks of different run times, so that the workers
+// become free one by one.
+func (s *simulation) fill(workers int, shortest time.Duration, seed int) {
+	for i := range workers {
+		runTime := shortest + time.Duration((i*7+seed*5)%20)*shortest/10
+		s.arrivals = append(s.arrivals, hoist.Plan{
+			ID: hoist.JobID(fmt.Sprintf("fill%02d", i)), Queue: other, Accepted: start,
+			Steps: []hoist.Step{step(1, wholeWorker, taking(runTime))},
+		})
+	}
+}
+
+// fullCell returns a cell in which a backlog without an adviser takes each worker that
+// becomes free.
+func fullCell(t *testing.T, shortest time.Duration, seed int) *simulation {
+	s := newSimulation(t, 4, 0, newSlowAdviser())
+	s.fill(4*workersPerRack, shortest, seed)
+	s.arrivals = append(s.arrivals, hoist.Plan{
+		ID: "backlog", Queue: other, Accepted: start.Add(time.Second), Steps: []hoist.Step{step(400, wholeWorker, taking(2*shortest))},
+	})
+	return s
+}
+
+// restart is how a long-running task got a worker.
+type restart struct {
+	// after is the time since an allowed worker first had room for the task, whichever
+	// task took that.
+	after time.Duration
+	// calls and answerTime are the requests for advice until then.
+	calls      int
+	answerTime time.Duration
+}
+
+// restart runs until the task of a long-running plan has started.
+func (s *simulation) restart(id hoist.JobID) restart {
+	const limit = 2 * time.Minute
+	var roomSince time.Time
+	for s.now.Sub(start) < limit {
+		earlier := len(s.started)
+		s.tick()
+		if _, hasArrived := s.plans[id]; !hasArrived {
+			continue
+		}
+		for _, st := range s.started[earlier:] {
+			if roomSince.IsZero() && s.adviser.allows(hoist.StepRef{Job: id}, st.Worker) {
+				roomSince = s.now
+			}
+			if st.Run.Task.Job == id {
+				return restart{s.now.Sub(roomSince), len(s.requested), s.answerTime()}
+			}
+		}
+	}
+	s.t.Fatalf("the long-running task has not started within %v: %d calls, %d workers", limit, len(s.requested), s.named())
+	return restart{}
+}
+
+// TestLongRunningAmongBusyWorkers guards against a long-running task that waits while its
+// adviser is asked about the workers one by one as each becomes free: other work takes the
+// worker before the answer arrives, and the next request names another one.
+func TestLongRunningAmongBusyWorkers(t *testing.T) {
+	for seed := range 5 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := fullCell(t, 5*time.Second, seed)
+			id := fmt.Sprintf("p%d", seed)
+			s.arrive(5*time.Second, id, lasting, step(1, longRunning, taking(time.Hour)))
+			r := s.restart(hoist.JobID(id))
+			t.Logf("%+v", r)
+			is.New(t).True(r.after <= maxRestart)
+		})
+	}
+}
+
+// adviceLoad is the load on an adviser.
+type adviceLoad struct {
+	calls      int
+	answerTime time.Duration
+}
+
+// adviceLoad returns the load by the requests for the plans whose id begins with the prefix.
+func (s *simulation) adviceLoad(prefix string) adviceLoad {
+	var l adviceLoad
+	for _, r := range s.requested {
+		if strings.HasPrefix(string(r.Step.Job), prefix) {
+			l.calls++
+			l.answerTime += r.AnswerTime
+		}
+	}
+	return l
+}
+
+// TestLongRunningAdviceLoad guards against requests for long-running tasks that take more
+// time of the adviser than requests that name only workers with room: the limits are what
+// those take.
+func TestLongRunningAdviceLoad(t *testing.T) {
+	cases := []struct {
+		name       string
+		full       int
+		lasts, all adviceLoad
+	}{
+		{"room on many workers", 36, adviceLoad{25, 13305 * time.Millisecond}, adviceLoad{87, 49975 * time.Millisecond}},
+		{"room on few workers", 46, adviceLoad{93, 47557 * time.Millisecond}, adviceLoad{184, 97775 * time.Millisecond}},
+		{"no room", 48, adviceLoad{71, 36508 * time.Millisecond}, adviceLoad{152, 81775 * time.Millisecond}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(t, 4, 0, newSlowAdviser())
+			s.fill(tc.full, 10*time.Second, 0)
+			for i := range 8 {
+				s.arrive(time.Duration(3+i)*time.Second, fmt.Sprintf("p%d", i), lasting, step(6, longRunning, apart, taking(time.Hour)))
+			}
+			for i := range 60 {
+				s.arrive(time.Duration(i)*500*time.Millisecond, fmt.Sprintf("q%02d", i), queue, step(6))
+			}
+			for s.now.Sub(start) < 40*time.Second {
+				s.tick()
+			}
+			lasts, all := s.adviceLoad("p"), s.adviceLoad("")
+			t.Logf("long-running: %+v, all: %+v, others: %v", lasts, all, s.result())
+			is.True(lasts.calls <= tc.lasts.calls)
+			is.True(lasts.answerTime <= tc.lasts.answerTime)
+			is.True(all.calls <= tc.all.calls)
+			is.True(all.answerTime <= tc.all.answerTime)
+		})
+	}
+}
+
+func apart(s *hoist.Step) { s.MaxPerWorker = 1 }
--- a/internal/decide/sched/adviser_sim_test.go
+++ b/internal/decide/sched/adviser_sim_test.go
@@ -95,9 +95,10 @@
 	})
 }
 
-// checkTicket fails unless a start has a valid ticket for an allowed worker.
+// checkTicket fails unless a start has a valid ticket for an allowed worker, if its queue has
+// the adviser.
 func (s *simulation) checkTicket(st sched.Start) {
-	if s.adviser == nil {
+	if !s.plans[st.Run.Task.Job].Queue.Advice.IsUsed() {
 		return
 	}
 	validUntil, err := time.Parse(time.RFC3339Nano, string(st.Ticket))
@@ -114,3 +115,12 @@
 	}
 	return n
 }
+
+// answerTime returns the total answer time of the requests.
+func (s *simulation) answerTime() time.Duration {
+	var total time.Duration
+	for _, r := range s.requested {
+		total += r.AnswerTime
+	}
+	return total
+}
