Let overdue requests about long-running tasks go first

Requests for advice take the hosts in the order of the jobs. While steps of a higher priority want more answers than the hosts can get, as after a takeover that loses all tickets, no host was ever free for a long-running task of a lower priority, although there was room for it.

A step with long-running tasks whose request has waited 500 ms for a free host now sends it before those of all other jobs in the pass. The time is kept also if a shorter request was refused before in the pass. Tasks are still placed in the order of the jobs.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -30,6 +30,9 @@
 	// long-running tasks names. Such tasks have to run again within 3 s, so two answers
 	// must do, and a step asks seldom.
 	longRunningExtraShare = 1.0
+	// maxRefusedWait is how long a long-running task waits for a host that is free for its
+	// request before it comes first. With two answers, it starts within 3 s.
+	maxRefusedWait = 500 * time.Millisecond
 )
 
 // adviceState is what the adviser has answered about the tasks of one step.
@@ -44,6 +47,9 @@
 	// wantedSince is when a request was first wanted for workers with room, whether or not
 	// a host was free to send it.
 	wantedSince time.Time
+	// refusedSince is since when a request has been wanted for workers with room without a
+	// host that was free to send it.
+	refusedSince time.Time
 	// notBefore is the earliest time of the next request after a failed one.
 	notBefore time.Time
 }
@@ -126,12 +132,16 @@
 	if !isPrefetch && s.advice.wantedSince.IsZero() {
 		s.advice.wantedSince = now
 	}
+	if !isPrefetch && s.advice.refusedSince.IsZero() {
+		s.advice.refusedSince = now
+	}
 	if adviser.Base+adviser.PerWorker >= sc.shortestRefused {
 		return AdviceRequest{}, false
 	}
 	choice := sc.adviceCandidates(s, isPrefetch, now)
 	chosen := choice.workers
 	if len(chosen) == 0 {
+		s.advice.refusedSince = time.Time{}
 		return AdviceRequest{}, false
 	}
 	answerTime := func(workers int) time.Duration { return adviser.Base + time.Duration(workers)*adviser.PerWorker }
@@ -152,10 +162,33 @@
 		return AdviceRequest{}, false
 	}
 	adviceRequest := AdviceRequest{Step: s.Ref(), Workers: named, Host: host, AnswerTime: answerTime(len(named))}
-	s.advice.pendingSince = now
+	s.advice.pendingSince, s.advice.refusedSince = now, time.Time{}
 	return adviceRequest, true
 }
 
+// overdueRequests composes the requests of steps with long-running tasks that have waited
+// too long for a free host. They come before those of all other jobs: a request takes a
+// host for one answer only, and the tasks are placed in the order of the jobs.
+func (sc *Scheduler) overdueRequests(jobs []*Job, reserve Reserve, now time.Time) []AdviceRequest {
+	var out []AdviceRequest
+	for _, j := range jobs {
+		if !j.Plan.Queue.Advice.IsUsed() {
+			continue
+		}
+		sc.Handling = j.Plan.ID
+		for _, s := range j.readySteps() {
+			isOverdue := !s.advice.refusedSince.IsZero() && now.Sub(s.advice.refusedSince) >= maxRefusedWait
+			if !s.Step.IsLongRunning || !isOverdue || !sc.fitsQuota(s) {
+				continue
+			}
+			if request, ok := sc.adviceRequest(s, false, reserve, now); ok {
+				out = append(out, request)
+			}
+		}
+	}
+	return out
+}
+
 // cheapWorkerCount returns how many workers a request may name without adding
 // much to the fixed time of its answer.
 func cheapWorkerCount(adviser hoist.AdviserConfig) int {
--- a/internal/decide/sched/advice_wait_test.go
+++ b/internal/decide/sched/advice_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	hoist "fuchsiahoist.example/hoist"
+	"fuchsiahoist.example/hoist/internal/decide/sched"
 )
 
 // maxRestart is how long a long-running task may stay without a run while there is room.
@@ -149,3 +151,35 @@
 }
 
 func apart(s *hoist.Step) { s.MaxPerWorker = 1 }
+
+// TestLongRunningBesideManyRequests guards against a long-running task that waits for a host
+// to ask its adviser while steps of a higher priority keep all hosts busy with requests,
+// whether those take as long as its own or less.
+func TestLongRunningBesideManyRequests(t *testing.T) {
+	for _, base := range []time.Duration{500 * time.Millisecond, 250 * time.Millisecond} {
+		t.Run(base.String(), func(t *testing.T) {
+			is := is.New(t)
+			const arrival = 5 * time.Second
+			s := newSimulation(t, 4, 0, newSlowAdviser())
+			urgent := queue
+			urgent.Priority = 2
+			urgent.Advice = s.adviser.config
+			urgent.Advice.Base = base
+			for i := range 400 {
+				at := time.Duration(i) * base / 10
+				s.arrivals = append(s.arrivals, hoist.Plan{
+					ID: hoist.JobID(fmt.Sprintf("q%03d", i)), Queue: urgent, Steps: []hoist.Step{step(2)}, Accepted: start.Add(at),
+				})
+			}
+			s.arrive(arrival, "p", lasting, step(1, longRunning, taking(time.Hour)))
+			for s.now.Sub(start) < time.Minute {
+				s.tick()
+			}
+			i := slices.IndexFunc(s.started, func(st sched.Start) bool { return st.Run.Task.Job == "p" })
+			is.True(i >= 0) // it starts
+			after := s.startedAt[i].Sub(start.Add(arrival))
+			t.Logf("%v, others: %+v, %v", after, s.adviceLoad("q"), s.result())
+			is.True(after <= maxRestart)
+		})
+	}
+}
--- a/internal/decide/sched/locality_sim_test.go
+++ b/internal/decide/sched/locality_sim_test.go
@@ -38,10 +38,11 @@
 	idleSince   map[hoist.JobID]time.Time
 	longestIdle time.Duration
 	ended       map[hoist.JobID]time.Duration
-	// started lists the starts in their order.
-	started []sched.Start
-	waits   sched.NearWaits
-	adviser *simAdviser
+	// started lists the starts in their order, and startedAt when they were sent.
+	started   []sched.Start
+	startedAt []time.Time
+	waits     sched.NearWaits
+	adviser   *simAdviser
 	// requested lists the requests for advice in their order.
 	requested []sched.AdviceRequest
 }
@@ -134,7 +135,7 @@
 	task := st.Run.Task
 	step := s.step(task)
 	s.checkTicket(st)
-	s.started = append(s.started, st)
+	s.started, s.startedAt = append(s.started, st), append(s.startedAt, s.now)
 	s.used[st.Worker] = s.used[st.Worker].Add(step.Need)
 	runTime := time.Duration(float64(step.Estimate) * (0.75 + s.random.Float64()/2))
 	if step.PreferredRack != "" && s.rack(st.Worker) != step.PreferredRack {
