Renew tickets of long-running steps before a worker becomes free

A step renewed the ticket for a worker known to be good only when that worker had room. Other work took the worker before the answer arrived, and the new ticket had often expired when a worker became free again.

For 10 s after a long-running task has begun to wait, its step now renews the tickets for good workers without room, and asks about those that no request has named, in passes in which some worker has room. The tickets are renewed before they expire.

TestTicketsOfBusyWorkers failed before: other work took the worker that became free 2, 3, 4 and 8 s after the first pass that asked; now the long-running task takes it at once. In a cell that stays full the step sends 5 requests in the first 10 s (before: none) and none afterwards.

TestLongRunningAdviceLoad, requests and their time of long-running steps before and after: 11, 8.4 s to 16, 11.3 s; 19, 13.2 s to 38, 24.5 s; 15, 10.9 s to 23, 15.5 s. This is less than without any busy workers in the requests (25, 13.3 s; 93, 47.6 s; 71, 36.5 s), which are the limits of the test.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -30,6 +30,10 @@
 	// long-running tasks names. Such tasks have to run again within 3 s, so two answers
 	// must do, and a step asks seldom.
 	longRunningExtraShare = 1.0
+	// maxBusyRenewal is for how long a step renews tickets for workers without room after
+	// the last of its tasks has begun to wait. It bounds the load on the adviser in a cell
+	// that stays full.
+	maxBusyRenewal = 10 * time.Second
 	// maxRefusedWait is how long a long-running task waits for a host that is free for its
 	// request before it comes first. With two answers, it starts within 3 s.
 	maxRefusedWait = 500 * time.Millisecond
@@ -140,6 +144,13 @@
 	}
 	choice := sc.adviceCandidates(s, isPrefetch, now)
 	chosen := choice.workers
+	var busy []hoist.WorkerID
+	if !isPrefetch && (len(chosen) > 0 || s.hasBegunToWait(now.Add(-maxBusyRenewal))) {
+		busy = sc.busyWorkers(s, choice, now)
+	}
+	if len(chosen) == 0 {
+		chosen, busy = busy, nil
+	}
 	if len(chosen) == 0 {
 		s.advice.refusedSince = time.Time{}
 		return AdviceRequest{}, false
@@ -151,8 +162,8 @@
 	named := chosen
 	if !isPrefetch {
 		named = append(named, sc.expectedNearWorkers(s, chosen, now)...)
-		named = append(named, sc.busyWorkers(s, choice, now)...)
 	}
+	named = append(named, busy...)
 	host, ok := reserve(answerTime(len(named)), now)
 	if !ok && len(named) > len(chosen) {
 		named = chosen
@@ -245,10 +256,11 @@
 
 // busyWorkers returns workers that a request for long-running tasks names in addition to
 // the chosen ones, best first, unless those are expected to take all tasks. They have no
-// room now and no valid ticket. Without their tickets, other steps could take the room on
+// room now, and no ticket that is valid until the answer. Without their tickets, other steps could take the room on
 // each of them before the answer about it arrives.
 func (sc *Scheduler) busyWorkers(s *StepTasks, chosen adviceChoice, now time.Time) []hoist.WorkerID {
-	limit := workersWithin(s.Job.Plan.Queue.Advice, longRunningExtraShare) - len(chosen.workers)
+	adviser := s.Job.Plan.Queue.Advice
+	limit := workersWithin(adviser, longRunningExtraShare) - len(chosen.workers)
 	if !s.Step.IsLongRunning || chosen.places >= chosen.wanted || limit <= 0 {
 		return nil
 	}
@@ -259,7 +271,7 @@
 			busy = append(busy, w.entry.Worker)
 		}
 	}
-	for _, w := range sc.expiredWorkers(s, now) {
+	for _, w := range sc.expiredWorkers(s, now.Add(adviceTime(adviser))) {
 		add(w)
 	}
 	for w := range sc.ranked(s) {
@@ -273,6 +285,13 @@
 	return busy
 }
 
+// hasBegunToWait reports whether a task of the step has begun to wait after the given time,
+// or the step has begun to want advice.
+func (s *StepTasks) hasBegunToWait(after time.Time) bool {
+	return s.advice.wantedSince.After(after) ||
+		slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Phase == Waiting && t.phaseSince.After(after) })
+}
+
 // adviceChoice collects the workers that a request names.
 type adviceChoice struct {
 	workers []hoist.WorkerID
@@ -290,12 +309,12 @@
 }
 
 // expiredWorkers returns the usable workers that may run the step but whose ticket has
-// expired, best first.
-func (sc *Scheduler) expiredWorkers(s *StepTasks, now time.Time) []*Worker {
+// expired at the given time, best first.
+func (sc *Scheduler) expiredWorkers(s *StepTasks, at time.Time) []*Worker {
 	var out []*Worker
 	for id, isGood := range s.advice.isGood {
 		w, ok := sc.workers[id]
-		if isGood && ok && sc.isUsableNow(w) && sc.isCandidate(s, w) && !s.isAllowedOn(w, now) {
+		if isGood && ok && sc.isUsableNow(w) && sc.isCandidate(s, w) && !s.isAllowedOn(w, at) {
 			out = append(out, w)
 		}
 	}
