Count only new answers in the share of good workers

The learned share of good workers of a queue tells how many unknown workers a request names. Answers about workers that are known to be good, whose tickets are renewed, counted as well and raised the share, so that later requests named too few workers and a step needed several answers.

The share now counts answers about workers that no earlier request of the step has named.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -94,16 +94,23 @@
 		s.advice.notBefore = now.Add(adviceRetryDelay)
 		return
 	}
-	good := 0
+	good, asked := 0, 0
 	for _, id := range request.Workers {
 		value, isGood := advice.Tickets[id]
+		if _, isKnown := s.advice.isGood[id]; !isKnown {
+			asked++
+			if isGood {
+				good++
+			}
+		}
 		s.advice.isGood[id] = isGood
 		if isGood {
 			s.advice.tickets[id] = ticket{value, now.Add(advice.ValidFor)}
-			good++
 		}
 	}
-	sc.speeds.recordGoodShare(j.Plan.Queue.Name, good, len(request.Workers))
+	// The share is that of workers that no request has named, so that renewed tickets do
+	// not count.
+	sc.speeds.recordGoodShare(j.Plan.Queue.Name, good, asked)
 }
 
 // isAllowedOn reports whether the tasks may start on the worker now: either
--- a/internal/decide/sched/advice_wait_test.go
+++ b/internal/decide/sched/advice_wait_test.go
@@ -195,57 +195,82 @@
 	}
 }
 
+// inRack1 makes a task require the label of rack r1.
+func inRack1(s *hoist.Step) { s.Requires = "r1" }
+
+// busyCell returns a cell in which a long-running task waits for the only worker in rack r1,
+// which its adviser allows. A backlog waits for the same worker. The start is that of the
+// task that runs there.
+func busyCell(t *testing.T) (*cell, sched.Start) {
+	c := newCell(t, "w1", "w2", "w3")
+	c.submit("fill", other, step(1, wholeWorker, inRack1))
+	starts := c.run()
+	c.wantStarts(starts, 1)
+	c.submit("p", withAdvice(lasting), step(1, wholeWorker, longRunning))
+	c.submit("backlog", other, step(10, wholeWorker, inRack1))
+	c.wantStarts(c.run(), 0)
+	c.is.Equal(len(c.requests), 1)
+	c.answer("w3")
+	return c, starts[0]
+}
+
+// staysFull lets time pass while a task keeps its worker, and returns the number of requests
+// for advice. The adviser allows that worker.
+func (c *cell) staysFull(d time.Duration, running sched.Start) int {
+	n := 0
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.advance(100 * time.Millisecond)
+		for _, e := range c.entries {
+			r := hoist.RunnerReport{Incarnation: 1}
+			if e.Worker == running.Worker {
+				r.Running = []hoist.RunStatus{{Run: running.Run}}
+			}
+			c.report(e.Worker, r)
+		}
+		c.wantStarts(c.run(), 0)
+		n += len(c.requests)
+		c.answer(running.Worker)
+	}
+	return n
+}
+
 // TestTicketsOfBusyWorkers guards against a long-running task that finds its tickets expired
 // when a worker becomes free which it may use, so that other work takes that worker, and
 // against tickets that are renewed for ever in a full cell.
 func TestTicketsOfBusyWorkers(t *testing.T) {
-	// The tasks for the only worker in rack r1 require the label of that rack.
-	inRack1 := func(s *hoist.Step) { s.Requires = "r1" }
-	begin := func(t *testing.T) (*cell, []sched.Start) {
-		c := newCell(t, "w1", "w2", "w3")
-		c.submit("fill", other, step(1, wholeWorker, inRack1))
-		filling := c.run()
-		c.wantStarts(filling, 1)
-		c.submit("p", withAdvice(lasting), step(1, wholeWorker, longRunning))
-		c.submit("backlog", other, step(10, wholeWorker, inRack1))
-		c.wantStarts(c.run(), 0)
-		c.is.Equal(len(c.requests), 1)
-		c.answer("w3")
-		return c, filling
-	}
-	// wait lets time pass in which the cell stays full, and returns the number of requests.
-	wait := func(c *cell, d time.Duration) int {
-		n := 0
-		for end := c.now.Add(d); c.now.Before(end); {
-			c.advance(100 * time.Millisecond)
-			for _, e := range c.entries {
-				r := hoist.RunnerReport{Incarnation: 1}
-				if e.Worker == "w3" {
-					r.Running = []hoist.RunStatus{{Run: hoist.TaskRun{Task: hoist.TaskRef{StepRef: hoist.StepRef{Job: "fill"}}, Attempt: 1}}}
-				}
-				c.report(e.Worker, r)
-			}
-			c.wantStarts(c.run(), 0)
-			n += len(c.requests)
-			c.answer("w3")
-		}
-		return n
-	}
 	for _, waited := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 8 * time.Second} {
 		t.Run(fmt.Sprintf("a worker becomes free after %v", waited), func(t *testing.T) {
-			c, filling := begin(t)
-			t.Logf("%d requests", wait(c, waited))
-			c.reportEnd(1, filling[0], hoist.EndDone)
+			c, running := busyCell(t)
+			t.Logf("%d requests", c.staysFull(waited, running))
+			c.reportEnd(1, running, hoist.EndDone)
 			starts := c.run()
 			c.wantStarts(starts, 1)
 			c.is.Equal(starts[0].Run.Task.Job, hoist.JobID("p"))
 		})
 	}
 	t.Run("the cell stays full", func(t *testing.T) {
-		c, _ := begin(t)
-		during := wait(c, 10*time.Second)
+		c, running := busyCell(t)
+		during := c.staysFull(10*time.Second, running)
 		t.Logf("%d requests", during)
 		c.is.True(during <= 8)
-		c.is.Equal(wait(c, 20*time.Second), 0)
+		c.is.Equal(c.staysFull(20*time.Second, running), 0)
 	})
 }
+
+// TestGoodShareWithRenewals guards against renewed tickets that count as answers about unknown
+// workers: the next step of the queue would name too few workers.
+func TestGoodShareWithRenewals(t *testing.T) {
+	named := func(waited time.Duration) int {
+		c, running := busyCell(t)
+		t.Logf("%d renewals", c.staysFull(waited, running))
+		for i := range 40 {
+			c.addWorkers(hoist.WorkerID(fmt.Sprintf("more%02d", i)))
+		}
+		c.submit("q", withAdvice(lasting), step(4, longRunning, apart))
+		c.run()
+		i := slices.IndexFunc(c.requests, func(r sched.AdviceRequest) bool { return r.Step.Job == "q" })
+		c.is.True(i >= 0)
+		return len(c.requests[i].Workers)
+	}
+	is.New(t).Equal(named(8*time.Second), named(0))
+}
