--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	hoist "fuchsiahoist.example/hoist"
@@ -25,6 +26,17 @@
 	// extraWorkersShare is the share of the fixed answer time that may be spent
 	// on workers beyond those needed.
 	extraWorkersShare = 0.2
+	// longRunningExtraShare is the same for workers without room that a request for
+	// long-running tasks names. Such tasks have to run again within 3 s, so two answers
+	// must do, and a step asks seldom.
+	longRunningExtraShare = 1.0
+	// maxBusyRenewal is for how long a step renews tickets for workers without room after
+	// the last of its tasks has begun to wait. It bounds the load on the adviser in a cell
+	// that stays full.
+	maxBusyRenewal = 10 * time.Second
+	// maxRefusedWait is how long a long-running task waits for a host that is free for its
+	// request before it comes first. With two answers, it starts within 3 s.
+	maxRefusedWait = 500 * time.Millisecond
 )
 
 // adviceState is what the adviser has answered about the tasks of one step.
@@ -39,6 +51,9 @@
 	// wantedSince is when a request was first wanted for workers with room, whether or not
 	// a host was free to send it.
 	wantedSince time.Time
+	// refusedSince is since when a request has been wanted for workers with room without a
+	// host that was free to send it.
+	refusedSince time.Time
 	// notBefore is the earliest time of the next request after a failed one.
 	notBefore time.Time
 }
@@ -79,16 +94,23 @@
 		s.advice.notBefore = now.Add(adviceRetryDelay)
 		return
 	}
-	good := 0
+	good, asked := 0, 0
 	for _, id := range request.Workers {
 		value, isGood := advice.Tickets[id]
+		if _, isKnown := s.advice.isGood[id]; !isKnown {
+			asked++
+			if isGood {
+				good++
+			}
+		}
 		s.advice.isGood[id] = isGood
 		if isGood {
 			s.advice.tickets[id] = ticket{value, now.Add(advice.ValidFor)}
-			good++
 		}
 	}
-	sc.speeds.recordGoodShare(j.Plan.Queue.Name, good, len(request.Workers))
+	// The share is that of workers that no request has named, so that renewed tickets do
+	// not count.
+	sc.speeds.recordGoodShare(j.Plan.Queue.Name, good, asked)
 }
 
 // isAllowedOn reports whether the tasks may start on the worker now: either
@@ -121,11 +143,23 @@
 	if !isPrefetch && s.advice.wantedSince.IsZero() {
 		s.advice.wantedSince = now
 	}
+	if !isPrefetch && s.advice.refusedSince.IsZero() {
+		s.advice.refusedSince = now
+	}
 	if adviser.Base+adviser.PerWorker >= sc.shortestRefused {
 		return AdviceRequest{}, false
 	}
-	chosen := sc.adviceCandidates(s, isPrefetch, now)
+	choice := sc.adviceCandidates(s, isPrefetch, now)
+	chosen := choice.workers
+	var busy []hoist.WorkerID
+	if !isPrefetch && (len(chosen) > 0 || s.hasBegunToWait(now.Add(-maxBusyRenewal))) {
+		busy = sc.busyWorkers(s, choice, now)
+	}
 	if len(chosen) == 0 {
+		chosen, busy = busy, nil
+	}
+	if len(chosen) == 0 {
+		s.advice.refusedSince = time.Time{}
 		return AdviceRequest{}, false
 	}
 	answerTime := func(workers int) time.Duration { return adviser.Base + time.Duration(workers)*adviser.PerWorker }
@@ -136,6 +170,7 @@
 	if !isPrefetch {
 		named = append(named, sc.expectedNearWorkers(s, chosen, now)...)
 	}
+	named = append(named, busy...)
 	host, ok := reserve(answerTime(len(named)), now)
 	if !ok && len(named) > len(chosen) {
 		named = chosen
@@ -145,17 +180,46 @@
 		return AdviceRequest{}, false
 	}
 	adviceRequest := AdviceRequest{Step: s.Ref(), Workers: named, Host: host, AnswerTime: answerTime(len(named))}
-	s.advice.pendingSince = now
+	s.advice.pendingSince, s.advice.refusedSince = now, time.Time{}
 	return adviceRequest, true
 }
 
+// overdueRequests composes the requests of steps with long-running tasks that have waited
+// too long for a free host. They come before those of all other jobs: a request takes a
+// host for one answer only, and the tasks are placed in the order of the jobs.
+func (sc *Scheduler) overdueRequests(jobs []*Job, reserve Reserve, now time.Time) []AdviceRequest {
+	var out []AdviceRequest
+	for _, j := range jobs {
+		if !j.Plan.Queue.Advice.IsUsed() {
+			continue
+		}
+		sc.Handling = j.Plan.ID
+		for _, s := range j.readySteps() {
+			isOverdue := !s.advice.refusedSince.IsZero() && now.Sub(s.advice.refusedSince) >= maxRefusedWait
+			if !s.Step.IsLongRunning || !isOverdue || !sc.fitsQuota(s) {
+				continue
+			}
+			if request, ok := sc.adviceRequest(s, false, reserve, now); ok {
+				out = append(out, request)
+			}
+		}
+	}
+	return out
+}
+
 // cheapWorkerCount returns how many workers a request may name without adding
 // much to the fixed time of its answer.
 func cheapWorkerCount(adviser hoist.AdviserConfig) int {
+	return workersWithin(adviser, extraWorkersShare)
+}
+
+// workersWithin returns how many workers a request may name within a share of the fixed
+// time of its answer.
+func workersWithin(adviser hoist.AdviserConfig, share float64) int {
 	if adviser.PerWorker <= 0 {
 		return maxAdvisedWorkers
 	}
-	return int(extraWorkersShare * float64(adviser.Base) / float64(adviser.PerWorker))
+	return int(min(maxAdvisedWorkers, share*float64(adviser.Base)/float64(adviser.PerWorker)))
 }
 
 // places returns how many more tasks of the step a worker could take: now, or
@@ -170,7 +234,7 @@
 
 // adviceCandidates returns the workers that a request names, best first: those known
 // to be good whose ticket has expired, then those that no request has named yet.
-func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) []hoist.WorkerID {
+func (sc *Scheduler) adviceCandidates(s *StepTasks, isPrefetch bool, now time.Time) adviceChoice {
 	chosen := adviceChoice{
 		wanted:     placesPerTask * float64(s.waiting),
 		minWorkers: min(maxAdvisedWorkers, cheapWorkerCount(s.Job.Plan.Queue.Advice)),
@@ -178,11 +242,11 @@
 	for _, w := range sc.expiredWorkers(s, now) {
 		places := min(s.waiting, s.places(w, isPrefetch))
 		if places > 0 && !chosen.add(w, float64(places)) {
-			return chosen.workers
+			return chosen
 		}
 	}
 	if chosen.places >= float64(s.waiting) {
-		return chosen.workers
+		return chosen
 	}
 	share := sc.speeds.goodShare(s.Job.Plan.Queue.Name)
 	for w := range sc.ranked(s) {
@@ -194,7 +258,45 @@
 			break
 		}
 	}
-	return chosen.workers
+	return chosen
+}
+
+// busyWorkers returns workers that a request for long-running tasks names in addition to
+// the chosen ones, best first, unless those are expected to take all tasks. They have no
+// room now, and no ticket that is valid until the answer. Without their tickets, other steps could take the room on
+// each of them before the answer about it arrives.
+func (sc *Scheduler) busyWorkers(s *StepTasks, chosen adviceChoice, now time.Time) []hoist.WorkerID {
+	adviser := s.Job.Plan.Queue.Advice
+	limit := workersWithin(adviser, longRunningExtraShare) - len(chosen.workers)
+	if !s.Step.IsLongRunning || chosen.places >= chosen.wanted || limit <= 0 {
+		return nil
+	}
+	var busy []hoist.WorkerID
+	add := func(w *Worker) {
+		isFull := s.Step.MaxPerWorker > 0 && s.countOn(w) >= s.Step.MaxPerWorker
+		if len(busy) < limit && !isFull && w.maxTasks(demand(s.Step), true) > 0 && !slices.Contains(chosen.workers, w.entry.Worker) {
+			busy = append(busy, w.entry.Worker)
+		}
+	}
+	for _, w := range sc.expiredWorkers(s, now.Add(adviceTime(adviser))) {
+		add(w)
+	}
+	for w := range sc.ranked(s) {
+		if len(busy) == limit {
+			break
+		}
+		if _, isKnown := s.advice.isGood[w.entry.Worker]; !isKnown {
+			add(w)
+		}
+	}
+	return busy
+}
+
+// hasBegunToWait reports whether a task of the step has begun to wait after the given time,
+// or the step has begun to want advice.
+func (s *StepTasks) hasBegunToWait(after time.Time) bool {
+	return s.advice.wantedSince.After(after) ||
+		slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Phase == Waiting && t.phaseSince.After(after) })
 }
 
 // adviceChoice collects the workers that a request names.
@@ -214,12 +316,12 @@
 }
 
 // expiredWorkers returns the usable workers that may run the step but whose ticket has
-// expired, best first.
-func (sc *Scheduler) expiredWorkers(s *StepTasks, now time.Time) []*Worker {
+// expired at the given time, best first.
+func (sc *Scheduler) expiredWorkers(s *StepTasks, at time.Time) []*Worker {
 	var out []*Worker
 	for id, isGood := range s.advice.isGood {
 		w, ok := sc.workers[id]
-		if isGood && ok && sc.isUsableNow(w) && sc.isCandidate(s, w) && !s.isAllowedOn(w, now) {
+		if isGood && ok && sc.isUsableNow(w) && sc.isCandidate(s, w) && !s.isAllowedOn(w, at) {
 			out = append(out, w)
 		}
 	}
