Draw the loss of a worker with a long-running task in each calm time

Change: each draw has a long-running task, and loses its worker up to 20 intervals before the last takeover or in the calm time after it.

--- a/internal/decide/sched/calm_test.go
+++ b/internal/decide/sched/calm_test.go
@@ -105,9 +105,14 @@
 	longest    waits
 }
 
-// drawCalm ends all faults by a takeover. Within the time that follows, a worker may be lost for
-// good and the cell be released some times.
+// drawCalm ends all faults by a takeover. Some time before, or within the time that follows, a
+// worker with a long-running task is lost for good if there is one. The cell may be released some
+// times.
 func (fx *fixture) drawCalm(longest waits) {
+	if rapid.Bool().Draw(fx.draws, "lost before") {
+		fx.lose(fx.lastingHolder())
+		fx.work(rapid.IntRange(0, 20).Draw(fx.draws, "intervals"), true)
+	}
 	switch rapid.IntRange(0, 2).Draw(fx.draws, "last takeover") {
 	case 0:
 		fx.takeOver(false)
@@ -118,13 +123,12 @@
 		fx.handOver(true)
 	}
 	c := fx.beginCalm(longest)
-	lost := fx.workers[rapid.IntRange(0, len(fx.workers)-1).Draw(fx.draws, "lost worker")]
 	lossAt := fx.now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(fx.draws, "loss")) * time.Millisecond)
 	for _, ms := range rapid.SliceOfN(rapid.IntRange(1, 5000), 0, 4).Draw(fx.draws, "releases") {
-		c.workFor(time.Duration(ms)*time.Millisecond, lost, lossAt)
+		c.workFor(time.Duration(ms)*time.Millisecond, lossAt)
 		fx.handOver(true)
 	}
-	c.workFor(25*time.Second, lost, lossAt)
+	c.workFor(25*time.Second, lossAt)
 }
 
 // beginCalm ends all faults, and cancels the plans without long-running tasks, which would take
@@ -170,10 +174,10 @@
 }
 
 // workFor lets the owner work, loses a worker at a time, and checks the long-running tasks.
-func (c *calm) workFor(d time.Duration, lost *fakeWorker, lossAt time.Time) {
+func (c *calm) workFor(d time.Duration, lossAt time.Time) {
 	for end := c.now.Add(d); c.now.Before(end); {
-		if lost != nil && !c.now.Before(lossAt) {
-			c.lose(lost)
+		if !c.now.Before(lossAt) {
+			c.lose(c.lastingHolder())
 		}
 		c.work(1, true)
 		c.deliverAnswers()
@@ -292,6 +296,18 @@
 	return task
 }
 
+// lastingHolder returns a worker that runs a long-running task, or any worker if there is none.
+func (fx *fixture) lastingHolder() *fakeWorker {
+	for _, f := range fx.workers {
+		for _, task := range f.tasks() {
+			if fx.store[task.Job].plan.Steps[task.Step].IsLongRunning {
+				return f
+			}
+		}
+	}
+	return fx.workers[0]
+}
+
 // holder returns the worker that runs a task, or nil.
 func (fx *fixture) holder(task hoist.TaskRef) *fakeWorker {
 	for _, f := range fx.workers {
--- a/internal/decide/sched/fixture_test.go
+++ b/internal/decide/sched/fixture_test.go
@@ -564,6 +564,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		fx := newFixture(t, t)
 		fx.submit()
+		fx.addLasting()
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			fx.act()
 			for _, o := range fx.owners {
