Record in the lease account that a restarted worker is closed

Cause: an owner that saw that a worker had restarted granted it no more leases, but did not record that. If the worker was lost before it answered a poll of the next session, the account listed it as open for good, and each owner that was killed counted anew. A change while an account was being written was forgotten as well.

Change: closing a worker is a change to record, and changes are counted.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -20,13 +20,15 @@
 	// isPartial tells that workers without an entry in the earlier account may hold leases until
 	// earlierLeasesExpire.
 	isPartial bool
-	// isDirty is set while an account has to be recorded.
-	isDirty bool
+	// change counts the changes of what has to be recorded. Changes up to recordedChange are in
+	// the store.
+	change, recordedChange uint64
 }
 
 // AccountRecord is an account to record.
 type AccountRecord struct {
 	Account hoist.LeaseAccount
+	change  uint64
 	// opened holds the workers that it opens, with their openChange.
 	opened map[hoist.WorkerID]uint64
 }
@@ -35,7 +37,7 @@
 // leases only once it is listed as open in a recorded account. Call it before workers and plans
 // are added.
 func (sc *Scheduler) SetAccount(a hoist.LeaseAccount, now time.Time) {
-	sc.account = &account{isPartial: a.IsPartial, isDirty: true}
+	sc.account = &account{isPartial: a.IsPartial, change: 1}
 	for _, e := range a.Workers {
 		w := sc.ensureWorker(e.Worker)
 		w.leaseExpiresAt, w.unconfirmedUntil = now.Add(e.ConfirmedLeft), now.Add(e.UnconfirmedLeft)
@@ -52,6 +54,7 @@
 		return
 	}
 	if w.isOpen {
+		sc.account.change++
 		w.unconfirmedUntil = latest(w.unconfirmedUntil, since.Add(onSlowClock(sc.MaxLease+longestPoll)))
 	}
 	w.isOpen = false
@@ -78,23 +81,23 @@
 	for id, w := range sc.workers {
 		if w.isOpen && w.awaitsReport && now.Sub(w.silentSince) >= closeDelay {
 			sc.closeWorker(w, w.silentSince)
-			sc.account.isDirty = true
 		}
 		if w.awaitsOpening() {
 			r.opened[id] = w.openChange
-			sc.account.isDirty = true
+			sc.account.change++
 		}
 	}
-	if !sc.account.isDirty {
+	if sc.account.change == sc.account.recordedChange {
 		return AccountRecord{}, false
 	}
+	r.change = sc.account.change
 	r.Account = sc.leaseAccount(r.opened, now)
 	return r, true
 }
 
 // MarkAccountRecorded records that an account is in the store.
 func (sc *Scheduler) MarkAccountRecorded(r AccountRecord) {
-	sc.account.isDirty = false
+	sc.account.recordedChange = r.change
 	for id, change := range r.opened {
 		if w, ok := sc.workers[id]; ok && w.openChange == change {
 			w.isOpen = true
--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -107,3 +107,27 @@
 	c.wantStartsAt(taken.Add(10200*time.Millisecond), "w3", 0)
 	c.wantStartsAt(taken.Add(10900*time.Millisecond), "w4", 1)
 }
+
+// TestRestartedWorkerIsClosed guards against an account that lists a worker as open for good
+// because it has restarted and is lost before it answers a poll of the next session.
+func TestRestartedWorkerIsClosed(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	t.Run("while nothing is written", func(t *testing.T) {
+		c := newAccountCell(t)
+		c.scheduler.GrantLease("w1", leaseTime, c.now)
+		c.report("w1", restarted)
+		c.recordAccount()
+		c.is.True(!c.stored.entry("w1").isOpen)
+	})
+	t.Run("while an account is being written", func(t *testing.T) {
+		c := newAccountCell(t)
+		c.scheduler.GrantLease("w1", leaseTime, c.now)
+		c.addWorkers("w2")
+		r, ok := c.scheduler.TakeAccount(c.now)
+		c.is.True(ok)
+		c.report("w1", restarted)
+		c.scheduler.MarkAccountRecorded(r)
+		c.recordAccount()
+		c.is.True(!c.stored.entry("w1").isOpen)
+	})
+}
