End stray leases of a worker that restarts in an unused session

Cause: a worker that restarted before its session was used, as between its first answer and the account that opens it, counted as one that may still receive leases on its earlier clock until the session ended. Each poll without an answer then counted the longest lease, so that its tasks waited 10.7 s after its loss, and the account told no incarnation of it.

Change: an answer to a poll of the present session ends this: the new incarnation refuses all that was sent before.

--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -131,3 +131,25 @@
 		c.is.True(!c.stored.entry("w1").isOpen)
 	})
 }
+
+// TestRestartBeforeOpening guards against a worker that counts the longest lease each time that a
+// poll gets no answer, because it restarted before the account listed it as open: no request of
+// the session had brought a lease, so that none on the earlier clock can arrive.
+func TestRestartBeforeOpening(t *testing.T) {
+	c := &accountCell{cell: newCell(t), term: 1}
+	c.scheduler.SetAccount(hoist.LeaseAccount{}, c.now)
+	c.addWorkers("w1")
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)})
+	c.recordAccount()
+	c.is.True(c.stored.entry("w1").isOpen)
+	c.is.Equal(c.stored.entry("w1").incarnation, hoist.Incarnation(2))
+	c.now = c.now.Add(10 * time.Second)
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(11 * time.Second)})
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	lease := c.scheduler.GrantLease("w1", leaseTime, c.now)
+	c.scheduler.RecordStart("w1", s.Run, nil, c.now)
+	lost := c.now
+	c.scheduler.RecordSilence("w1", lease, c.now)
+	c.wantStartsAt(lost.Add(6200*time.Millisecond), "w2", 1)
+}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	w.isConfirmed = true
-	if sc.isFirstAnswer(w, poll) {
+	if sc.isFirstAnswer(w, poll) || sc.endsStrayLeases(w, poll) {
 		sc.beginSession(w, now)
 	}
 	w.reading = clockReading{report.Clock, now}
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -83,6 +83,12 @@
 	return w.awaitsReport && !w.isSessionUsed && poll.Token == sc.tokenOf(w.session) && !poll.SentAt.Before(w.silentAt)
 }
 
+// endsStrayLeases reports whether an answered poll shows that a worker which restarted in the
+// present session, before that was used, has seen its token.
+func (sc *Scheduler) endsStrayLeases(w *Worker, poll Poll) bool {
+	return w.mayHoldStrayLease && !w.awaitsReport && sc.tokenOf(w.session) == poll.Token
+}
+
 // beginSession lets a worker get starts and leases again: it has answered a poll of the present
 // session, so that no earlier request takes effect any more.
 func (sc *Scheduler) beginSession(w *Worker, now time.Time) {
