--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -153,3 +153,27 @@
 	c.scheduler.RecordSilence("w1", lease, c.now)
 	c.wantStartsAt(lost.Add(6200*time.Millisecond), "w2", 1)
 }
+
+// TestConfirmedInUnlistedIncarnation guards against a next owner that waits only for the leases in
+// the account although the attempt runs in an incarnation that the account does not list, under
+// the longest lease.
+func TestConfirmedInUnlistedIncarnation(t *testing.T) {
+	c := newAccountCell(t)
+	c.submit("p", queue, step(1, longRunning))
+	s := c.pass()[0]
+	c.scheduler.GrantLease("w1", leaseTime, c.now)
+	running := []hoist.RunStatus{{Run: s.Run}}
+	isConfirmed := func() bool {
+		for _, u := range c.scheduler.Unrecorded("", true, 10, c.now) {
+			return u.State.Steps[0].Placed[0].IsConfirmed
+		}
+		return false
+	}
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(!isConfirmed())
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(!isConfirmed())
+	c.recordAccount()
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(isConfirmed())
+}
