--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -107,3 +107,73 @@
 	c.wantStartsAt(taken.Add(10200*time.Millisecond), "w3", 0)
 	c.wantStartsAt(taken.Add(10900*time.Millisecond), "w4", 1)
 }
+
+// TestRestartedWorkerIsClosed guards against an account that lists a worker as open for good
+// because it has restarted and is lost before it answers a poll of the next session.
+func TestRestartedWorkerIsClosed(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	t.Run("while nothing is written", func(t *testing.T) {
+		c := newAccountCell(t)
+		c.scheduler.GrantLease("w1", leaseTime, c.now)
+		c.report("w1", restarted)
+		c.recordAccount()
+		c.is.True(!c.stored.entry("w1").isOpen)
+	})
+	t.Run("while an account is being written", func(t *testing.T) {
+		c := newAccountCell(t)
+		c.scheduler.GrantLease("w1", leaseTime, c.now)
+		c.addWorkers("w2")
+		r, ok := c.scheduler.TakeAccount(c.now)
+		c.is.True(ok)
+		c.report("w1", restarted)
+		c.scheduler.MarkAccountRecorded(r)
+		c.recordAccount()
+		c.is.True(!c.stored.entry("w1").isOpen)
+	})
+}
+
+// TestRestartBeforeOpening guards against a worker that counts the longest lease each time that a
+// poll gets no answer, because it restarted before the account listed it as open: no request of
+// the session had brought a lease, so that none on the earlier clock can arrive.
+func TestRestartBeforeOpening(t *testing.T) {
+	c := &accountCell{cell: newCell(t), term: 1}
+	c.scheduler.SetAccount(hoist.LeaseAccount{}, c.now)
+	c.addWorkers("w1")
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)})
+	c.recordAccount()
+	c.is.True(c.stored.entry("w1").isOpen)
+	c.is.Equal(c.stored.entry("w1").incarnation, hoist.Incarnation(2))
+	c.now = c.now.Add(10 * time.Second)
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(11 * time.Second)})
+	c.submit("p", queue, step(1))
+	s := c.pass()[0]
+	lease := c.scheduler.GrantLease("w1", leaseTime, c.now)
+	c.scheduler.RecordStart("w1", s.Run, nil, c.now)
+	lost := c.now
+	c.scheduler.RecordSilence("w1", lease, c.now)
+	c.wantStartsAt(lost.Add(6200*time.Millisecond), "w2", 1)
+}
+
+// TestConfirmedInUnlistedIncarnation guards against a next owner that waits only for the leases in
+// the account although the attempt runs in an incarnation that the account does not list, under
+// the longest lease.
+func TestConfirmedInUnlistedIncarnation(t *testing.T) {
+	c := newAccountCell(t)
+	c.submit("p", queue, step(1, longRunning))
+	s := c.pass()[0]
+	c.scheduler.GrantLease("w1", leaseTime, c.now)
+	running := []hoist.RunStatus{{Run: s.Run}}
+	isConfirmed := func() bool {
+		for _, u := range c.scheduler.Unrecorded("", true, 10, c.now) {
+			return u.State.Steps[0].Placed[0].IsConfirmed
+		}
+		return false
+	}
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(!isConfirmed())
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(!isConfirmed())
+	c.recordAccount()
+	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
+	c.is.True(isConfirmed())
+}
