Split the claim into steps, and bound its read and the rate of account records

The claim had grown to 75 lines; reading the account, building the transaction and committing it are functions now. The read of the account takes as long as the claim may, not 2 s: while parts of the store do not answer, another claim has to follow soon. An account lists all workers, so records wait 50 us longer for each worker for others to join them; a cell of 1,300 would write up to 7 MB/s otherwise, by reckoning.

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -154,15 +154,57 @@
 	began := m.Clock.Now()
 	previous := m.observed.owner
 	term := hoist.Term(previous.Term) + hoist.TokensPerTerm
-	account := &accountRow{store: m.Store}
-	stored, err := account.read(ctx, m.Clock)
-	if err != nil && !errors.Is(err, errNoStoreTime) {
+	limit := min(callTimeout, max(minClaimTimeout, claimTimeoutFactor*m.observed.readTime))
+	fail := func(err error) (*Ownership, bool) {
 		events.ClaimFailed.Log(ctx, m.Log, "term", term, "why", reason, "error", err)
 		return nil, false
 	}
+	account, inherited, err := m.inheritAccount(ctx, limit, term)
+	if err != nil {
+		return fail(err)
+	}
 	owner := m.ownerRow(term)
-	owner.KeepsAccount = err == nil
-	inherited := inheritedRow(stored, previous, term)
+	owner.KeepsAccount = account != nil
+	version, err := m.commitClaim(ctx, limit, m.claimTransaction(reason, owner, account, inherited), owner)
+	if err != nil {
+		return fail(err)
+	}
+	now := m.Clock.Now()
+	earlier := earlierOwners{
+		previous: previous, ownedSince: m.observed.ownedSince, row: inherited,
+		grantsEnd: m.grantsEnd(reason, previous, now), longestEnd: m.longestEnd(previous, now),
+	}
+	if account != nil {
+		account.version = version
+		earlier.clock = account.clock
+	}
+	leasesExpireAt := later(earlier.grantsEnd, earlier.longestEnd)
+	confirmed, unconfirmed := longestLeft(earlier.account(now), leasesExpireAt.Sub(now))
+	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
+		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", confirmed, "unconfirmed-left", unconfirmed,
+		"partial", inherited.IsPartial)
+	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
+	return &Ownership{
+		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, account: account, clock: m.Clock, renewed: began,
+	}, true
+}
+
+// inheritAccount reads the lease account and returns it as the claim of a term writes it. The
+// first result is nil if the store does not tell its time, so that no account can be kept.
+func (m *Manager) inheritAccount(ctx context.Context, limit time.Duration, term hoist.Term) (*accountRow, codec.LeaseRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	account := &accountRow{store: m.Store}
+	stored, err := account.read(ctx, m.Clock)
+	if errors.Is(err, errNoStoreTime) {
+		return nil, codec.LeaseRow{Term: term, IsPartial: true}, nil
+	}
+	return account, inheritedRow(stored, m.observed.owner, term), err
+}
+
+// claimTransaction returns the transaction that makes this host the owner. account is nil if no
+// lease account is kept.
+func (m *Manager) claimTransaction(reason claimReason, owner rows.Owner, account *accountRow, inherited codec.LeaseRow) hoist.Transaction {
 	txn := hoist.Transaction{
 		Preconditions: []hoist.Precondition{{RowRef: keys.Owner, Version: m.observed.ownerVersion}},
 		Writes: []hoist.Write{
@@ -170,7 +212,7 @@
 			{RowRef: keys.Renewal, Value: codec.EncodeStoreRow(rows.Beat{Waiting: m.waiting()})},
 		},
 	}
-	if owner.KeepsAccount {
+	if account != nil {
 		txn.Preconditions = append(txn.Preconditions, hoist.Precondition{RowRef: keys.LeaseAccount, Version: account.version})
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.LeaseAccount, Value: codec.EncodeLeaseRow(inherited)})
 	}
@@ -181,38 +223,18 @@
 	for _, part := range keys.Parts() {
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.Fence(part), Value: codec.EncodeStoreRow(owner)})
 	}
-	limit := min(callTimeout, max(minClaimTimeout, claimTimeoutFactor*m.observed.readTime))
+	return txn
+}
+
+// commitClaim commits a claim and returns the version of its rows.
+func (m *Manager) commitClaim(ctx context.Context, limit time.Duration, txn hoist.Transaction, owner rows.Owner) (hoist.RowVersion, error) {
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	version, err := m.Store.Commit(callCtx, txn)
 	if errors.Is(err, hoist.ErrOutcomeUnknown) {
-		version, err = m.resolveClaim(ctx, owner)
-	}
-	if err != nil {
-		events.ClaimFailed.Log(ctx, m.Log, "term", term, "why", reason, "error", err)
-		return nil, false
-	}
-	now := m.Clock.Now()
-	account.version = version
-	if !owner.KeepsAccount {
-		account = nil
+		return m.resolveClaim(ctx, owner)
 	}
-	earlier := earlierOwners{
-		previous: previous, ownedSince: m.observed.ownedSince, row: codec.LeaseRow{IsPartial: true},
-		grantsEnd: m.grantsEnd(reason, previous, now), longestEnd: m.longestEnd(previous, now),
-	}
-	if account != nil {
-		earlier.row, earlier.clock = inherited, account.clock
-	}
-	leasesExpireAt := later(earlier.grantsEnd, earlier.longestEnd)
-	confirmed, unconfirmed := longestLeft(earlier.account(now), leasesExpireAt.Sub(now))
-	events.OwnershipClaimed.Log(ctx, m.Log, "term", term, "why", reason, "earlier", previous.Host, "released", previous.Released,
-		"silent", began.Sub(m.observed.renewed), "version", version, "leases-left", confirmed, "unconfirmed-left", unconfirmed,
-		"partial", earlier.row.IsPartial)
-	m.observed.owner, m.observed.ownerVersion, m.observed.ownedSince = owner, version, now
-	return &Ownership{
-		Term: term, Version: version, EarlierLeasesExpire: leasesExpireAt, earlier: earlier, account: account, clock: m.Clock, renewed: began,
-	}, true
+	return version, err
 }
 
 // ownerRow returns the row that names this host as the owner in a term.
--- a/internal/core/plans/account.go
+++ b/internal/core/plans/account.go
@@ -15,8 +15,10 @@
 	// the account then lists as closed.
 	accountInterval = 400 * time.Millisecond
 	// accountGather is how long further workers are waited for once one has answered, so that
-	// one transaction opens all of them.
-	accountGather = 4 * time.Millisecond
+	// one transaction opens all of them. accountGatherPerWorker is added to it for each worker,
+	// as each account lists all of them.
+	accountGather          = 4 * time.Millisecond
+	accountGatherPerWorker = 50 * time.Microsecond
 	// openingWait is how long a poll is delayed until the account that opens its worker is
 	// recorded, so that it can bring a lease.
 	openingWait = 300 * time.Millisecond
@@ -25,34 +27,40 @@
 // accountLoop records the lease account when it changes. While the store does not answer,
 // workers that are listed as open go on getting leases.
 func (d *Driver) accountLoop(ctx context.Context) {
-	failures := 0
+	failures, workers := 0, 0
 	for {
-		if err := d.recordAccount(ctx); err != nil && ctx.Err() == nil {
+		n, err := d.recordAccount(ctx)
+		switch {
+		case err == nil:
+			failures = 0
+		case ctx.Err() == nil:
 			if failures%failuresPerLogLine == 0 {
 				events.AccountWriteFailed.Log(ctx, d.Log, "term", d.Claim.Term, "failures", failures, "error", err)
 			}
 			failures++
 			clock.Sleep(ctx, retryDelay)
 			clock.Signal(d.accountDue)
-		} else {
-			failures = 0
 		}
-		if !clock.SleepOr(ctx, accountInterval, d.accountDue) || !clock.Sleep(ctx, accountGather) {
+		workers = max(workers, n)
+		gather := accountGather + time.Duration(workers)*accountGatherPerWorker
+		if !clock.SleepOr(ctx, accountInterval, d.accountDue) || !clock.Sleep(ctx, gather) {
 			return
 		}
 	}
 }
 
-// recordAccount records the lease account if it has changed.
-func (d *Driver) recordAccount(ctx context.Context) error {
+// recordAccount records the lease account if it has changed. It returns how many workers that
+// lists, and 0 if it has not changed.
+func (d *Driver) recordAccount(ctx context.Context) (int, error) {
 	var record sched.AccountRecord
 	isDue := false
 	d.update(ctx, workAccount, func() { record, isDue = d.scheduler.TakeAccount(d.Clock.Now()) })
 	if !isDue {
-		return nil
+		return 0, nil
 	}
+	workers := len(record.Account.Workers)
 	if err := d.Claim.RecordLeases(ctx, record.Account); err != nil {
-		return err
+		return workers, err
 	}
 	d.update(ctx, workAccount, func() {
 		d.scheduler.MarkAccountRecorded(record)
@@ -60,7 +68,7 @@
 		d.accountRecorded = make(chan struct{})
 	})
 	d.requestPass()
-	return nil
+	return workers, nil
 }
 
 // awaitOpening waits until the account is recorded that lists a worker as open, for at most
--- a/internal/core/plans/teams_test.go
+++ b/internal/core/plans/teams_test.go
@@ -28,7 +28,7 @@
 	d.isReady = true
 	d.scheduler.SetWorkers([]hoist.WorkerEntry{{Worker: "w", Service: "s", Addr: "x", Capacity: hoist.Resources{CPU: 8000}}}, now)
 	d.scheduler.RecordReport("w", hoist.RunnerReport{Incarnation: 1}, d.scheduler.NewPoll("w", now), now)
-	if err := d.recordAccount(context.Background()); err != nil {
+	if _, err := d.recordAccount(context.Background()); err != nil {
 		panic(err)
 	}
 	plan := hoist.Plan{
--- a/internal/core/plans/waits_test.go
+++ b/internal/core/plans/waits_test.go
@@ -41,7 +41,8 @@
 	larger := hoist.WorkerEntry{Worker: "w2", Service: "s", Addr: "x", Capacity: hoist.Resources{CPU: 9000}}
 	d.scheduler.SetWorkers([]hoist.WorkerEntry{larger}, at)
 	d.scheduler.RecordReport("w2", hoist.RunnerReport{Incarnation: 1}, d.scheduler.NewPoll("w2", at), at)
-	is.NoErr(d.recordAccount(context.Background()))
+	_, err := d.recordAccount(context.Background())
+	is.NoErr(err)
 	d.scheduler.Pass(at, d.Advisers.Reserve)
 	for _, u := range d.scheduler.Unrecorded("", true, 10, at) {
 		for _, s := range d.scheduler.MarkRecorded(u.Job, u.Change, 2, at) {
