Confirm listed attempts as the account opens their worker

Cause: an attempt that a new owner found in the first report of its worker was confirmed only by the next poll, up to a second after the account had opened the worker. If the owner was lost before, the next one counted the longest lease for it.

Change: the attempts that the worker has listed are confirmed as the account is recorded.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -115,6 +115,16 @@
 	for id, change := range r.opened {
 		if w, ok := sc.workers[id]; ok && w.openChange == change {
 			w.isOpen = true
+			w.confirmRunning()
+		}
+	}
+}
+
+// confirmRunning confirms the attempts that the worker had listed before it was opened.
+func (w *Worker) confirmRunning() {
+	for t := range w.tasks {
+		if t.Phase == Running && !t.isStartInDoubt {
+			t.setConfirmed()
 		}
 	}
 }
--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -177,3 +177,24 @@
 	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
 	c.is.True(isConfirmed())
 }
+
+// TestListedAttemptIsConfirmedAtOpening guards against an attempt that waits for the longest lease
+// because its owner was lost before the next poll of the worker: it was listed in the report before
+// the account opened the worker.
+func TestListedAttemptIsConfirmedAtOpening(t *testing.T) {
+	c := newAccountCell(t)
+	p := c.submit("p", queue, step(1, longRunning))
+	s := c.pass()[0]
+	c.scheduler.RecordStart("w1", s.Run, nil, c.now)
+	c.replaceKilled()
+	c.scheduler.Restore(p, hoist.PlanState{Queue: queue.Name, Phase: hoist.PlanRunning, Next: 1, Steps: []hoist.StepState{{
+		Placed: []hoist.PlacedRun{{Attempt: s.Run.Attempt, Worker: "w1"}},
+	}}}, 1, c.now)
+	report := hoist.RunnerReport{Incarnation: 1, Clock: hoist.WorkerClock(101 * time.Second), Running: []hoist.RunStatus{{Run: s.Run}}}
+	c.report("w1", report)
+	c.is.Equal(len(c.scheduler.Unrecorded("", true, 1, c.now)), 0)
+	c.recordAccount()
+	states := c.scheduler.Unrecorded("", true, 1, c.now)
+	c.is.Equal(len(states), 1)
+	c.is.True(states[0].State.Steps[0].Placed[0].IsConfirmed)
+}
