Start no long-running task in an incarnation that the account does not list

What callers saw: a long-running task stays without a run for 10.7 s, found by reading.

Cause: a worker that restarted around a takeover counts the longest lease from its first answer to the new owner, like one that restarts later. Only the latter, whose restart the owner has seen itself, was kept from long-running tasks while that lease has more than 8 s left.

Change: the worker notes until when the longest lease counts, whatever showed it.

--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -177,3 +177,32 @@
 	c.report("w1", hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second), Running: running})
 	c.is.True(isConfirmed())
 }
+
+// TestLongRunningInUnlistedIncarnation guards against a long-running task that waits for the longest
+// lease of a worker that is lost after the task has started there: the worker restarted around a
+// takeover, so that the account does not list the incarnation that answers the new owner first.
+func TestLongRunningInUnlistedIncarnation(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	c := newAccountCell(t)
+	c.scheduler.GrantLease("w1", leaseTime, c.now)
+	c.replaceKilled()
+	c.report("w1", restarted)
+	c.recordAccount()
+	c.submit("p", queue, step(1, longRunning))
+	var starts []sched.Start
+	for range 40 {
+		if starts = c.pass(); len(starts) > 0 {
+			break
+		}
+		c.now = c.now.Add(100 * time.Millisecond)
+		restarted.Clock += hoist.WorkerClock(100 * time.Millisecond)
+		c.report("w1", restarted)
+	}
+	c.wantStarts(starts, 1)
+	lease := c.scheduler.GrantLease("w1", leaseTime, c.now)
+	c.is.True(lease.Until > 0)
+	c.scheduler.RecordStart("w1", starts[0].Run, nil, c.now)
+	lost := c.now
+	c.scheduler.RecordSilence("w1", lease, c.now)
+	c.wantStartsAt(lost.Add(9*time.Second), "w2", 1)
+}
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -171,15 +171,16 @@
 	return s.Step.MaxPerWorker == 0 || s.countOn(w) < s.Step.MaxPerWorker
 }
 
-// maxLeaseOfLongRunning is the most that the lease of a worker that has restarted may have left
-// when it gets a long-running task. If the worker is lost then, the task runs again within 9 s,
+// maxLeaseOfLongRunning is the most that the longest lease of a worker that may have restarted may
+// have left when it gets a long-running task. If the worker is lost then, the task runs again within 9 s,
 // as it has to; until then, it waits for less than 3 s for the worker.
 const maxLeaseOfLongRunning = 8 * time.Second
 
-// mayHoldLongLease reports whether a worker that has restarted may hold a lease which is too long
-// for a long-running task.
+// mayHoldLongLease reports whether a worker that has restarted, or answers the present owner in
+// an incarnation that the account does not list, may hold a lease which is too long for a
+// long-running task.
 func (sc *Scheduler) mayHoldLongLease(w *Worker) bool {
-	return !w.restartShownAt.IsZero() && w.leaseExpiresAt.Sub(sc.passAt) > maxLeaseOfLongRunning
+	return w.longestLeaseUntil.Sub(sc.passAt) > maxLeaseOfLongRunning
 }
 
 // countOn returns the number of tasks of the step on a worker.
--- a/internal/decide/sched/session.go
+++ b/internal/decide/sched/session.go
@@ -112,6 +112,7 @@
 // request of another session or owner.
 func (sc *Scheduler) countLongestLease(w *Worker, since time.Time) {
 	w.extendLease(since, sc.MaxLease+longestCall)
+	w.longestLeaseUntil = w.leaseExpiresAt
 	sc.closeWorker(w, since)
 }
 
--- a/internal/decide/sched/worker.go
+++ b/internal/decide/sched/worker.go
@@ -70,6 +70,8 @@
 	// leaseExpiresAt is when all attempts on the worker have certainly ended
 	// unless the lease is renewed.
 	leaseExpiresAt time.Time
+	// longestLeaseUntil is when the longest lease has expired that the worker may have taken.
+	longestLeaseUntil time.Time
 	// unconfirmedUntil is when attempts of earlier owners have certainly ended that the worker
 	// had not confirmed, and recordedIncarnation is that of the earlier account.
 	unconfirmedUntil    time.Time
