Confirm attempts by the first report to a new owner

What callers saw: a long-running task stays without a run for up to 12.5 s after a takeover, found by reading.

Cause: an attempt counted as confirmed only once an account of the new owner listed its worker as open, which the second report shows, up to 1.6 s after the first. Where the state of the earlier owner did not tell of the confirmation, a worker lost in between was waited for until the longest lease had expired.

Change: a report also confirms if it comes from the incarnation that the account of the earlier owner lists. That holds no lease which the account does not count.

--- a/internal/decide/sched/account.go
+++ b/internal/decide/sched/account.go
@@ -160,11 +160,18 @@
 	}
 }
 
-// setConfirmed records that the worker has confirmed the current attempt. The next owner of the
-// cell waits for such an attempt no longer than for the leases in the account, so the state of
-// a long-running task is recorded soon.
-func (t *Task) setConfirmed() {
-	if t.isConfirmed || !t.Worker.isOpen {
+// isInherited reports whether the worker answers this owner in the incarnation that the earlier
+// account lists, which therefore holds no lease but those in that account.
+func (w *Worker) isInherited() bool {
+	return w.recordedIncarnation != 0 && w.lastIncarnation() == w.recordedIncarnation
+}
+
+// setConfirmed records that the worker has confirmed the current attempt, in an incarnation that
+// the recorded account lists if isListed is set. The next owner of the cell waits for such an
+// attempt no longer than for the leases in the account, so the state of a long-running task is
+// recorded soon.
+func (t *Task) setConfirmed(isListed bool) {
+	if t.isConfirmed || !isListed {
 		return
 	}
 	t.isConfirmed = true
--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -206,3 +206,39 @@
 	c.scheduler.RecordSilence("w1", lease, c.now)
 	c.wantStartsAt(lost.Add(9*time.Second), "w2", 1)
 }
+
+// TestFirstReportConfirms guards against a long-running task that waits for the longest lease
+// although the worker has listed it to the new owner in the incarnation of the account, and is
+// lost before the next account lists it as open.
+func TestFirstReportConfirms(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		incarnation hoist.Incarnation
+		after       time.Duration
+	}{
+		{"listed incarnation", 1, 9500 * time.Millisecond},
+		{"other incarnation", 2, 12600 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newAccountCell(t)
+			p := c.submit("p", queue, step(1, longRunning))
+			run := c.pass()[0].Run
+			c.scheduler.GrantLease("w1", leaseTime, c.now)
+			c.scheduler.RecordStart("w1", run, nil, c.now)
+			// The owner is killed before the state tells that the attempt is confirmed.
+			taken := c.now
+			c.replaceKilled()
+			c.scheduler.Restore(p, hoist.PlanState{Queue: queue.Name, Phase: hoist.PlanRunning, Next: 1, Steps: []hoist.StepState{{
+				Placed: []hoist.PlacedRun{{Attempt: run.Attempt, Worker: "w1"}},
+			}}}, 1, c.now)
+			clock := hoist.WorkerClock(100 * time.Second)
+			if tt.incarnation != 1 {
+				clock = hoist.WorkerClock(time.Second)
+			}
+			c.report("w1", hoist.RunnerReport{Incarnation: tt.incarnation, Clock: clock, Running: []hoist.RunStatus{{Run: run}}})
+			c.scheduler.RecordSilence("w1", sched.Lease{}, c.now)
+			c.wantStartsAt(taken.Add(tt.after-time.Second), "w2", 0)
+			c.wantStartsAt(taken.Add(tt.after), "w3", 1)
+		})
+	}
+}
--- a/internal/decide/sched/outcome.go
+++ b/internal/decide/sched/outcome.go
@@ -39,7 +39,7 @@
 		if err == nil {
 			t.recordRun(now)
 		}
-		t.setConfirmed()
+		t.setConfirmed(w.isOpen)
 		t.setArriving(false)
 		if t.Phase == Starting {
 			t.Phase = Running
@@ -233,7 +233,7 @@
 		found[t] = true
 		t.recordRun(polledAt)
 		t.isStartInDoubt = false
-		t.setConfirmed()
+		t.setConfirmed(w.isOpen || w.isInherited())
 		t.setArriving(false)
 		t.measurement = status.Measurement
 		t.keepCheckpoint(status.Saved)
