Bound the read of the lease account like the claim

What callers saw: the cell may stay without an owner for 2 s longer, found by reading.

Cause: the time-out of a claim is short so that another one follows soon while the store loses answers. The read of the lease account before it had the longest time-out of a call, 2 s.

Change: the read has the time-out of the claim.

Result: TestLostReadOfAccount failed without the change: the claim came later than 1.5 s after the release. It and the other tests of claim pass.

--- a/internal/core/claim/account_test.go
+++ b/internal/core/claim/account_test.go
@@ -274,3 +274,39 @@
 	}
 	return s.Store.Commit(ctx, t)
 }
+
+// TestLostReadOfAccount guards against a cell that stays without an owner for long because the
+// answer to the read of the lease account before a claim is lost. A lost answer to the claim
+// itself delays it by no more.
+func TestLostReadOfAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &silentStore{Store: &memory.Store{}}
+		first := own(t, store, "a", nil)
+		await := follow(t, store, "b", nil)
+		time.Sleep(10 * time.Second)
+		store.lostReads.Store(1)
+		released := time.Now()
+		first.stop()
+		second := await()
+		defer second.stop()
+		is := is.New(t)
+		is.Equal(store.lostReads.Load(), int32(0))
+		is.True(time.Since(released) < 1500*time.Millisecond)
+	})
+}
+
+// silentStore loses the answers to the next lostReads reads of the lease account.
+type silentStore struct {
+	*memory.Store
+	lostReads atomic.Int32
+}
+
+// Get implements hoist.Store.
+func (s *silentStore) Get(ctx context.Context, ref hoist.RowRef) (hoist.StoredRow, error) {
+	if ref == keys.LeaseAccount && s.lostReads.Load() > 0 {
+		s.lostReads.Add(-1)
+		<-ctx.Done()
+		return hoist.StoredRow{}, hoist.ErrOutcomeUnknown
+	}
+	return s.Store.Get(ctx, ref)
+}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -54,7 +54,7 @@
 	renewEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
-	// minClaimTimeout is the shortest time-out of a claim.
+	// minClaimTimeout is the shortest time-out of a claim, and of the read before it.
 	minClaimTimeout = 500 * time.Millisecond
 	// claimTimeoutFactor is how many times the last read of the owner's rows a claim
 	// may take. The time-out is short so that, while parts of the store do not
@@ -154,8 +154,11 @@
 	began := m.Clock.Now()
 	previous := m.observed.owner
 	term := hoist.Term(previous.Term) + hoist.TokensPerTerm
+	limit := min(callTimeout, max(minClaimTimeout, claimTimeoutFactor*m.observed.readTime))
 	account := &accountRow{store: m.Store}
-	stored, err := account.read(ctx, m.Clock)
+	readCtx, cancelRead := context.WithTimeout(ctx, limit)
+	stored, err := account.read(readCtx, m.Clock)
+	cancelRead()
 	if err != nil && !errors.Is(err, errNoStoreTime) {
 		events.ClaimFailed.Log(ctx, m.Log, "term", term, "why", reason, "error", err)
 		return nil, false
@@ -181,7 +184,6 @@
 	for _, part := range keys.Parts() {
 		txn.Writes = append(txn.Writes, hoist.Write{RowRef: keys.Fence(part), Value: codec.EncodeStoreRow(owner)})
 	}
-	limit := min(callTimeout, max(minClaimTimeout, claimTimeoutFactor*m.observed.readTime))
 	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	version, err := m.Store.Commit(callCtx, txn)
