Repeat a write of the lease account without an answer sooner

What callers saw: workers get no leases for 2 s longer after a takeover for each lost answer of the store, found by reading. What runs on them ends 6.1 s after the last lease of the earlier owner.

Cause: a write of the account had the longest time-out of a call, 2 s, so that a slow store can carry it out. No worker is opened meanwhile.

Change: the time-out begins with that of a renewal, 0.7 s, and doubles with each failure up to 2 s. It includes the read of the row after a failure.

Result: TestLostAccountWrite failed without the change, with 2 s for one lost answer; it passes, also for a store that takes 1.5 s. So do the other tests of claim and plans.

--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -16,6 +16,9 @@
 // host deviates from it by much less than expiryMargin.
 const storeClockAge = time.Minute
 
+// maxCountedFailures bounds the failures that extend the time-out of a write.
+const maxCountedFailures = 4
+
 // storeClock is a reading of the clock of the store, which a read returned that began at
 // askedAt and ended at readAt.
 type storeClock struct {
@@ -42,6 +45,19 @@
 	version hoist.RowVersion
 	isKnown bool
 	clock   storeClock
+	// failures counts the writes of accounts since the last one with an answer.
+	failures int
+}
+
+// limit returns the time-out of the next write of an account. It is short at first, as an answer
+// may be lost while all workers wait to be opened, and longer after each failure, for a slow
+// store.
+func (r *accountRow) limit() time.Duration {
+	limit := renewTimeout
+	for range r.failures {
+		limit = min(callTimeout, 2*limit)
+	}
+	return limit
 }
 
 // errNoStoreTime means that the store does not tell its time, without which no account can be
@@ -187,12 +203,13 @@
 		return nil
 	}
 	began := o.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.limit())
+	defer cancel()
+	r.failures = min(r.failures+1, maxCountedFailures)
 	if err := r.refresh(ctx, o.clock); err != nil {
 		return err
 	}
 	row := leaseRow(a, o.Term, r.clock.latestAt(began))
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	version, err := r.store.Commit(ctx, hoist.Transaction{
 		// Without the second precondition, a transaction that is carried out late could
 		// replace a later account.
@@ -203,7 +220,7 @@
 		r.isKnown = false
 		return err
 	}
-	r.version = version
+	r.version, r.failures = version, 0
 	return nil
 }
 
--- a/internal/core/claim/account_test.go
+++ b/internal/core/claim/account_test.go
@@ -310,3 +310,37 @@
 	}
 	return s.Store.Get(ctx, ref)
 }
+
+// TestLostAccountWrite guards against workers that get no leases for long after a takeover, so
+// that what runs on them ends, because the answers of the store to the first accounts are lost.
+func TestLostAccountWrite(t *testing.T) {
+	open := hoist.LeaseAccount{Workers: []hoist.WorkerLease{{Worker: "w", IsOpen: true}}}
+	// recordTime returns how long it takes to record an account, with a retry after each error.
+	recordTime := func(t *testing.T, o *accountOwner) time.Duration {
+		t.Helper()
+		began := time.Now()
+		for o.RecordLeases(context.Background(), open) != nil {
+			if time.Since(began) > time.Minute {
+				t.Fatal("the account is not recorded")
+			}
+		}
+		return time.Since(began)
+	}
+	run := func(name string, limit time.Duration, disturb func(*memory.Link)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				link := &memory.Link{Store: &memory.Store{}}
+				o := own(t, link, "a", nil)
+				defer o.stop()
+				disturb(link)
+				took := recordTime(t, o)
+				if took > limit {
+					t.Fatalf("the account was recorded after %v, expected at most %v", took, limit)
+				}
+			})
+		})
+	}
+	run("one answer is lost", time.Second, func(l *memory.Link) { l.LoseAnswers(1) })
+	run("two answers are lost", 2500*time.Millisecond, func(l *memory.Link) { l.LoseAnswers(2) })
+	run("slow store", 10*time.Second, func(l *memory.Link) { l.SetDelay(1500 * time.Millisecond) })
+}
