Bound the times of the lease account by the longest lease

What callers saw: tasks on workers that cannot be reached may wait for hours, found by reading.

Cause: the times in the account are those of the clock of the store, and were taken as they are. Nothing promises that this clock goes on when the store starts again; if it begins anew, an entry may end hours later.

Change: no entry counts longer than the longest lease from the claim, which is what counts where the account tells nothing. A clock that jumps ahead still shortens the times.

--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -129,8 +129,10 @@
 	grantsEnd, longestEnd time.Time
 }
 
-// account returns the account at a time.
+// account returns the account at a time. No entry counts longer than the longest lease from the
+// claim, as entries were recorded before it; the clock of the store may have begun anew since.
 func (e *earlierOwners) account(now time.Time) hoist.LeaseAccount {
+	limit := later(e.grantsEnd, e.longestEnd).Sub(now)
 	out := hoist.LeaseAccount{IsPartial: e.row.IsPartial}
 	for _, entry := range e.row.Workers {
 		confirmed, unconfirmed := e.clock.latestLocal(entry.ConfirmedUntil), e.clock.latestLocal(entry.UnconfirmedUntil)
@@ -138,7 +140,8 @@
 			confirmed, unconfirmed = later(confirmed, e.grantsEnd), later(unconfirmed, later(e.grantsEnd, e.longestEnd))
 		}
 		out.Workers = append(out.Workers, hoist.WorkerLease{
-			Worker: entry.Worker, Incarnation: entry.Incarnation, ConfirmedLeft: confirmed.Sub(now), UnconfirmedLeft: unconfirmed.Sub(now),
+			Worker: entry.Worker, Incarnation: entry.Incarnation,
+			ConfirmedLeft: min(confirmed.Sub(now), limit), UnconfirmedLeft: min(unconfirmed.Sub(now), limit),
 		})
 	}
 	return out
