Shorten leases only after a start of a host that follows its ownership

What callers saw: nothing; found by reading. A task may start elsewhere up to 1.4 s before its lease has ended.

Cause: a row of a host with a higher epoch than that of the previous owner counted as a later process. Epochs are readings of the host's wall clock. If that was set back, and the previous owner's process could not write its row yet, the row of the process before it has the higher epoch, while the previous owner is cut off from the store and still grants leases.

Change: the row must also be newer than the one that names the previous owner.

Result: the new case of TestAccountAcrossOwners failed without the check; all tests of claim, plans and hostd pass.

--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -121,6 +121,8 @@
 	// previous is the owner before, which this host first saw own the cell at ownedSince.
 	previous   rows.Owner
 	ownedSince time.Time
+	// previousVersion is the version of the row that names it.
+	previousVersion hoist.RowVersion
 	// row is the account at the claim, with the clock of the store.
 	row   codec.LeaseRow
 	clock storeClock
@@ -179,14 +181,16 @@
 	return o.earlier.account(o.clock.Now())
 }
 
-// RecordHostStart records that a process of a host has started. It reports whether leases of
-// earlier owners end sooner because of it: the process of the previous owner has ended, and it
-// grants no more.
-func (o *Ownership) RecordHostStart(host hoist.HostID, epoch hoist.Epoch) bool {
+// RecordHostStart records that a process of a host has started, which the row of the host in the
+// given version tells. It reports whether leases of earlier owners end sooner because of it: the
+// process of the previous owner has ended, and it grants no more. Epochs are times of a clock that
+// may be set back, so that a process which started before may have a higher one; its row is older
+// than that of the owner.
+func (o *Ownership) RecordHostStart(host hoist.HostID, epoch hoist.Epoch, version hoist.RowVersion) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e := &o.earlier
-	if string(host) != e.previous.Host || int(epoch) <= e.previous.Epoch {
+	if string(host) != e.previous.Host || int(epoch) <= e.previous.Epoch || version <= e.previousVersion {
 		return false
 	}
 	// The owner before the previous one may still act if that has recorded no account.
--- a/internal/core/claim/account_test.go
+++ b/internal/core/claim/account_test.go
@@ -142,12 +142,14 @@
 		second := await()
 		defer second.stop()
 		is := is.New(t)
-		is.True(!second.RecordHostStart("c", 9)) // another host
-		is.True(!second.RecordHostStart("a", 1)) // the process that owned the cell
-		is.True(second.RecordHostStart("a", 2))
+		before, later := hoist.RowVersion(1), second.Version+1
+		is.True(!second.RecordHostStart("c", 9, later))  // another host
+		is.True(!second.RecordHostStart("a", 1, later))  // the process that owned the cell
+		is.True(!second.RecordHostStart("a", 2, before)) // a process before it, with a clock that was set back since
+		is.True(second.RecordHostStart("a", 2, later))
 		second.wantLeft("open", claim.LeaseTime, longestLeft)
 		second.wantLeft("floor", 9*time.Second, longestLeft)
-		is.True(!second.RecordHostStart("a", 2)) // nothing changes
+		is.True(!second.RecordHostStart("a", 2, later)) // nothing changes
 	})
 	run("owners are killed before they record an account", func(t *testing.T, store *memory.Store) {
 		first := own(t, store, "a", nil)
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -200,7 +200,7 @@
 		account = nil
 	}
 	earlier := earlierOwners{
-		previous: previous, ownedSince: m.observed.ownedSince, row: codec.LeaseRow{IsPartial: true},
+		previous: previous, ownedSince: m.observed.ownedSince, previousVersion: m.observed.ownerVersion, row: codec.LeaseRow{IsPartial: true},
 		grantsEnd: m.grantsEnd(reason, previous, now), longestEnd: m.longestEnd(previous, now),
 	}
 	if account != nil {
--- a/internal/core/hostd/hostd.go
+++ b/internal/core/hostd/hostd.go
@@ -357,5 +357,5 @@
 	d.Advisers.Set(id, clients[id].adviser)
 	d.Relays.Set(id, host.Weight, clients[id].relay)
 	h.manager.SetHost(id, claim.Weight(host.Weight))
-	d.RecordHostStart(context.Background(), id, hoist.Epoch(host.Epoch))
+	d.RecordHostStart(context.Background(), id, hoist.Epoch(host.Epoch), row.Version)
 }
--- a/internal/core/plans/account.go
+++ b/internal/core/plans/account.go
@@ -81,10 +81,11 @@
 	}
 }
 
-// RecordHostStart records that a process of a host has started. If it is that of the previous
-// owner, the leases that its earlier process granted end sooner.
-func (d *Driver) RecordHostStart(ctx context.Context, host hoist.HostID, epoch hoist.Epoch) {
-	if !d.Claim.RecordHostStart(host, epoch) {
+// RecordHostStart records that a process of a host has started, which the row of the host in the
+// given version tells. If it is that of the previous owner, the leases that its earlier process
+// granted end sooner.
+func (d *Driver) RecordHostStart(ctx context.Context, host hoist.HostID, epoch hoist.Epoch, version hoist.RowVersion) {
+	if !d.Claim.RecordHostStart(host, epoch, version) {
 		return
 	}
 	if !d.isPrepared() {
--- a/internal/core/plans/takeover_test.go
+++ b/internal/core/plans/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,8 +107,8 @@
 		h.manager.Run(ctx)
 	}()
 	if owner := c.owner(); owner != nil {
-		// The hosts table tells the owner.
-		owner.actingDriver().RecordHostStart(ctx, id, epoch)
+		// The hosts table tells the owner, in a row that is newer than all others.
+		owner.actingDriver().RecordHostStart(ctx, id, epoch, math.MaxInt64)
 	}
 }
 
