--- a/internal/core/claim/account.go
+++ b/internal/core/claim/account.go
@@ -16,6 +16,9 @@
 // host deviates from it by much less than expiryMargin.
 const storeClockAge = time.Minute
 
+// maxCountedFailures bounds the failures that extend the time-out of a write.
+const maxCountedFailures = 4
+
 // storeClock is a reading of the clock of the store, which a read returned that began at
 // askedAt and ended at readAt.
 type storeClock struct {
@@ -42,6 +45,19 @@
 	version hoist.RowVersion
 	isKnown bool
 	clock   storeClock
+	// failures counts the writes of accounts since the last one with an answer.
+	failures int
+}
+
+// limit returns the time-out of the next write of an account. It is short at first, as an answer
+// may be lost while all workers wait to be opened, and longer after each failure, for a slow
+// store.
+func (r *accountRow) limit() time.Duration {
+	limit := renewTimeout
+	for range r.failures {
+		limit = min(callTimeout, 2*limit)
+	}
+	return limit
 }
 
 // errNoStoreTime means that the store does not tell its time, without which no account can be
@@ -105,6 +121,8 @@
 	// previous is the owner before, which this host first saw own the cell at ownedSince.
 	previous   rows.Owner
 	ownedSince time.Time
+	// previousVersion is the version of the row that names it.
+	previousVersion hoist.RowVersion
 	// row is the account at the claim, with the clock of the store.
 	row   codec.LeaseRow
 	clock storeClock
@@ -113,8 +131,10 @@
 	grantsEnd, longestEnd time.Time
 }
 
-// account returns the account at a time.
+// account returns the account at a time. No entry counts longer than the longest lease from the
+// claim, as entries were recorded before it; the clock of the store may have begun anew since.
 func (e *earlierOwners) account(now time.Time) hoist.LeaseAccount {
+	limit := later(e.grantsEnd, e.longestEnd).Sub(now)
 	out := hoist.LeaseAccount{IsPartial: e.row.IsPartial}
 	for _, entry := range e.row.Workers {
 		confirmed, unconfirmed := e.clock.latestLocal(entry.ConfirmedUntil), e.clock.latestLocal(entry.UnconfirmedUntil)
@@ -122,7 +142,8 @@
 			confirmed, unconfirmed = later(confirmed, e.grantsEnd), later(unconfirmed, later(e.grantsEnd, e.longestEnd))
 		}
 		out.Workers = append(out.Workers, hoist.WorkerLease{
-			Worker: entry.Worker, Incarnation: entry.Incarnation, ConfirmedLeft: confirmed.Sub(now), UnconfirmedLeft: unconfirmed.Sub(now),
+			Worker: entry.Worker, Incarnation: entry.Incarnation,
+			ConfirmedLeft: min(confirmed.Sub(now), limit), UnconfirmedLeft: min(unconfirmed.Sub(now), limit),
 		})
 	}
 	return out
@@ -160,14 +181,16 @@
 	return o.earlier.account(o.clock.Now())
 }
 
-// RecordHostStart records that a process of a host has started. It reports whether leases of
-// earlier owners end sooner because of it: the process of the previous owner has ended, and it
-// grants no more.
-func (o *Ownership) RecordHostStart(host hoist.HostID, epoch hoist.Epoch) bool {
+// RecordHostStart records that a process of a host has started, which the row of the host in the
+// given version tells. It reports whether leases of earlier owners end sooner because of it: the
+// process of the previous owner has ended, and it grants no more. Epochs are times of a clock that
+// may be set back, so that a process which started before may have a higher one; its row is older
+// than that of the owner.
+func (o *Ownership) RecordHostStart(host hoist.HostID, epoch hoist.Epoch, version hoist.RowVersion) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	e := &o.earlier
-	if string(host) != e.previous.Host || int(epoch) <= e.previous.Epoch {
+	if string(host) != e.previous.Host || int(epoch) <= e.previous.Epoch || version <= e.previousVersion {
 		return false
 	}
 	// The owner before the previous one may still act if that has recorded no account.
@@ -187,12 +210,13 @@
 		return nil
 	}
 	began := o.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.limit())
+	defer cancel()
+	r.failures = min(r.failures+1, maxCountedFailures)
 	if err := r.refresh(ctx, o.clock); err != nil {
 		return err
 	}
 	row := leaseRow(a, o.Term, r.clock.latestAt(began))
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	version, err := r.store.Commit(ctx, hoist.Transaction{
 		// Without the second precondition, a transaction that is carried out late could
 		// replace a later account.
@@ -203,7 +227,7 @@
 		r.isKnown = false
 		return err
 	}
-	r.version = version
+	r.version, r.failures = version, 0
 	return nil
 }
 
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -54,7 +54,7 @@
 	renewEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 2 * time.Second
-	// minClaimTimeout is the shortest time-out of a claim.
+	// minClaimTimeout is the shortest time-out of a claim, and of the read before it.
 	minClaimTimeout = 500 * time.Millisecond
 	// claimTimeoutFactor is how many times the last read of the owner's rows a claim
 	// may take. The time-out is short so that, while parts of the store do not
@@ -171,7 +171,7 @@
 	}
 	now := m.Clock.Now()
 	earlier := earlierOwners{
-		previous: previous, ownedSince: m.observed.ownedSince, row: inherited,
+		previous: previous, ownedSince: m.observed.ownedSince, previousVersion: m.observed.ownerVersion, row: inherited,
 		grantsEnd: m.grantsEnd(reason, previous, now), longestEnd: m.longestEnd(previous, now),
 	}
 	if account != nil {
