Check the lease of a worker again before a long-running task starts

What callers saw: a long-running task stays without a run for 10.7 s, found by reading.

Cause: a worker that may hold the longest lease gets no long-running task, but only the placement asked for it. A worker that restarts while the placement is being recorded still got the start.

Change: the start is checked as the placement is, and the task waits again.

Result: TestRestartWhileRecording/long-running_task failed without the change; all tests of sched and plans pass.

--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -242,3 +242,29 @@
 		})
 	}
 }
+
+// TestRestartWhileRecording guards against a long-running task that starts under the longest lease
+// of a worker which has restarted while the placement was being recorded.
+func TestRestartWhileRecording(t *testing.T) {
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	for _, tt := range []struct {
+		name   string
+		option func(*hoist.Step)
+		want   int
+	}{
+		{"long-running task", longRunning, 0},
+		{"other task", func(*hoist.Step) {}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newAccountCell(t)
+			c.submit("p", queue, step(1, tt.option))
+			c.scheduler.Pass(c.now, c.reserve)
+			c.scheduler.GrantLease("w1", leaseTime, c.now)
+			c.report("w1", restarted)
+			c.report("w1", restarted) // the first answer of the next session
+			c.recordAccount()
+			c.is.True(c.stored.entry("w1").isOpen)
+			c.wantStarts(c.record(), tt.want)
+		})
+	}
+}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -389,7 +389,9 @@
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
 	isExpired := t.ticket.value != "" && !now.Before(t.ticket.validUntil)
-	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || isExpired || sc.hasOrphan(t, now) || !t.mayBeSent() {
+	hasLongLease := t.StepTasks.Step.IsLongRunning && w.mayHoldLongLease(now)
+	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || hasLongLease || isExpired ||
+		sc.hasOrphan(t, now) || !t.mayBeSent() {
 		step := t.StepTasks
 		sc.requeue(t, now)
 		sc.stopIncompleteGang(step, now)
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -165,7 +165,7 @@
 	if !demand(s.Step).Fits(w.free()) || !sc.hasRoomForEnd(w) {
 		return false
 	}
-	if s.Step.IsLongRunning && sc.mayHoldLongLease(w) {
+	if s.Step.IsLongRunning && w.mayHoldLongLease(sc.passAt) {
 		return false
 	}
 	return s.Step.MaxPerWorker == 0 || s.countOn(w) < s.Step.MaxPerWorker
@@ -179,8 +179,8 @@
 // mayHoldLongLease reports whether a worker that has restarted, or answers the present owner in
 // an incarnation that the account does not list, may hold a lease which is too long for a
 // long-running task.
-func (sc *Scheduler) mayHoldLongLease(w *Worker) bool {
-	return w.longestLeaseUntil.Sub(sc.passAt) > maxLeaseOfLongRunning
+func (w *Worker) mayHoldLongLease(now time.Time) bool {
+	return w.longestLeaseUntil.Sub(now) > maxLeaseOfLongRunning
 }
 
 // countOn returns the number of tasks of the step on a worker.
