Send no start to a worker that the account has closed meanwhile

Cause: a start that waited to be recorded was sent to a worker that had restarted and begun its session, but was not open yet. It had no lease, so it was not sent at all, and counted as a refusal of the worker, which got no tasks for 0.5 s.

Change: such a start is withdrawn. The conditions have a function of their own.

Result: TestNoStartOnClosedWorker failed before and passes, as do the tests of sched.

--- a/internal/decide/sched/account_test.go
+++ b/internal/decide/sched/account_test.go
@@ -289,3 +289,17 @@
 		})
 	}
 }
+
+// TestNoStartOnClosedWorker guards against a start that is sent without a lease, and counts as a
+// refusal of its worker, because the account was closed while the start was being recorded.
+func TestNoStartOnClosedWorker(t *testing.T) {
+	c := newAccountCell(t)
+	c.submit("p", queue, step(1))
+	c.scheduler.Pass(c.now, c.reserve)
+	restarted := hoist.RunnerReport{Incarnation: 2, Clock: hoist.WorkerClock(time.Second)}
+	c.report("w1", restarted)
+	c.report("w1", restarted) // begins the session, in which the worker is not open yet
+	c.wantStarts(c.record(), 0)
+	c.recordAccount()
+	c.wantStarts(c.pass(), 1)
+}
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -384,14 +384,30 @@
 	return out
 }
 
+// maySendStart reports whether a start may be sent now that it is recorded: its worker may have
+// left or restarted meanwhile, and its ticket may have expired.
+func (sc *Scheduler) maySendStart(t *Task, now time.Time) bool {
+	w := t.Worker
+	switch {
+	case w.entry.IsLeaving || !w.isListed || !w.isConfirmed:
+		return false
+	case !w.isOpen || w.awaitsReport || w.isDoubted():
+		return false
+	case t.StepTasks.Step.IsLongRunning && w.mayHoldLongLease(now):
+		return false
+	case t.ticket.value != "" && !now.Before(t.ticket.validUntil):
+		return false
+	default:
+		return !sc.hasOrphan(t, now) && t.mayBeSent()
+	}
+}
+
+
 // prepareStart returns the start of a recorded task, unless the worker or the
 // ticket may no longer be used. In that case the task waits again.
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
 	w := t.Worker
-	isExpired := t.ticket.value != "" && !now.Before(t.ticket.validUntil)
-	hasLongLease := t.StepTasks.Step.IsLongRunning && w.mayHoldLongLease(now)
-	if w.entry.IsLeaving || !w.isListed || !w.isConfirmed || w.awaitsReport || w.isDoubted() || hasLongLease || isExpired ||
-		sc.hasOrphan(t, now) || !t.mayBeSent() {
+	if !sc.maySendStart(t, now) {
 		step := t.StepTasks
 		sc.requeue(t, now)
 		sc.stopIncompleteGang(step, now)
