--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -402,7 +402,6 @@
 	}
 }
 
-
 // prepareStart returns the start of a recorded task, unless the worker or the
 // ticket may no longer be used. In that case the task waits again.
 func (sc *Scheduler) prepareStart(t *Task, now time.Time) (Start, bool) {
