Count restarts that an answered start shows in the property test

TestInvariantsUnderFaults failed with -rapid.checks=3000 -rapid.seed=82 on: a task had no run for 10.66 s after the last fault. The trace shows an allowed case, a worker that restarts and is lost: the owner learned of the restart from the clock in the answer to a start, counted the longest lease from it, and kept to it, 10.50 s after the last fault. The test knew restarts from reports only. It now counts from any first answer of an incarnation that the owner does not know; bounds are as before.

--- a/internal/decide/sched/fakeowner_test.go
+++ b/internal/decide/sched/fakeowner_test.go
@@ -56,6 +56,14 @@
 	lostFor int
 }
 
+// noteAnswer records that an incarnation has answered a poll, a start or a stop. One that the owner
+// does not know shows it a restart: by the report, or by a clock that was set back.
+func (l *fakeLink) noteAnswer(fx *fixture, f *fakeWorker, incarnation hoist.Incarnation) {
+	if incarnation != 0 && l.read != incarnation && l.recorded != incarnation {
+		f.newSeenAt = fx.now
+	}
+}
+
 // closeIntervals is after how many intervals of work the account lists a lost worker as closed.
 const closeIntervals = 5
 
@@ -255,6 +263,7 @@
 	}
 	req.isGivenUp, req.givenUpAt = true, fx.now
 	id := req.worker.entry.Worker
+	o.links[req.worker].noteAnswer(fx, req.worker, a.incarnation)
 	switch {
 	case errors.Is(a.err, hoist.ErrStaleTerm) && o.scheduler.IsTokenCurrent(id, req.token):
 		o.hasEnded = true
@@ -289,9 +298,7 @@
 	}
 	f, l := r.request.worker, o.links[r.request.worker]
 	l.isReady = true
-	if l.read != r.report.Incarnation && l.recorded != r.report.Incarnation {
-		f.newSeenAt = fx.now
-	}
+	l.noteAnswer(fx, f, r.report.Incarnation)
 	if r.request.opensConn {
 		l.conn = r.report.Incarnation
 	}
