Rename what was figurative in the scheduling of long-running tasks

Read as a newcomer: impatient and pressing tasks, a constant without a name and an assignment in a condition. No decision changes; the tests of sched pass.

--- a/internal/decide/sched/advice.go
+++ b/internal/decide/sched/advice.go
@@ -263,8 +263,8 @@
 
 // busyWorkers returns workers that a request for long-running tasks names in addition to
 // the chosen ones, best first, unless those are expected to take all tasks. They have no
-// room now, and no ticket that is valid until the answer. Without their tickets, other steps could take the room on
-// each of them before the answer about it arrives.
+// room now, and no ticket that is valid until the answer. Without their tickets, other steps
+// could take the room on each of them before the answer about it arrives.
 func (sc *Scheduler) busyWorkers(s *StepTasks, chosen adviceChoice, now time.Time) []hoist.WorkerID {
 	adviser := s.Job.Plan.Queue.Advice
 	limit := workersWithin(adviser, longRunningExtraShare) - len(chosen.workers)
--- a/internal/decide/sched/occurrences.go
+++ b/internal/decide/sched/occurrences.go
@@ -106,13 +106,17 @@
 	return open == 0 || (open < sc.Open.PlanOccurrences && (open+1)*tasks <= sc.Open.PlanTasks)
 }
 
+// longRunningShareDivisor divides the limit of open tasks to get the part that is kept for plans
+// with long-running tasks.
+const longRunningShareDivisor = 10
+
 // taskLimit returns how many tasks of all plans there may be with those of a job. Plans whose
 // tasks find no worker do not end, and must not keep long-running tasks from being created.
 func (sc *Scheduler) taskLimit(j *Job) int {
 	if j.hasLongRunning {
 		return sc.Open.Tasks
 	}
-	return sc.Open.Tasks - sc.Open.Tasks/10
+	return sc.Open.Tasks - sc.Open.Tasks/longRunningShareDivisor
 }
 
 // overdueOccurrences returns how many occurrences are due and have not begun.
--- a/internal/decide/sched/pass.go
+++ b/internal/decide/sched/pass.go
@@ -64,7 +64,8 @@
 				continue
 			}
 			sc.placeTasks(s, now)
-			if sc.usesBackedOff = len(sc.backedOff) > 0 && s.isImpatient(now); sc.usesBackedOff {
+			sc.usesBackedOff = len(sc.backedOff) > 0 && s.mayIgnoreBackoff(now)
+			if sc.usesBackedOff {
 				sc.placeTasks(s, now)
 			}
 			if s.waiting > 0 && j.Plan.Queue.Advice.IsUsed() {
@@ -131,20 +132,20 @@
 	return w.usableInPass == sc.passNo || sc.usesBackedOff && w.backedOffInPass == sc.passNo
 }
 
-// backoffPatience is how long a long-running task waits for a worker that is not backed off. The
-// longest backoff is longer than it may stay without a run.
-const backoffPatience = time.Second
+// maxBackoffWait is how long a long-running task waits for a worker that is not backed off: the
+// longest backoff is longer than the task may stay without a run.
+const maxBackoffWait = time.Second
 
-// isImpatient reports whether a long-running task has waited for backoffPatience, so that it may
-// also start on a worker that is backed off.
-func (t *Task) isImpatient(now time.Time) bool {
+// mayIgnoreBackoff reports whether the task is long-running and has waited for maxBackoffWait, so
+// that it may also start on a worker that is backed off.
+func (t *Task) mayIgnoreBackoff(now time.Time) bool {
 	s := t.StepTasks
-	return s.Step.IsLongRunning && t.Phase == Waiting && now.Sub(latest(t.phaseSince, s.Job.Plan.Accepted)) >= backoffPatience
+	return s.Step.IsLongRunning && t.Phase == Waiting && now.Sub(latest(t.phaseSince, s.Job.Plan.Accepted)) >= maxBackoffWait
 }
 
-// isImpatient reports whether any task of a step is impatient.
-func (s *StepTasks) isImpatient(now time.Time) bool {
-	return s.Step.IsLongRunning && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.isImpatient(now) })
+// mayIgnoreBackoff reports the same of any task of a step.
+func (s *StepTasks) mayIgnoreBackoff(now time.Time) bool {
+	return s.Step.IsLongRunning && slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.mayIgnoreBackoff(now) })
 }
 
 // limitReserve wraps reserve for one pass: once no host was free for a
@@ -188,7 +189,7 @@
 		if j.Phase.IsFinal() || !condition(j) {
 			continue
 		}
-		j.isPressing = j.hasPressing(now)
+		j.awaitsLongRunning = j.hasWaitingLongRunning(now)
 		if j.rate != nil && j.rate.IsBeyond {
 			beyond = append(beyond, j)
 		} else {
@@ -208,10 +209,10 @@
 	return within, beyond
 }
 
-// hasPressing reports whether a long-running task of the job waits that has not failed just now.
+// hasWaitingLongRunning reports whether a long-running task of the job waits that has not failed just now.
 // It has to run within seconds, and is of use however long after its objective. One that fails
 // all the time does not go before other jobs.
-func (j *Job) hasPressing(now time.Time) bool {
+func (j *Job) hasWaitingLongRunning(now time.Time) bool {
 	if !j.hasLongRunning {
 		return false
 	}
@@ -219,18 +220,18 @@
 		if !s.Step.IsLongRunning || s.waiting == 0 {
 			continue
 		}
-		if slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Phase == Waiting && now.Sub(t.notBefore) >= backoffPatience }) {
+		if slices.ContainsFunc(s.Tasks, func(t *Task) bool { return t.Phase == Waiting && now.Sub(t.notBefore) >= maxBackoffWait }) {
 			return true
 		}
 	}
 	return false
 }
 
-// lateness returns 0 before the objective of the job and while a long-running task of it
-// presses, 1 while it is late, and 2 when it is so late that finishing it is of no more use.
+// lateness returns 0 before the objective of the job and while it awaits a long-running task,
+// 1 while it is late, and 2 when it is so late that finishing it is of no more use.
 func (j *Job) lateness(now time.Time) int {
 	switch {
-	case j.isPressing || now.Before(j.due):
+	case j.awaitsLongRunning || now.Before(j.due):
 		return 0
 	case now.Before(j.deprioritiseAt):
 		return 1
--- a/internal/decide/sched/placement.go
+++ b/internal/decide/sched/placement.go
@@ -31,7 +31,7 @@
 		if left == 0 {
 			return
 		}
-		if t.Phase != Waiting || now.Before(t.notBefore) || sc.hasOrphan(t, now) || sc.usesBackedOff && !t.isImpatient(now) {
+		if t.Phase != Waiting || now.Before(t.notBefore) || sc.hasOrphan(t, now) || sc.usesBackedOff && !t.mayIgnoreBackoff(now) {
 			continue
 		}
 		for next < len(workers) && !sc.fits(s, workers[next]) {
--- a/internal/decide/sched/scheduler.go
+++ b/internal/decide/sched/scheduler.go
@@ -223,8 +223,8 @@
 	deprioritiseAt time.Time
 	// hasLongRunning is set if any step is long-running.
 	hasLongRunning bool
-	// isPressing holds the result of hasPressing while jobs are put in order.
-	isPressing bool
+	// awaitsLongRunning holds the result of hasWaitingLongRunning while jobs are put in order.
+	awaitsLongRunning bool
 	// rests holds the result of restTimes once it is needed.
 	rests []time.Duration
 	// change counts the changes of the state. Changes up to recordedChange are
